--- /dev/null
+++ b/src/core/manual-clock.ts
@@ -0,0 +1,44 @@
+import type {Clock} from './clock.js';
+
+/** A clock that stands still until it is advanced. For tests and for the experiment tool. */
+export type ManualClock = Clock & {
+	/** Moves time on by `millis` and wakes the sleepers that are due, in order of their due time. */
+	readonly advance: (millis: number) => void;
+};
+
+type Sleeper = Readonly<{dueMillis: number; wake: () => void}>;
+
+/** Creates a {@link ManualClock}; `start` is its wall-clock time at monotonic time 0. */
+export function createManualClock(start: Date = new Date(0)): ManualClock {
+	let elapsedMillis = 0;
+	let sleepers: readonly Sleeper[] = [];
+
+	return {
+		now: () => new Date(start.getTime() + elapsedMillis),
+		monotonicMillis: () => elapsedMillis,
+		async sleep(millis, signal) {
+			if (signal?.aborted) {
+				return;
+			}
+
+			await new Promise<void>(resolve => {
+				const sleeper = {dueMillis: elapsedMillis + millis, wake: resolve};
+				sleepers = [...sleepers, sleeper];
+				signal?.addEventListener('abort', () => {
+					sleepers = sleepers.filter(other => other !== sleeper);
+					resolve();
+				}, {once: true});
+			});
+		},
+		advance(millis) {
+			elapsedMillis += millis;
+			const due = sleepers
+				.filter(sleeper => sleeper.dueMillis <= elapsedMillis)
+				.toSorted((left, right) => left.dueMillis - right.dueMillis);
+			sleepers = sleepers.filter(sleeper => sleeper.dueMillis > elapsedMillis);
+			for (const sleeper of due) {
+				sleeper.wake();
+			}
+		},
+	};
+}
--- /dev/null
+++ b/src/core/result.ts
@@ -0,0 +1,14 @@
+/** Outcome of an operation that may fail in an expected way. */
+export type Result<T, E>
+	= | {readonly ok: true; readonly value: T}
+		| {readonly ok: false; readonly error: E};
+
+/** A successful result. */
+export function succeed<T>(value: T): {readonly ok: true; readonly value: T} {
+	return {ok: true, value};
+}
+
+/** A failed result. */
+export function fail<E>(error: E): {readonly ok: false; readonly error: E} {
+	return {ok: false, error};
+}
