--- /dev/null
+++ b/src/configuration/configuration-holder.ts
@@ -0,0 +1,36 @@
+import {createSnapshotStore} from '../core/snapshot-store.js';
+import type {ConfigVersion} from '../core/ids.js';
+import type {Teardown} from '../core/teardown.js';
+import type {Configuration} from './configuration.js';
+
+/** The configuration that is in force in this process. Its version never goes down. */
+export type ConfigurationHolder = {
+	/** Undefined until a first version is known. */
+	readonly read: () => Configuration | undefined;
+	/** 0 until a first version is known. */
+	readonly version: () => ConfigVersion;
+	/** Takes `configuration` into force if it is newer; says whether it did. */
+	readonly offer: (configuration: Configuration) => boolean;
+	readonly registerListener: (listener: (configuration: Configuration) => void) => Teardown;
+};
+
+/** Creates a holder that knows no configuration yet. */
+export function createConfigurationHolder(): ConfigurationHolder {
+	const store = createSnapshotStore<Configuration | undefined>(undefined);
+	const version = () => store.read()?.version ?? 0;
+
+	return {
+		read: store.read,
+		version,
+		offer(configuration) {
+			const before = version();
+			store.update(current => configuration.version > before ? configuration : current);
+			return version() > before;
+		},
+		registerListener: listener => store.registerListener(configuration => {
+			if (configuration) {
+				listener(configuration);
+			}
+		}),
+	};
+}
