--- /dev/null
+++ b/src/answer/frame-assembly.ts
@@ -0,0 +1,128 @@
+/**
+ * Receiver side of one attempt's answer.
+ *
+ * An assembly is an immutable value. It takes the frames of its own attempt in order of offset and drops all
+ * others. Only an end frame whose count and digest match what was taken makes the answer whole.
+ */
+import {createHash, type Hash} from 'node:crypto';
+import {match} from 'ts-pattern';
+import type {AttemptId} from '../core/ids.js';
+import type {Data, End} from '../wire/generated/link.js';
+import type {CountUnits} from './payload-units.js';
+
+/** Why a frame was dropped. Each reason has its own counter. */
+export type DropReason = 'other_attempt' | 'duplicate' | 'out_of_order' | 'after_end' | 'bad_count';
+
+/** Why an answer that ended is not whole. */
+export type BrokenReason = 'count_mismatch' | 'digest_mismatch';
+
+/** A frame of an answer. */
+export type AnswerFrame
+	= | Readonly<{tag: 'data'; data: Data}>
+		| Readonly<{tag: 'end'; end: End}>;
+
+/** What has been taken of an answer so far. */
+export type Assembly = Readonly<{
+	attemptId: AttemptId;
+	state: 'open' | 'whole' | 'broken';
+	/** Offset of the frame that is taken next, in units from the start of the whole answer. */
+	nextOffset: number;
+	/** Units taken from this attempt. */
+	count: number;
+	countUnits: CountUnits;
+	/** Digest over the payloads taken; copied, never updated. */
+	hash: Hash;
+}>;
+
+/** What became of a frame. */
+export type FrameResult
+	= | Readonly<{tag: 'taken'; offset: number; payload: Uint8Array}>
+		| Readonly<{tag: 'dropped'; reason: DropReason}>
+		| Readonly<{tag: 'whole'; end: End}>
+		| Readonly<{tag: 'broken'; reason: BrokenReason}>;
+
+/** An assembly after a frame, and what became of the frame. */
+export type AssemblyStep = Readonly<{assembly: Assembly; result: FrameResult}>;
+
+/** An assembly that waits for the frame at `firstOffset`, the offset that the attempt was started with. */
+export function openAssembly(attemptId: AttemptId, firstOffset: number, countUnits: CountUnits): Assembly {
+	return {
+		attemptId,
+		state: 'open',
+		nextOffset: firstOffset,
+		count: 0,
+		countUnits,
+		hash: createHash('sha256'),
+	};
+}
+
+/** Accepts one frame. A frame after the end, whole or broken, is dropped. */
+export function acceptFrame(assembly: Assembly, frame: AnswerFrame): AssemblyStep {
+	return match(frame)
+		.with({tag: 'data'}, ({data}) => acceptData(assembly, data))
+		.with({tag: 'end'}, ({end}) => acceptEnd(assembly, end))
+		.exhaustive();
+}
+
+function acceptData(assembly: Assembly, data: Data): AssemblyStep {
+	const reason = findDropReason(assembly, data);
+	if (reason !== undefined) {
+		return drop(assembly, reason);
+	}
+
+	const taken = {
+		...assembly,
+		nextOffset: assembly.nextOffset + data.count,
+		count: assembly.count + data.count,
+		hash: assembly.hash.copy().update(data.payload),
+	};
+	return {assembly: taken, result: {tag: 'taken', offset: data.offset, payload: data.payload}};
+}
+
+function findDropReason(assembly: Assembly, data: Data): DropReason | undefined {
+	if (data.attemptId !== assembly.attemptId) {
+		return 'other_attempt';
+	}
+
+	if (assembly.state !== 'open') {
+		return 'after_end';
+	}
+
+	if (data.offset < assembly.nextOffset) {
+		return 'duplicate';
+	}
+
+	if (data.offset > assembly.nextOffset) {
+		return 'out_of_order';
+	}
+
+	return data.count > 0 && assembly.countUnits(data.payload) === data.count ? undefined : 'bad_count';
+}
+
+function acceptEnd(assembly: Assembly, end: End): AssemblyStep {
+	if (end.attemptId !== assembly.attemptId) {
+		return drop(assembly, 'other_attempt');
+	}
+
+	if (assembly.state !== 'open') {
+		return drop(assembly, 'after_end');
+	}
+
+	if (end.count !== assembly.count) {
+		return breakOff(assembly, 'count_mismatch');
+	}
+
+	if (end.digest !== assembly.hash.copy().digest('hex')) {
+		return breakOff(assembly, 'digest_mismatch');
+	}
+
+	return {assembly: {...assembly, state: 'whole'}, result: {tag: 'whole', end}};
+}
+
+function drop(assembly: Assembly, reason: DropReason): AssemblyStep {
+	return {assembly, result: {tag: 'dropped', reason}};
+}
+
+function breakOff(assembly: Assembly, reason: BrokenReason): AssemblyStep {
+	return {assembly: {...assembly, state: 'broken'}, result: {tag: 'broken', reason}};
+}
