--- /dev/null
+++ b/src/decisions/admission/concurrency-limit.ts
@@ -0,0 +1,85 @@
+import type {ServiceLoad} from './admission-request.js';
+
+/** Requests in flight allowed at first, for each backend server. */
+const INITIAL_PER_BACKEND_SERVER = 16;
+/** Requests in flight that are always allowed. */
+const MIN_LIMIT = 4;
+/** Requests queued at the backend servers over those running, above which the limit goes down. */
+const MAX_QUEUED_SHARE = 0.1;
+/** Factor on the limit when too many queue. */
+const DECREASE_FACTOR = 0.9;
+/** Factor on the limit when it was reached and few queue. */
+const INCREASE_FACTOR = 1.05;
+/** Shortest time between two changes of the limit. */
+const MIN_CHANGE_INTERVAL_MILLIS = 500;
+/** Weight of the latest request in the mean time that a request is in flight. */
+const HOLD_WEIGHT = 0.02;
+
+/**
+ * Requests of one service that this entry may have in flight, learnt from the backend servers' queues: additive changes in
+ * proportion, so that entries which share the backend servers come to equal limits.
+ */
+export type ConcurrencyLimit = Readonly<{
+	/** Whether one more request may be dispatched. */
+	hasRoom: () => boolean;
+	noteDispatched: () => void;
+	noteReleased: (heldMillis: number) => void;
+	noteLoad: (load: ServiceLoad, nowMillis: number) => void;
+	readLimit: () => number;
+	/** Requests a millisecond that end when the limit is used up; infinite until one has ended. */
+	readDrainRate: () => number;
+}>;
+
+/** Creates a limit that has seen no load yet. */
+export function createConcurrencyLimit(): ConcurrencyLimit {
+	let limit: number | undefined;
+	let inFlight = 0;
+	let meanHeldMillis = 0;
+	let wasReached = false;
+	let changedAtMillis = -Infinity;
+
+	const readLimit = () => limit ?? INITIAL_PER_BACKEND_SERVER;
+
+	function chooseFactor(load: ServiceLoad): number {
+		if (load.queued > load.running * MAX_QUEUED_SHARE) {
+			return DECREASE_FACTOR;
+		}
+
+		return wasReached ? INCREASE_FACTOR : 1;
+	}
+
+	function change(load: ServiceLoad, nowMillis: number): void {
+		const factor = chooseFactor(load);
+		if (factor !== 1) {
+			limit = Math.max(MIN_LIMIT, readLimit() * factor);
+			changedAtMillis = nowMillis;
+		}
+
+		wasReached = false;
+	}
+
+	return {
+		hasRoom() {
+			const room = inFlight + 1 <= readLimit();
+			wasReached ||= !room;
+			return room;
+		},
+		noteDispatched() {
+			inFlight += 1;
+		},
+		noteReleased(heldMillis) {
+			inFlight -= 1;
+			meanHeldMillis = meanHeldMillis === 0 ? heldMillis : meanHeldMillis + ((heldMillis - meanHeldMillis) * HOLD_WEIGHT);
+		},
+		noteLoad(load, nowMillis) {
+			limit ??= Math.max(MIN_LIMIT, INITIAL_PER_BACKEND_SERVER * load.backendServers);
+			// A report that was measured before the last change says nothing about it.
+			const measuredAtMillis = nowMillis - load.ageMillis;
+			if (measuredAtMillis > changedAtMillis && nowMillis - changedAtMillis >= MIN_CHANGE_INTERVAL_MILLIS) {
+				change(load, nowMillis);
+			}
+		},
+		readLimit,
+		readDrainRate: () => meanHeldMillis === 0 ? Infinity : readLimit() / meanHeldMillis,
+	};
+}
--- /dev/null
+++ b/src/decisions/caller-routing/rendezvous.ts
@@ -0,0 +1,43 @@
+import {createHash} from 'node:crypto';
+
+/** Bytes of the digest that make a score; 6 bytes are exact in a double. */
+const SCORE_BYTES = 6;
+
+/** Score of a node for a key: the same everywhere, uniform, and independent between nodes. */
+export function scoreNode(key: string, node: string): number {
+	return createHash('sha256').update(key).update('\0').update(node).digest().readUIntBE(0, SCORE_BYTES);
+}
+
+/** Something with an id in a failure domain. */
+export type PlacedNode = Readonly<{id: string; failureDomain: string}>;
+
+/** Orders nodes by their score for a key, highest first. */
+export function rankNodes<T extends PlacedNode>(key: string, nodes: readonly T[]): readonly T[] {
+	return nodes
+		.map(node => ({node, score: scoreNode(key, node.id)}))
+		.toSorted((left, right) => right.score - left.score)
+		.map(item => item.node);
+}
+
+/**
+ * Reorders ranked nodes so that each run of as many nodes as there are failure domains names each domain once,
+ * for as long as each has nodes left. The first node stays first, and a longer list starts with the shorter one.
+ */
+export function alternateDomains<T extends PlacedNode>(ranked: readonly T[]): readonly T[] {
+	const taken: T[] = [];
+	let rest = ranked;
+	while (rest.length > 0) {
+		const domains = new Set<string>();
+		const round: T[] = [];
+		const later: T[] = [];
+		for (const node of rest) {
+			(domains.has(node.failureDomain) ? later : round).push(node);
+			domains.add(node.failureDomain);
+		}
+
+		taken.push(...round);
+		rest = later;
+	}
+
+	return taken;
+}
--- /dev/null
+++ b/src/decisions/caller-routing/subset.ts
@@ -0,0 +1,48 @@
+import type {InstanceId} from '../../core/ids.js';
+import {alternateDomains, rankNodes, type PlacedNode} from './rendezvous.js';
+
+/** Up to this many agents, an entry links to all of them. */
+const MAX_AGENTS_FOR_FULL_MESH = 48;
+/** Entries that every agent is linked to at least, in different failure domains while there are as many. */
+export const MIN_ENTRIES_PER_AGENT = 5;
+/** Agents of each service that an entry links to at least, as long as there are as many. */
+export const MIN_AGENTS_PER_SERVICE = 8;
+
+/** An agent that entries may link to. */
+export type LinkableAgent = PlacedNode & Readonly<{service: string}>;
+
+/** The entries that link to an agent whatever else they choose. */
+export function chooseCoveringEntries<T extends PlacedNode>(agentId: InstanceId, entries: readonly T[]): readonly T[] {
+	return alternateDomains(rankNodes(agentId, entries)).slice(0, MIN_ENTRIES_PER_AGENT);
+}
+
+function groupByService(agents: readonly LinkableAgent[]): ReadonlyMap<string, readonly LinkableAgent[]> {
+	const groups = new Map<string, readonly LinkableAgent[]>();
+	for (const agent of agents) {
+		groups.set(agent.service, [...(groups.get(agent.service) ?? []), agent]);
+	}
+
+	return groups;
+}
+
+/** The agents that an entry links to, by id. Every entry computes the same from the same list. */
+export function chooseLinkedAgents(entryId: InstanceId, entries: readonly PlacedNode[], agents: readonly LinkableAgent[]): ReadonlySet<InstanceId> {
+	if (agents.length <= MAX_AGENTS_FOR_FULL_MESH) {
+		return new Set(agents.map(agent => agent.id));
+	}
+
+	const linked = new Set<InstanceId>();
+	for (const agent of agents) {
+		if (chooseCoveringEntries(agent.id, entries).some(entry => entry.id === entryId)) {
+			linked.add(agent.id);
+		}
+	}
+
+	for (const group of groupByService(agents).values()) {
+		for (const agent of alternateDomains(rankNodes(entryId, group)).slice(0, MIN_AGENTS_PER_SERVICE)) {
+			linked.add(agent.id);
+		}
+	}
+
+	return linked;
+}
--- /dev/null
+++ b/src/decisions/routing/candidate.ts
@@ -0,0 +1,54 @@
+import type {InstanceId} from '../../core/ids.js';
+import type {PrefixBelief} from './prefix-belief.js';
+
+/** The last load report of a backend server, as it was when it was measured. */
+export type LoadObservation = Readonly<{
+	running: number;
+	queued: number;
+	stepMillis: number;
+	/** Monotonic time at which it was measured, in milliseconds: time of receipt less the age it had then. */
+	measuredAtMillis: number;
+}>;
+
+/** A backend server that could serve a request, as this entry sees it now. */
+export type Candidate = Readonly<{
+	agentId: InstanceId;
+	failureDomain: string;
+	/** Own attempts that have not ended. */
+	ownInFlight: number;
+	/** Own attempts started since the report was measured. */
+	ownStartedSinceReport: number;
+	/** Own attempts that ran when the report was measured and have ended since. */
+	ownEndedSinceReport: number;
+	load: LoadObservation | undefined;
+	/** How long the oldest own attempt without a first token has waited, in milliseconds; 0 when there is none. */
+	oldestWaitMillis: number;
+	/** Measured time to first token over the expected one; 1 is normal, larger is slower. */
+	slowFactor: number;
+	/** No progress on own attempts or no heartbeat for too long. */
+	stalled: boolean;
+	prefixes: PrefixBelief;
+}>;
+
+/** A prompt prefix of a request. */
+export type PromptPrefix = Readonly<{
+	digest: string;
+	/** Length in tokens (or any unit in which all prefixes of a request are counted). */
+	tokens: number;
+}>;
+
+/** What routing needs to know of a request. */
+export type RoutingRequest = Readonly<{
+	/** Prefixes of the prompt, longest first; empty for a plain service. */
+	prefixes: readonly PromptPrefix[];
+	/** Length of the whole prompt in tokens; 0 for a plain service. */
+	promptTokens: number;
+	/** Failure domain of this entry. */
+	failureDomain: string;
+	/** Priority of the class of work; larger is more urgent. */
+	priority: number;
+	/** Time left to the deadline. */
+	remainingMillis: number;
+	/** Monotonic time of the decision in milliseconds. */
+	nowMillis: number;
+}>;
