Add the entry: links to agents, dispatch, claims and the routes for callers

Cause: callers need an address to ask, a streamed answer and a plain call before the whole path can run. Ruled out: joining a claimed call with a fresh attempt at once, since the call may be released between the question and the join and would then start under an attempt that the claim row does not name; a request that is not in the row now waits for the agent's outcome and only fetches it. Not shown yet: no run against an agent; compiled and linted only.

--- /dev/null
+++ b/src/claims/claim.ts
@@ -0,0 +1,119 @@
+/**
+ * Claims on idempotency keys, kept in the table service.
+ *
+ * The row of a key names the one attempt that may start its call. It changes only once that attempt is known never
+ * to start, so two attempts of a key never run. Rows of ended calls stay: they are what a repeat of the key finds.
+ * Whoever runs the table service sets how long; a key must not be used again after its row has expired.
+ */
+import {z} from 'zod';
+import type {AttemptId} from '../core/ids.js';
+import type {TableError, TableStore} from '../ports/table-store.js';
+
+/** Table that holds the claims. */
+export const CLAIMS_TABLE = 'claims';
+/** Writes of the same claim when the reply is lost and the row does not show it. */
+const MAX_CLAIM_WRITES = 2;
+
+const claimSchema = z.strictObject({
+	account: z.string(),
+	/** See `digestKey`; the key of the row. */
+	keyDigest: z.string(),
+	requestDigest: z.string(),
+	agentId: z.string(),
+	agentIncarnation: z.string(),
+	linkAddress: z.string(),
+	attemptId: z.string(),
+});
+
+/** Who may start the call of a key. */
+export type Claim = Readonly<z.infer<typeof claimSchema>>;
+
+/** A claim as the table holds it; `version` is that of the row, 0 when there is none. */
+export type ClaimRow = Readonly<{version: number; claim: Claim}>;
+
+/** Outcome of writing a claim. */
+export type ClaimWrite
+	/** The row holds the claim. */
+	= | Readonly<{tag: 'held'; row: ClaimRow}>
+	/** The row holds another claim. */
+		| Readonly<{tag: 'taken'; row: ClaimRow}>
+	/** The table cannot be asked; the claim may have been written. */
+		| Readonly<{tag: 'unavailable'; detail: string}>;
+
+function toRow(version: number, value: unknown): ClaimRow | undefined {
+	const parsed = claimSchema.safeParse(value);
+	return parsed.success ? {version, claim: parsed.data} : undefined;
+}
+
+function describe(error: TableError): string {
+	return error.tag === 'conflict' ? 'conflict' : `${error.tag}: ${error.detail}`;
+}
+
+function judge(row: ClaimRow, attemptId: AttemptId): ClaimWrite {
+	return {tag: row.claim.attemptId === attemptId ? 'held' : 'taken', row};
+}
+
+/** Writes the claim if the row of its key still has `version`; a lost reply is settled by reading the row. */
+export async function writeClaim(table: TableStore, claim: Claim, version: number): Promise<ClaimWrite> {
+	let detail = '';
+	for (let writes = 0; writes < MAX_CLAIM_WRITES; writes++) {
+		/* eslint-disable no-await-in-loop -- Each write follows the outcome of the one before. */
+		const written = await table.transact({
+			conditions: [{table: CLAIMS_TABLE, key: claim.keyDigest, version}],
+			writes: [{table: CLAIMS_TABLE, key: claim.keyDigest, value: claim}],
+		});
+		if (written.ok) {
+			return {tag: 'held', row: {version: written.value[0]?.version ?? version + 1, claim}};
+		}
+
+		if (written.error.tag === 'unavailable') {
+			return {tag: 'unavailable', detail: describe(written.error)};
+		}
+
+		const settled = await readAfterWrite(table, claim, version);
+		if (settled) {
+			return settled;
+		}
+
+		detail = describe(written.error);
+		/* eslint-enable no-await-in-loop */
+	}
+
+	return {tag: 'unavailable', detail};
+}
+
+/** Undefined when the row shows that the write has not taken effect so far. */
+async function readAfterWrite(table: TableStore, claim: Claim, version: number): Promise<ClaimWrite | undefined> {
+	const read = await table.read(CLAIMS_TABLE, claim.keyDigest);
+	if (!read.ok) {
+		return {tag: 'unavailable', detail: describe(read.error)};
+	}
+
+	if (!read.value || read.value.version === version) {
+		return undefined;
+	}
+
+	const row = toRow(read.value.version, read.value.value);
+	return row ? judge(row, claim.attemptId) : {tag: 'unavailable', detail: 'the claim row is ill-formed'};
+}
+
+/** Outcome of reading the row of a key. */
+export type ClaimRead
+	= | Readonly<{tag: 'present'; row: ClaimRow}>
+		| Readonly<{tag: 'absent'}>
+		| Readonly<{tag: 'unavailable'; detail: string}>;
+
+/** Reads the row of a key. */
+export async function readClaim(table: TableStore, keyDigest: string): Promise<ClaimRead> {
+	const read = await table.read(CLAIMS_TABLE, keyDigest);
+	if (!read.ok) {
+		return {tag: 'unavailable', detail: describe(read.error)};
+	}
+
+	if (!read.value) {
+		return {tag: 'absent'};
+	}
+
+	const row = toRow(read.value.version, read.value.value);
+	return row ? {tag: 'present', row} : {tag: 'unavailable', detail: 'the claim row is ill-formed'};
+}
--- a/src/core/outcome.ts
+++ b/src/core/outcome.ts
@@ -28,7 +28,8 @@
 		| 'backend_server_failed'
 		| 'incarnation_gone'
 		| 'table_unavailable'
-		| 'answer_not_kept';
+		| 'answer_not_kept'
+		| 'repeat_refused';
 
 /** What a caller is told in the end. `not_run` is only given with proof. */
 export type Outcome
--- /dev/null
+++ b/src/dispatch/create-deciders.ts
@@ -0,0 +1,109 @@
+/** Connects the deciders to the links: load reports go in, choices come out. */
+import type {Clock} from '../core/clock.js';
+import {createAdmission} from '../decisions/admission/create-admission.js';
+import type {RandomSource} from '../decisions/random.js';
+import {createRetryBudget} from '../decisions/retry/retry-budget.js';
+import type {Candidate, RoutingRequest} from '../decisions/routing/candidate.js';
+import {chooseBackendServer} from '../decisions/routing/choose-backend-server.js';
+import {estimateNominalMillis} from '../decisions/routing/first-token-cost.js';
+import {createLoadView, type LoadReportInput} from '../decisions/routing/load-view.js';
+import type {PrefixNews} from '../decisions/routing/prefix-belief.js';
+import type {LinkObserver} from '../entry/agent-link.js';
+import type {LoadReport} from '../wire/generated/link.js';
+import type {CallRequest} from './call-request.js';
+import type {Deciders} from './deciders.js';
+
+/** Deciders and the observer that feeds them. */
+export type ConnectedDeciders = Readonly<{deciders: Deciders; observer: LinkObserver}>;
+
+/** What the deciders need of their process. */
+export type DecidersDeps = Readonly<{clock: Clock; random: RandomSource; failureDomain: string}>;
+
+function toLoadInput(report: LoadReport): LoadReportInput {
+	const gap: readonly PrefixNews[] = report.cacheGap ? [{tag: 'gap'}] : [];
+	const events = report.cacheEvents.map(event => ({
+		tag: event.evicted ? 'evicted' as const : 'cached' as const,
+		digest: event.prefixDigest,
+	}));
+	return {
+		running: report.inFlight,
+		queued: report.queued,
+		stepMillis: report.stepMillis,
+		ageMillis: report.ageMillis,
+		cacheNews: [...gap, ...events],
+	};
+}
+
+/** Creates deciders that have seen no load yet. */
+export function createDeciders({clock, random, failureDomain}: DecidersDeps): ConnectedDeciders {
+	const view = createLoadView(clock);
+	const admission = createAdmission({clock, random});
+	const budget = createRetryBudget({clock, random});
+	const reports = new Map<string, Readonly<{service: string; report: LoadReport; atMillis: number}>>();
+
+	function toRoutingRequest(req: CallRequest): RoutingRequest {
+		const nowMillis = clock.monotonicMillis();
+		return {
+			prefixes: req.prefixes,
+			promptTokens: req.promptTokens,
+			failureDomain,
+			priority: req.workClass.priority,
+			remainingMillis: Math.max(0, req.deadlineMillis - nowMillis),
+			nowMillis,
+		};
+	}
+
+	function findCandidate(agentId: string): Candidate | undefined {
+		return view.listCandidates([agentId])[0];
+	}
+
+	function noteServiceLoad(service: string): void {
+		const nowMillis = clock.monotonicMillis();
+		const own = [...reports.values()].filter(item => item.service === service);
+		admission.noteServiceLoad(service, {
+			running: own.reduce((sum, item) => sum + item.report.inFlight, 0),
+			queued: own.reduce((sum, item) => sum + item.report.queued, 0),
+			backendServers: own.length,
+			ageMillis: Math.max(0, ...own.map(item => item.report.ageMillis + nowMillis - item.atMillis)),
+		});
+	}
+
+	return {
+		deciders: {
+			async admit(req, signal) {
+				budget.noteRequest(req.workClass.name);
+				const remainingMillis = Math.max(0, req.deadlineMillis - clock.monotonicMillis());
+				return admission.admit({account: req.account, workClass: req.workClass, remainingMillis}, signal);
+			},
+			choose(links, req) {
+				const candidates = view.listCandidates(links.map(link => link.hello.instanceId));
+				const chosen = chooseBackendServer(candidates, toRoutingRequest(req), random);
+				return links.find(link => link.hello.instanceId === chosen?.agentId);
+			},
+			track(link, req) {
+				const candidate = findCandidate(link.hello.instanceId);
+				const expectedMillis = candidate ? estimateNominalMillis(candidate, toRoutingRequest(req)) : 0;
+				return view.startAttempt(link.hello.instanceId, expectedMillis, req.prefixes.map(prefix => prefix.digest));
+			},
+			decideRetry: (req, retries) => budget.decide({
+				workClass: req.workClass.name,
+				retries,
+				remainingMillis: Math.max(0, req.deadlineMillis - clock.monotonicMillis()),
+			}),
+		},
+		observer: {
+			onOpen(hello) {
+				view.addBackendServer(hello.instanceId, hello.failureDomain);
+			},
+			onReport(hello, report) {
+				view.noteReport(hello.instanceId, toLoadInput(report));
+				reports.set(hello.instanceId, {service: hello.service, report, atMillis: clock.monotonicMillis()});
+				noteServiceLoad(hello.service);
+			},
+			onClosed(hello) {
+				view.removeBackendServer(hello.instanceId);
+				reports.delete(hello.instanceId);
+			},
+		},
+	};
+}
--- /dev/null
+++ b/src/dispatch/dispatch-constants.ts
@@ -0,0 +1,16 @@
+/** Time past the deadline in which an agent may still prove that an attempt was not started, in milliseconds. */
+export const SETTLE_GRACE_MILLIS = 300;
+/** Longest wait for an answer to a question about an attempt, in milliseconds. */
+export const QUESTION_TIMEOUT_MILLIS = 1000;
+/** Longest wait for a link to an agent that must be asked, in milliseconds. */
+export const CONNECT_TIMEOUT_MILLIS = 2500;
+/** `Retry-After` when no backend server is linked, in milliseconds. */
+export const NO_BACKEND_SERVER_RETRY_MILLIS = 1000;
+/** Most times that one request waits for a newer configuration. */
+export const MAX_CONFIGURATION_WAITS = 3;
+/** Longest wait for a newer configuration, in milliseconds. */
+export const CONFIGURATION_WAIT_MILLIS = 1000;
+/** Time between two looks at a call that another request started, in milliseconds. */
+export const CLAIM_POLL_MILLIS = 50;
+/** Looks at a claim whose attempt has not started before it is taken over. */
+export const UNSTARTED_CLAIM_POLLS = 5;
--- /dev/null
+++ b/src/dispatch/dispatch-context.ts
@@ -0,0 +1,22 @@
+import type {AuditRecorder} from '../audit/audit-record.js';
+import type {ConfigurationHolder} from '../configuration/configuration-holder.js';
+import type {Clock} from '../core/clock.js';
+import type {LinkSet} from '../entry/link-set.js';
+import type {Log} from '../observability/log.js';
+import type {Metrics} from '../observability/metrics.js';
+import type {ObjectStore} from '../ports/object-store.js';
+import type {TableStore} from '../ports/table-store.js';
+import type {Deciders} from './deciders.js';
+
+/** What dispatch needs of its process. */
+export type DispatchContext = Readonly<{
+	clock: Clock;
+	log: Log;
+	metrics: Metrics;
+	audit: AuditRecorder;
+	configuration: ConfigurationHolder;
+	links: LinkSet;
+	table: TableStore;
+	objects: ObjectStore;
+	deciders: Deciders;
+}>;
--- /dev/null
+++ b/src/dispatch/dispatch-repeatable.ts
@@ -0,0 +1,185 @@
+/** Requests that may run more than once: another attempt follows one that failed, within the budget of the class. */
+import {createId, type InstanceId} from '../core/ids.js';
+import type {AgentLink} from '../entry/agent-link.js';
+import type {AnswerCollector} from './answer-collectors.js';
+import type {CallRequest} from './call-request.js';
+import {findCandidates} from './candidates.js';
+import {waitForConfiguration} from './configuration-wait.js';
+import {
+	CONFIGURATION_WAIT_MILLIS, MAX_CONFIGURATION_WAITS, NO_BACKEND_SERVER_RETRY_MILLIS, SETTLE_GRACE_MILLIS,
+} from './dispatch-constants.js';
+import type {DispatchContext} from './dispatch-context.js';
+import {chooseRefusalStep, toNotRunReason} from './refusal.js';
+import {remainingMillis, runAttempt, type AttemptResult} from './run-attempt.js';
+import {proveNotStarted} from './settle-late.js';
+import {
+	settleAnswered, settleNotRun, settleUnknown, type Settled,
+} from './settled.js';
+
+/** State of one request over its attempts. */
+type Progress = {
+	readonly refusedBy: Set<InstanceId>;
+	/** Agents whose attempt failed; taken again only when there is no other. */
+	readonly failedAt: Set<InstanceId>;
+	attempts: number;
+	retries: number;
+	configurationWaits: number;
+	/** Whether an attempt may have run without an answer. */
+	mayHaveRun: boolean;
+	/** What is told when no further attempt is made. */
+	last: Settled;
+};
+
+/** A settled request and how many attempts it took. */
+export type RepeatableResult = Readonly<{settled: Settled; attempts: number}>;
+
+/** Runs the request to its outcome. `signal` aborts when the caller has left. */
+export async function dispatchRepeatable(
+	ctx: DispatchContext,
+	req: CallRequest,
+	collector: AnswerCollector,
+	signal?: AbortSignal,
+): Promise<RepeatableResult> {
+	const progress: Progress = {
+		refusedBy: new Set(),
+		failedAt: new Set(),
+		attempts: 0,
+		retries: 0,
+		configurationWaits: 0,
+		mayHaveRun: false,
+		last: settleNotRun('never_sent', '', 'no_backend_server', 'no backend server is linked', NO_BACKEND_SERVER_RETRY_MILLIS),
+	};
+
+	/* eslint-disable no-await-in-loop -- One attempt after the other. */
+	for (;;) {
+		if (signal?.aborted === true || remainingMillis(ctx, req) === 0) {
+			return finish(progress, settleNotRun('never_sent', '', 'deadline', 'the deadline passed before an attempt'));
+		}
+
+		const link = chooseLink(ctx, req, progress);
+		if (!link) {
+			if (progress.mayHaveRun && await mayRetry(ctx, req, progress, 'no_backend_server')) {
+				continue;
+			}
+
+			return finish(progress, progress.last);
+		}
+
+		const attemptId = createId();
+		progress.attempts++;
+		const result = await runAttempt(ctx, link, req, {
+			attemptId, offset: collector.beginAttempt(), boundIncarnation: '', countUnits: collector.countUnits, signal,
+		}, collector.take);
+		const settled = await follow(ctx, req, collector, {
+			link, attemptId, result, progress,
+		});
+		if (settled) {
+			return {settled, attempts: progress.attempts};
+		}
+	}
+	/* eslint-enable no-await-in-loop */
+}
+
+function finish(progress: Progress, settled: Settled): RepeatableResult {
+	const truth = progress.mayHaveRun && settled.outcome.tag === 'not_run' ? progress.last : settled;
+	return {settled: truth, attempts: progress.attempts};
+}
+
+function chooseLink(ctx: DispatchContext, req: CallRequest, progress: Progress): AgentLink | undefined {
+	const candidates = findCandidates(ctx, req.service, progress.refusedBy);
+	const fresh = candidates.filter(link => !progress.failedAt.has(link.hello.instanceId));
+	return ctx.deciders.choose(fresh.length > 0 ? fresh : candidates, req);
+}
+
+type Finished = Readonly<{
+	link: AgentLink;
+	attemptId: string;
+	result: AttemptResult;
+	progress: Progress;
+}>;
+
+/** The request's outcome, or undefined when another attempt is to follow. */
+async function follow(ctx: DispatchContext, req: CallRequest, collector: AnswerCollector, finished: Finished): Promise<Settled | undefined> {
+	const {link, attemptId, result, progress} = finished;
+	switch (result.tag) {
+		case 'whole': {
+			return settleAnswered(attemptId, result.status, collector.body(), result.repeated);
+		}
+
+		case 'never_sent': {
+			ctx.metrics.retries.inc({operation: 'attempt', reason: 'never_sent'});
+			return undefined;
+		}
+
+		case 'refused': {
+			return followRefusal(ctx, req, result, finished);
+		}
+
+		case 'broken':
+		case 'lost': {
+			const reason = result.tag === 'broken' ? result.reason : 'connection_lost';
+			progress.mayHaveRun = true;
+			progress.failedAt.add(link.hello.instanceId);
+			progress.last = settleUnknown(attemptId, result.tag === 'broken' ? 'backend_server_failed' : 'connection_lost', reason);
+			const isCorrupt = reason === 'digest_mismatch' && collector.streams;
+			return !isCorrupt && await mayRetry(ctx, req, progress, reason) ? undefined : progress.last;
+		}
+
+		case 'late': {
+			return settleLate(ctx, req, finished);
+		}
+	}
+}
+
+async function followRefusal(
+	ctx: DispatchContext,
+	req: CallRequest,
+	refusal: Readonly<{reason: string; retryAfterMillis: number}>,
+	{link, attemptId, progress}: Finished,
+): Promise<Settled | undefined> {
+	const reason = toNotRunReason(refusal.reason);
+	const retryAfterMillis = refusal.retryAfterMillis > 0 ? refusal.retryAfterMillis : undefined;
+	if (!progress.mayHaveRun) {
+		progress.last = settleNotRun('refused', attemptId, reason, `refused by ${link.hello.instanceId}`, retryAfterMillis);
+	}
+
+	const step = chooseRefusalStep(reason);
+	if (step === 'catch_up' && progress.configurationWaits < MAX_CONFIGURATION_WAITS) {
+		progress.configurationWaits++;
+		ctx.metrics.retries.inc({operation: 'attempt', reason});
+		await waitForConfiguration(ctx, link.peerVersion(), Math.min(CONFIGURATION_WAIT_MILLIS, remainingMillis(ctx, req)));
+		return undefined;
+	}
+
+	progress.refusedBy.add(link.hello.instanceId);
+	if (step === 'reroute') {
+		ctx.metrics.retries.inc({operation: 'attempt', reason});
+		return undefined;
+	}
+
+	return step === 'retry' && await mayRetry(ctx, req, progress, reason) ? undefined : progress.last;
+}
+
+/** Takes a retry from the budget and waits its backoff out; false when there is none. */
+async function mayRetry(ctx: DispatchContext, req: CallRequest, progress: Progress, reason: string): Promise<boolean> {
+	const verdict = ctx.deciders.decideRetry(req, progress.retries);
+	if (verdict.tag === 'give_up') {
+		ctx.metrics.refusals.inc({reason: `retry_${verdict.reason}`});
+		return false;
+	}
+
+	progress.retries++;
+	ctx.metrics.retries.inc({operation: 'attempt', reason});
+	await ctx.clock.sleep(verdict.delayMillis);
+	return true;
+}
+
+async function settleLate(ctx: DispatchContext, req: CallRequest, {link, attemptId, progress}: Finished): Promise<Settled> {
+	link.cancel(attemptId);
+	const agent = {agentId: link.hello.instanceId, incarnation: link.hello.incarnation, linkAddress: link.address};
+	if (!progress.mayHaveRun && await proveNotStarted(ctx, req, agent, [attemptId], SETTLE_GRACE_MILLIS)) {
+		return settleNotRun('tombstone', attemptId, 'deadline', 'the deadline passed before the backend server began');
+	}
+
+	return settleUnknown(attemptId, 'deadline', 'the deadline passed while the request was running');
+}
--- /dev/null
+++ b/src/dispatch/former-incarnation.ts
@@ -0,0 +1,43 @@
+/** What is known of a key whose agent incarnation can no longer be asked. */
+import {match} from 'ts-pattern';
+import {digestKey} from '../ledger/key-digest.js';
+import {readHandedOverLedger, type HandedOverEntry} from '../ledger/ledger-hand-over.js';
+import type {CallRequest} from './call-request.js';
+import type {DispatchContext} from './dispatch-context.js';
+import {
+	settleAnswered, settleNotRun, settleUnknown, type Settled,
+} from './settled.js';
+import type {AgentIncarnation} from './settle-late.js';
+
+/** What the handed-over ledger of an incarnation says about a key. */
+export type FormerVerdict
+	= | Readonly<{tag: 'settled'; settled: Settled}>
+	/** The incarnation handed over its ledger and the key is not in it: the call never ran there. */
+		| Readonly<{tag: 'never_ran'}>
+	/** Nothing was handed over, or it cannot be read. */
+		| Readonly<{tag: 'no_ledger'; detail: string}>;
+
+/** Reads what the incarnation left about the request's key. */
+export async function readFormerIncarnation(ctx: DispatchContext, req: CallRequest, agent: AgentIncarnation): Promise<FormerVerdict> {
+	const ledger = await readHandedOverLedger(ctx.objects, agent.agentId, agent.incarnation);
+	if (!ledger.ok) {
+		return {tag: 'no_ledger', detail: ledger.error.tag};
+	}
+
+	const digest = digestKey(req.account, req.key?.key ?? '');
+	const entry = ledger.value.find(item => item.account === req.account && item.keyDigest === digest);
+	return entry ? {tag: 'settled', settled: judgeEntry(req, entry)} : {tag: 'never_ran'};
+}
+
+function judgeEntry(req: CallRequest, entry: HandedOverEntry): Settled {
+	if (entry.requestDigest !== req.requestDigest) {
+		return settleNotRun('refused', '', 'key_reused', 'the key was used for another request');
+	}
+
+	return match(entry)
+		.with({state: 'unknown'}, () => settleUnknown('', 'incarnation_gone', 'the agent stopped before the call had an answer'))
+		.with({state: 'answered'}, ({status, body}) => body
+			? settleAnswered('', status, body, true)
+			: settleUnknown('', 'answer_not_kept', 'the call ran; its answer is kept no more'))
+		.exhaustive();
+}
--- /dev/null
+++ b/src/dispatch/refusal.ts
@@ -0,0 +1,54 @@
+import type {NotRunReason} from '../core/outcome.js';
+
+/** Reasons that an agent gives for a refusal. */
+const AGENT_REASONS = [
+	'bad_request',
+	'body_too_large',
+	'no_configuration',
+	'unknown_service',
+	'overload',
+	'fair_share',
+	'deadline',
+	'no_backend_server',
+	'leaving',
+	'stale_configuration',
+	'connection_refused',
+	'tombstone',
+	'binding_expired',
+	'key_reused',
+	'ledger_full',
+	'audit_full',
+] as const satisfies readonly NotRunReason[];
+
+/** The reason of an agent's refusal; a word not known here counts as no backend server. */
+export function toNotRunReason(reason: string): NotRunReason {
+	return AGENT_REASONS.find(known => known === reason) ?? 'no_backend_server';
+}
+
+/** What follows a refusal. */
+export type RefusalStep
+	/** Another agent may take the request at once. */
+	= | 'reroute'
+	/** The same agent takes it once this entry has caught up. */
+		| 'catch_up'
+	/** Another agent may take it, if the retry budget allows. */
+		| 'retry'
+	/** No agent would take it. */
+		| 'final';
+
+const STEPS: Readonly<Partial<Record<NotRunReason, RefusalStep>>> = {
+	leaving: 'reroute',
+	binding_expired: 'reroute',
+	no_configuration: 'reroute',
+	stale_configuration: 'catch_up',
+	overload: 'retry',
+	no_backend_server: 'retry',
+	connection_refused: 'retry',
+	ledger_full: 'retry',
+	audit_full: 'retry',
+};
+
+/** What follows a refusal for `reason`. */
+export function chooseRefusalStep(reason: NotRunReason): RefusalStep {
+	return STEPS[reason] ?? 'final';
+}
--- /dev/null
+++ b/src/dispatch/settle-refusal.ts
@@ -0,0 +1,33 @@
+/**
+ * Refusals of requests whose key may have run before.
+ *
+ * A request that is refused before its first attempt did not run, but an earlier one with the same key may have. Unless
+ * the caller says that this is the key's first use, or the key is found unused, the outcome is `unknown`.
+ */
+import {readClaim} from '../claims/claim.js';
+import {digestKey} from '../ledger/key-digest.js';
+import type {CallRequest, KeyUse} from './call-request.js';
+import {QUESTION_TIMEOUT_MILLIS} from './dispatch-constants.js';
+import type {DispatchContext} from './dispatch-context.js';
+import {queryKey} from './settle-late.js';
+import {settleUnknown, type Settled} from './settled.js';
+
+/** The outcome to tell for a request that was refused before its first attempt. */
+export async function settleRefusal(ctx: DispatchContext, req: CallRequest, refusal: Settled): Promise<Settled> {
+	if (!req.key || req.key.isFirstUse || await isKeyUnused(ctx, req, req.key)) {
+		return refusal;
+	}
+
+	const detail = refusal.outcome.tag === 'not_run' ? refusal.outcome.reason : refusal.outcome.tag;
+	return settleUnknown('', 'repeat_refused', `this request did not run (${detail}); an earlier one with the key may have`);
+}
+
+async function isKeyUnused(ctx: DispatchContext, req: CallRequest, key: KeyUse): Promise<boolean> {
+	if (key.tag === 'own') {
+		const read = await readClaim(ctx.table, digestKey(req.account, key.key));
+		return read.tag === 'absent';
+	}
+
+	const link = ctx.links.links().find(open => open.hello.incarnation === key.binding.incarnation);
+	return link !== undefined && await queryKey(link, req, QUESTION_TIMEOUT_MILLIS) === 'never_seen';
+}
--- /dev/null
+++ b/src/entry/caller-app.ts
@@ -0,0 +1,153 @@
+/** HTTP routes for callers: addresses, streamed answers of models, calls of plain services. */
+import {Hono} from 'hono';
+import {bodyLimit} from 'hono/body-limit';
+import type {InFlight} from '../attempts/in-flight.js';
+import type {Configuration} from '../configuration/configuration.js';
+import {createId, type RequestId} from '../core/ids.js';
+import {notRun, type Outcome} from '../core/outcome.js';
+import type {Teardown} from '../core/teardown.js';
+import type {CallRequest} from '../dispatch/call-request.js';
+import type {DispatchContext} from '../dispatch/dispatch-context.js';
+import {dispatchModel} from '../dispatch/dispatch-model.js';
+import {dispatchPlain} from '../dispatch/dispatch-plain.js';
+import {settleRefusal} from '../dispatch/settle-refusal.js';
+import {concludeRequest, settleNotRun} from '../dispatch/settled.js';
+import type {ServiceTarget} from '../targets/targets.js';
+import type {AddressBook} from './address-book.js';
+import {createUnansweredResponse} from './caller-error.js';
+import {authenticate, parseCallerRequest, type Refusal} from './caller-request.js';
+import type {EntryPeers} from './entry-peers.js';
+import {createTokenResponse} from './token-events.js';
+
+/** What the caller routes need. */
+export type CallerAppDeps = Readonly<{
+	dispatch: DispatchContext;
+	book: AddressBook;
+	peers: EntryPeers;
+	inFlight: InFlight;
+	maxBodyBytes: number;
+	/** Whether new work is refused because this entry is about to end. */
+	isRefusing: () => boolean;
+	/** Whether callers should open no further requests on their connections. */
+	isLeaving: () => boolean;
+}>;
+
+/** Statuses whose responses have no body. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 205, 304]);
+/** Status told when a service answers with one that HTTP does not allow. */
+const BAD_GATEWAY_STATUS = 502;
+
+/** Creates the routes. */
+export function createCallerApp(deps: CallerAppDeps): Hono {
+	const app = new Hono();
+	const limit = bodyLimit({
+		maxSize: deps.maxBodyBytes,
+		onError: () => refuse(deps, createId(), notRun('body_too_large', `body: more than ${deps.maxBodyBytes} bytes`)),
+	});
+
+	app.use(async (c, next) => {
+		await next();
+		if (deps.isLeaving()) {
+			c.res.headers.set('Connection', 'close');
+		}
+	});
+	app.get('/v1/addresses', c => answerAddresses(deps, c.req.raw.headers));
+	app.get('/v1/entry-state', c => c.json(deps.peers.ownState()));
+	app.post('/v1/entry-state/:instanceId/check', c => {
+		deps.peers.noteHint(c.req.param('instanceId'));
+		return c.body(null, 202);
+	});
+	app.post('/v1/models/:service/answers', limit, async c => serve(deps, c.req.raw, c.req.param('service'), 'model'));
+	app.post('/v1/services/:service/calls', limit, async c => serve(deps, c.req.raw, c.req.param('service'), 'plain'));
+	app.onError((err, c) => {
+		deps.dispatch.log.warn('request failed', {path: c.req.path, detail: err.message});
+		return c.json({outcome: 'unknown', reason: 'connection_lost', detail: 'the request could not be read or answered'}, 500);
+	});
+	return app;
+}
+
+/** Counts a refusal that came before dispatch. */
+function refuse(deps: CallerAppDeps, requestId: RequestId, refusal: Refusal): Response {
+	deps.dispatch.metrics.requests.inc({work_class: '', outcome: 'not_run'});
+	deps.dispatch.metrics.refusals.inc({reason: refusal.reason});
+	return createUnansweredResponse(refusal, requestId);
+}
+
+function refuseWithoutConfiguration(deps: CallerAppDeps): Response {
+	return refuse(deps, createId(), notRun('no_configuration', 'no configuration is known yet', 1000));
+}
+
+function answerAddresses(deps: CallerAppDeps, headers: Headers): Response {
+	const cfg = deps.dispatch.configuration.read();
+	if (!cfg) {
+		return refuseWithoutConfiguration(deps);
+	}
+
+	const account = authenticate(cfg, headers);
+	return account.ok ? Response.json(deps.book.answer(account.value, cfg)) : refuse(deps, createId(), account.error);
+}
+
+async function serve(deps: CallerAppDeps, raw: Request, service: string, kind: ServiceTarget['kind']): Promise<Response> {
+	const cfg = deps.dispatch.configuration.read();
+	return cfg ? serveConfigured(deps, cfg, raw, {service, kind}) : refuseWithoutConfiguration(deps);
+}
+
+async function serveConfigured(deps: CallerAppDeps, cfg: Configuration, raw: Request, target: Readonly<{service: string; kind: ServiceTarget['kind']}>): Promise<Response> {
+	const requestId = createId();
+	const body = new Uint8Array(await raw.arrayBuffer());
+	const parsed = parseCallerRequest(deps.dispatch.clock, cfg, {
+		...target, requestId, headers: raw.headers, body,
+	});
+	if (!parsed.ok) {
+		return refuse(deps, requestId, parsed.error);
+	}
+
+	const req = parsed.value;
+	if (deps.isRefusing()) {
+		return createResponse(await refuseLeaving(deps.dispatch, req), requestId);
+	}
+
+	deps.book.noteRequest(req.account);
+	const finish = deps.inFlight.register(requestId, requestId);
+	return target.kind === 'model' ? serveModel(deps, raw, req, finish) : servePlain(deps, raw, req, finish);
+}
+
+async function refuseLeaving(ctx: DispatchContext, req: CallRequest): Promise<Outcome> {
+	const refusal = settleNotRun('never_sent', '', 'leaving', 'this entry is about to end; ask for addresses again', 0);
+	return concludeRequest(ctx, req, await settleRefusal(ctx, req, refusal));
+}
+
+async function servePlain(deps: CallerAppDeps, raw: Request, req: CallRequest, finish: Teardown): Promise<Response> {
+	try {
+		return createResponse(await dispatchPlain(deps.dispatch, req, raw.signal), req.requestId);
+	} finally {
+		finish();
+	}
+}
+
+async function serveModel(deps: CallerAppDeps, raw: Request, req: CallRequest, finish: Teardown): Promise<Response> {
+	const {clock} = deps.dispatch;
+	return createTokenResponse(clock, req, async sink => {
+		try {
+			return await dispatchModel(deps.dispatch, req, sink, raw.signal);
+		} finally {
+			finish();
+		}
+	});
+}
+
+function createResponse(outcome: Outcome, requestId: RequestId): Response {
+	if (outcome.tag !== 'answered') {
+		return createUnansweredResponse(outcome, requestId);
+	}
+
+	const status = outcome.status >= 200 && outcome.status <= 599 ? outcome.status : BAD_GATEWAY_STATUS;
+	return new Response(BODILESS_STATUSES.has(status) ? null : new Uint8Array(outcome.body), {
+		status,
+		headers: {
+			'Pollenport-Outcome': 'answered',
+			'Pollenport-Repeated': String(outcome.repeated),
+			'Pollenport-Request': requestId,
+		},
+	});
+}
--- /dev/null
+++ b/src/entry/http-listener.ts
@@ -0,0 +1,80 @@
+/** HTTP listeners of an entry. */
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {createServer, type Server} from 'node:http';
+import {createServer as createTlsServer} from 'node:https';
+import {getRequestListener} from '@hono/node-server';
+import type {TlsMaterial} from '../access/link-access.js';
+import type {Clock} from '../core/clock.js';
+import type {LifeCycle} from '../core/life-cycle.js';
+import {fail, succeed, type Result} from '../core/result.js';
+import {CLOSE_TIMEOUT_MILLIS, CONNECTION_CHECK_MILLIS, REQUEST_TIMEOUT_MILLIS} from './caller-constants.js';
+
+/** An address that could not be listened on. */
+export type ListenError = Readonly<{tag: 'listen_failed'; address: string; detail: string}>;
+
+/** What answers requests. */
+export type FetchHandler = (req: Request) => Response | Promise<Response>;
+
+/** Where and how to listen. */
+export type ListenOptions = Readonly<{
+	name: string;
+	/** `IP:port`. */
+	address: string;
+	clock: Clock;
+	lifeCycle: LifeCycle;
+	/** With it, only clients with a certificate of the authority are served. */
+	mutualTls?: TlsMaterial;
+}>;
+
+const LIMITS = {
+	requestTimeout: REQUEST_TIMEOUT_MILLIS,
+	headersTimeout: REQUEST_TIMEOUT_MILLIS,
+	connectionsCheckingInterval: CONNECTION_CHECK_MILLIS,
+} as const;
+
+function createHttpServer(handler: FetchHandler, tls: TlsMaterial | undefined): Server {
+	const listener = getRequestListener(handler);
+	const answer = (...args: Parameters<typeof listener>) => {
+		void listener(...args);
+	};
+
+	if (!tls) {
+		return createServer(LIMITS, answer);
+	}
+
+	return createTlsServer({
+		...LIMITS,
+		cert: Buffer.from(tls.certificate),
+		key: Buffer.from(tls.key),
+		ca: Buffer.from(tls.authority),
+		requestCert: true,
+		rejectUnauthorized: true,
+	}, answer);
+}
+
+/** Listens until the life cycle ends; the clean-up lets responses under way finish. The value is the port. */
+export async function listenHttp(handler: FetchHandler, options: ListenOptions): Promise<Result<number, ListenError>> {
+	const server = createHttpServer(handler, options.mutualTls);
+	const separator = options.address.lastIndexOf(':');
+	server.listen(Number(options.address.slice(separator + 1)), options.address.slice(0, separator));
+	try {
+		await once(server, 'listening');
+	} catch (error) {
+		return fail({tag: 'listen_failed', address: options.address, detail: String(error)});
+	}
+
+	options.lifeCycle.own(options.name, async () => closeServer(server, options.clock));
+	const bound = server.address();
+	return succeed(typeof bound === 'object' && bound ? bound.port : 0);
+}
+
+async function closeServer(server: Server, clock: Clock): Promise<void> {
+	const closed = new AbortController();
+	server.close(() => {
+		closed.abort();
+	});
+	server.closeIdleConnections();
+	await clock.sleep(CLOSE_TIMEOUT_MILLIS, closed.signal);
+	server.closeAllConnections();
+}
--- /dev/null
+++ b/src/entry/link-set.ts
@@ -0,0 +1,187 @@
+/**
+ * Links from this entry to its agents: one task per agent, which dials, waits for the link's end, and dials again.
+ *
+ * Agents outside the chosen subset are dialled when a request needs them.
+ */
+import type {Clock} from '../core/clock.js';
+import type {InstanceId} from '../core/ids.js';
+import type {LifeCycle} from '../core/life-cycle.js';
+import {fail, succeed, type Result} from '../core/result.js';
+import {createSnapshotStore} from '../core/snapshot-store.js';
+import type {Instance, InstanceList} from '../ports/instance-list.js';
+import {
+	openAgentLink, type AgentLink, type LinkContext, type LinkError,
+} from './agent-link.js';
+import {INSTANCE_POLL_MILLIS, REDIAL_MAX_MILLIS, REDIAL_MIN_MILLIS} from './link-constants.js';
+
+/** Where an agent is reached. */
+export type AgentAddress = Readonly<{
+	agentId: InstanceId;
+	/** `host:port`, used while the instance list does not name the agent; empty when only the list is to be trusted. */
+	linkAddress: string;
+}>;
+
+/** The open links of this entry. */
+export type LinkSet = {
+	readonly links: () => readonly AgentLink[];
+	/** An open link to the agent, or else the outcome of the next try to open one, waited for at most `millis`. */
+	readonly connect: (agent: AgentAddress, millis: number) => Promise<Outcome>;
+	/** The instance list as last read; empty until then. */
+	readonly instances: () => readonly Instance[];
+};
+
+/** What decides how many links there are and how long a failed one rests. */
+export type LinkPolicy = Readonly<{
+	/** The agents of the list that this entry keeps a link to. */
+	chooseSubset: (instances: readonly Instance[]) => readonly Instance[];
+	/** Uniform in [0, 1). */
+	random: () => number;
+}>;
+
+type Outcome = Result<AgentLink, LinkError>;
+
+type Peer = {
+	/** Settles with the outcome of the next try to open a link, which begins at once. */
+	readonly nextOutcome: () => Promise<Outcome>;
+};
+
+/** Spreads a mean time over 50 % to 150 % of it. */
+function jitter(millis: number, random: () => number): number {
+	return millis * (0.5 + random());
+}
+
+/** Starts the tasks; they end with the life cycle. */
+export function startLinkSet(ctx: LinkContext, instanceList: InstanceList, lifeCycle: LifeCycle, policy: LinkPolicy): LinkSet {
+	const {clock} = ctx;
+	const listed = createSnapshotStore<readonly Instance[]>([]);
+	const open = createSnapshotStore<ReadonlyMap<InstanceId, AgentLink>>(new Map());
+	const peers = new Map<InstanceId, Peer>();
+
+	function publish(agentId: InstanceId, link: AgentLink | undefined): void {
+		open.update(links => {
+			const next = new Map(links);
+			next.delete(agentId);
+			return link ? next.set(agentId, link) : next;
+		});
+		ctx.metrics.links.set(open.read().size);
+	}
+
+	function addressOf(agent: AgentAddress): string {
+		return listed.read().find(instance => instance.id === agent.agentId)?.linkAddress ?? agent.linkAddress;
+	}
+
+	function isWanted(agentId: InstanceId): boolean {
+		return policy.chooseSubset(listed.read()).some(agent => agent.id === agentId);
+	}
+
+	function ensurePeer(agent: AgentAddress): Peer {
+		const present = peers.get(agent.agentId);
+		if (present) {
+			return present;
+		}
+
+		const waiting = createSnapshotStore<ReadonlyArray<(outcome: Outcome) => void>>([]);
+		let wakeUp = new AbortController();
+		const peer: Peer = {
+			nextOutcome: async () => new Promise(resolve => {
+				waiting.update(others => [...others, resolve]);
+				wakeUp.abort();
+			}),
+		};
+
+		function report(outcome: Outcome): void {
+			const settled = waiting.read();
+			waiting.update(() => []);
+			for (const resolve of settled) {
+				resolve(outcome);
+			}
+		}
+
+		async function rest(millis: number): Promise<void> {
+			wakeUp = new AbortController();
+			await clock.sleep(millis, AbortSignal.any([wakeUp.signal, lifeCycle.signal]));
+		}
+
+		peers.set(agent.agentId, peer);
+		void runPeer(agent, report, rest);
+		return peer;
+	}
+
+	async function runPeer(agent: AgentAddress, report: (outcome: Outcome) => void, rest: (millis: number) => Promise<void>): Promise<void> {
+		let restMillis = REDIAL_MIN_MILLIS;
+		do {
+			/* eslint-disable no-await-in-loop -- One link after the other. */
+			const opened = await openAgentLink(ctx, addressOf(agent));
+			if (opened.ok) {
+				restMillis = REDIAL_MIN_MILLIS;
+				publish(agent.agentId, opened.value);
+				ctx.observer.onOpen(opened.value.hello);
+				report(opened);
+				await opened.value.closed;
+				publish(agent.agentId, undefined);
+				ctx.observer.onClosed(opened.value.hello);
+			} else {
+				report(opened);
+				restMillis = Math.min(REDIAL_MAX_MILLIS, restMillis * 2);
+			}
+
+			await rest(jitter(restMillis, policy.random));
+			/* eslint-enable no-await-in-loop */
+		} while (!lifeCycle.signal.aborted && isWanted(agent.agentId));
+
+		peers.delete(agent.agentId);
+		report(fail({tag: 'unreachable', detail: `${agent.agentId} is not listed`}));
+	}
+
+	async function pollInstances(): Promise<void> {
+		while (!lifeCycle.signal.aborted) {
+			/* eslint-disable no-await-in-loop -- A poll begins after the one before. */
+			const read = await instanceList.list();
+			if (read.ok) {
+				listed.update(() => read.value);
+				for (const agent of policy.chooseSubset(read.value)) {
+					ensurePeer({agentId: agent.id, linkAddress: agent.linkAddress});
+				}
+			} else {
+				ctx.metrics.platformErrors.inc({store: 'instance_list', error: read.error.tag});
+			}
+
+			await clock.sleep(jitter(INSTANCE_POLL_MILLIS, policy.random), lifeCycle.signal);
+			/* eslint-enable no-await-in-loop */
+		}
+	}
+
+	lifeCycle.own('links', () => {
+		for (const link of open.read().values()) {
+			link.close('shutdown');
+		}
+	});
+	void pollInstances();
+
+	return {
+		links: () => [...open.read().values()].filter(link => link.isOpen()),
+		instances: listed.read,
+		async connect(agent, millis) {
+			const link = open.read().get(agent.agentId);
+			if (link?.isOpen()) {
+				return succeed(link);
+			}
+
+			if (addressOf(agent) === '') {
+				return fail({tag: 'unreachable', detail: `${agent.agentId} is not listed`});
+			}
+
+			const peer = ensurePeer(agent);
+			return withTimeout(clock, peer.nextOutcome(), millis);
+		},
+	};
+}
+
+async function withTimeout(clock: Clock, outcome: Promise<Outcome>, millis: number): Promise<Outcome> {
+	const stop = new AbortController();
+	const timeout = clock.sleep(Math.max(0, millis), stop.signal)
+		.then(() => fail<LinkError>({tag: 'unreachable', detail: 'no link in time'}));
+	const first = await Promise.race([outcome, timeout]);
+	stop.abort();
+	return first;
+}
--- /dev/null
+++ b/src/entry/start-entry.ts
@@ -0,0 +1,103 @@
+/** Wiring of the entry role. */
+import type {ProcessContext} from '../daemon/process-context.js';
+import {createInFlight} from '../attempts/in-flight.js';
+import {succeed, type Result} from '../core/result.js';
+import {chooseLinkedAgents} from '../decisions/caller-routing/subset.js';
+import {findCandidates} from '../dispatch/candidates.js';
+import {createDeciders} from '../dispatch/create-deciders.js';
+import type {DispatchContext} from '../dispatch/dispatch-context.js';
+import type {Instance} from '../ports/instance-list.js';
+import type {EntrySettings} from '../settings/settings.js';
+import {createAddressBook} from './address-book.js';
+import {createCallerApp} from './caller-app.js';
+import {createDrain, type DrainReport} from './drain.js';
+import {createEntryPeers} from './entry-peers.js';
+import {listenHttp, type ListenError} from './http-listener.js';
+import {startLinkSet} from './link-set.js';
+import {createOperatorApp} from './operator-app.js';
+
+/** A running entry. */
+export type RunningEntry = Readonly<{
+	/** Whether callers may be sent here: a configuration is known, an agent is linked, and no drain has begun. */
+	isReady: () => boolean;
+	/** Leaves the address answers, serves until the last of them has expired, then finishes what is in flight. */
+	drain: () => Promise<DrainReport>;
+}>;
+
+/** Secrets of an entry, read from files by the daemon. */
+export type EntrySecrets = Readonly<{operatorToken: string | undefined}>;
+
+/** Starts the entry; everything it owns ends with the life cycle. */
+export async function startEntry(ctx: ProcessContext, settings: EntrySettings, secrets: EntrySecrets): Promise<Result<RunningEntry, ListenError>> {
+	const {clock, lifeCycle} = ctx;
+	const {random} = Math;
+	const {instanceId, failureDomain} = settings;
+	const {deciders, observer} = createDeciders({clock, random, failureDomain});
+	const links = startLinkSet({
+		...ctx, instanceId, failureDomain, observer,
+	}, ctx.instances, lifeCycle, {random, chooseSubset: instances => chooseAgents(instanceId, instances)});
+	const dispatch: DispatchContext = {...ctx, links, deciders};
+	const inFlight = createInFlight(size => {
+		ctx.metrics.inFlight.set(size);
+	});
+	const peers = createEntryPeers({
+		clock,
+		instances: links.instances,
+		ownState: () => ({
+			instanceId, incarnation: ctx.incarnation, configVersion: ctx.configuration.version(), leaving: drain.isLeaving(),
+		}),
+	});
+	const book = createAddressBook({
+		clock,
+		random,
+		self: describeSelf(settings),
+		lifetimeMillis: settings.addressLifetimeMillis,
+		instances: () => links.instances().filter(instance => !peers.isLeaving(instance.id)),
+		findAgents: service => findCandidates(dispatch, service, new Set()),
+	});
+	const drain = createDrain({
+		clock, audit: ctx.audit, instanceId, book, peers, inFlight, addressLifetimeMillis: settings.addressLifetimeMillis, drainMillis: settings.drainMillis,
+	});
+	lifeCycle.own('configuration record', ctx.configuration.registerListener(({version, changeId}) => {
+		ctx.audit.append({kind: 'config_in_force', version, changeId}, 'may_drop');
+	}));
+
+	const callers = createCallerApp({
+		dispatch, book, peers, inFlight, maxBodyBytes: settings.maxBodyBytes, isRefusing: drain.isRefusing, isLeaving: drain.isLeaving,
+	});
+	const operators = createOperatorApp({
+		ctx, dispatch, peers, instanceId, operatorToken: secrets.operatorToken,
+	});
+	const listening = await listenHttp(callers.fetch, {
+		name: 'caller listener', address: settings.callerListen, clock, lifeCycle,
+	});
+	if (!listening.ok) {
+		return listening;
+	}
+
+	const operating = await listenHttp(operators.fetch, {
+		name: 'operator listener', address: settings.operatorListen, clock, lifeCycle,
+	});
+	if (!operating.ok) {
+		return operating;
+	}
+
+	return succeed({
+		isReady: () => ctx.configuration.version() > 0 && links.links().length > 0 && !drain.isLeaving(),
+		drain: drain.run,
+	});
+}
+
+function chooseAgents(entryId: string, instances: readonly Instance[]): readonly Instance[] {
+	const agents = instances.filter(instance => instance.role === 'agent');
+	const entries = instances.filter(instance => instance.role === 'entry');
+	const linked = chooseLinkedAgents(entryId, entries, agents);
+	return agents.filter(agent => linked.has(agent.id));
+}
+
+function describeSelf(settings: EntrySettings): Instance {
+	const {instanceId, region, failureDomain, callerUrl} = settings;
+	return {
+		id: instanceId, role: 'entry', region, failureDomain, state: 'live', callerUrl, linkAddress: '', service: '', group: '', rank: -1,
+	};
+}
