Add in-memory table store, object store and instance list with fault switches

Cause: unit tests need the platform ports under outage, lost replies, silence and delay without a network.

--- /dev/null
+++ b/fakes/in-memory-instance-list.ts
@@ -0,0 +1,31 @@
+import type {Clock} from '../src/core/clock.js';
+import {fail, succeed} from '../src/core/result.js';
+import {systemClock} from '../src/core/system-clock.js';
+import type {Instance, InstanceList} from '../src/ports/instance-list.js';
+import {createFaultControl, type FaultControl} from './faults/fault-control.js';
+import {callUnderFaults} from './faults/in-memory-call.js';
+import {createLaggingValue, type LaggingValue} from './state/lagging-value.js';
+
+/** An instance list within the process of a test. */
+export type InMemoryInstanceList = InstanceList & Readonly<{
+	faults: FaultControl;
+	state: LaggingValue<readonly Instance[]>;
+}>;
+
+/** Creates a list that shows `instances` now, and later changes after `lagMillis`. */
+export function createInMemoryInstanceList(
+	instances: readonly Instance[],
+	lagMillis = 0,
+	clock: Clock = systemClock,
+): InMemoryInstanceList {
+	const faults = createFaultControl();
+	const state = createLaggingValue(clock, instances, lagMillis);
+	return {
+		faults,
+		state,
+		async list() {
+			const result = await callUnderFaults<readonly Instance[], never>(faults, clock, 'read', () => succeed(state.read()));
+			return result.ok ? result : fail({tag: 'unavailable', detail: result.error.detail});
+		},
+	};
+}
--- /dev/null
+++ b/fakes/in-memory-object-store.ts
@@ -0,0 +1,23 @@
+import type {Clock} from '../src/core/clock.js';
+import {succeed} from '../src/core/result.js';
+import {systemClock} from '../src/core/system-clock.js';
+import type {ObjectStore} from '../src/ports/object-store.js';
+import {createFaultControl, type FaultControl} from './faults/fault-control.js';
+import {callUnderFaults} from './faults/in-memory-call.js';
+import {createObjectState, type ObjectState} from './state/object-state.js';
+
+/** An object store within the process of a test. */
+export type InMemoryObjectStore = ObjectStore & Readonly<{faults: FaultControl; state: ObjectState}>;
+
+/** Creates an empty object store. */
+export function createInMemoryObjectStore(clock: Clock = systemClock): InMemoryObjectStore {
+	const faults = createFaultControl();
+	const state = createObjectState();
+	return {
+		faults,
+		state,
+		create: async (key, bytes) => callUnderFaults(faults, clock, 'write', () => state.create(key, bytes)),
+		read: async key => callUnderFaults(faults, clock, 'read', () => succeed(state.read(key))),
+		list: async prefix => callUnderFaults(faults, clock, 'read', () => succeed(state.list(prefix))),
+	};
+}
--- /dev/null
+++ b/fakes/in-memory-table-store.ts
@@ -0,0 +1,23 @@
+import type {Clock} from '../src/core/clock.js';
+import {succeed} from '../src/core/result.js';
+import {systemClock} from '../src/core/system-clock.js';
+import type {TableStore} from '../src/ports/table-store.js';
+import {createFaultControl, type FaultControl} from './faults/fault-control.js';
+import {callUnderFaults} from './faults/in-memory-call.js';
+import {createTableState, type TableState} from './state/table-state.js';
+
+/** A table service within the process of a test. */
+export type InMemoryTableStore = TableStore & Readonly<{faults: FaultControl; state: TableState}>;
+
+/** Creates an empty table service; several callers may share it, as they share the real one. */
+export function createInMemoryTableStore(clock: Clock = systemClock): InMemoryTableStore {
+	const faults = createFaultControl();
+	const state = createTableState();
+	return {
+		faults,
+		state,
+		read: async (table, key) => callUnderFaults(faults, clock, 'read', () => succeed(state.read(table, key))),
+		list: async (table, prefix) => callUnderFaults(faults, clock, 'read', () => succeed(state.list(table, prefix))),
+		transact: async tx => callUnderFaults(faults, clock, 'write', () => state.transact(tx)),
+	};
+}
