Add stand-ins for table, objects, instance list, weight store and plain service

Cause: the whole path needs its platform as separate processes. Change: one frame for all stand-ins with fault switches, records and reset; one module and one command each. Shown by: built, linted, the plain service started and ended by SIGTERM by hand; contract tests follow.

--- /dev/null
+++ b/fakes/commands/instance-list.ts
@@ -0,0 +1,17 @@
+import {defineCommand} from 'citty';
+import {createInstanceListService} from '../instance-list-service.js';
+import {listenArgument, readNumbers} from './arguments.js';
+import {runStandIn} from './run-stand-in.js';
+
+/** Runs an instance list. */
+export const instanceListCommand = defineCommand({
+	meta: {name: 'instance-list', description: 'Lagging list of instances'},
+	args: {
+		listen: listenArgument,
+		'lag-millis': {type: 'string', default: '1000', description: 'Time until a change is shown'},
+	},
+	run: async ({args}) => runStandIn(readNumbers(args, ['lag-millis']), async numbers => createInstanceListService({
+		listen: args.listen,
+		lagMillis: numbers['lag-millis'],
+	})),
+});
--- /dev/null
+++ b/fakes/http/stand-in.ts
@@ -0,0 +1,96 @@
+import {createServer, type Server} from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
+import {getRequestListener, type HttpBindings} from '@hono/node-server';
+import {Hono} from 'hono';
+import {invariant} from '../../src/core/invariant.js';
+import {createFaultControl, type FaultControl} from '../faults/fault-control.js';
+import {registerFaultMiddleware} from '../faults/fault-middleware.js';
+import {registerControlRoutes} from './control-routes.js';
+
+/** Hono application of a stand-in. */
+export type StandInApp = Hono<{Bindings: HttpBindings}>;
+
+/** A stand-in that listens. */
+export type StandIn = Readonly<{
+	/** Base URL, without a slash at its end. */
+	url: string;
+	faults: FaultControl;
+	/** Closes the listener and all connections. */
+	close: () => Promise<void>;
+}>;
+
+/** What one kind of stand-in brings. */
+export type StandInDefinition = Readonly<{
+	/** `IP:port`; port 0 takes any free one. */
+	listen: string;
+	/** Adds the routes under `/v1/` and further control routes. */
+	addRoutes: (app: StandInApp, faults: FaultControl) => void;
+	/** What `GET /control/records` answers. */
+	records: () => unknown;
+	/** Forgets everything, as after a restart. */
+	reset: () => void;
+	/** Ends the tasks of the stand-in. */
+	stop?: () => void;
+}>;
+
+function splitListen(listen: string): Readonly<{hostname: string; port: number}> {
+	const at = listen.lastIndexOf(':');
+	return {hostname: listen.slice(0, at), port: Number(listen.slice(at + 1))};
+}
+
+async function startListening(server: Server, listen: string): Promise<AddressInfo> {
+	const {hostname, port} = splitListen(listen);
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(port, hostname, resolve);
+	});
+	const address = server.address();
+	invariant(address !== null && typeof address !== 'string', 'a listener on TCP has an address');
+	return address;
+}
+
+async function closeServer(server: Server, sockets: ReadonlySet<Socket>): Promise<void> {
+	await new Promise<void>(resolve => {
+		server.close(() => {
+			resolve();
+		});
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+	});
+}
+
+function trackSockets(server: Server): ReadonlySet<Socket> {
+	const sockets = new Set<Socket>();
+	server.on('connection', (socket: Socket) => {
+		sockets.add(socket);
+		socket.once('close', () => {
+			sockets.delete(socket);
+		});
+	});
+	return sockets;
+}
+
+/** Starts a stand-in. Rejects when its address cannot be bound. */
+export async function startStandIn(definition: StandInDefinition): Promise<StandIn> {
+	const faults = createFaultControl();
+	const app: StandInApp = new Hono();
+	registerControlRoutes(app, faults, definition);
+	registerFaultMiddleware(app, faults);
+	definition.addRoutes(app, faults);
+
+	const listener = getRequestListener(app.fetch);
+	const server = createServer((req, res) => {
+		void listener(req, res);
+	});
+	const sockets = trackSockets(server);
+	const {address, port} = await startListening(server, definition.listen);
+	return {
+		url: `http://${address}:${port}`,
+		faults,
+		async close() {
+			definition.stop?.();
+			await closeServer(server, sockets);
+		},
+	};
+}
--- /dev/null
+++ b/fakes/main.ts
@@ -0,0 +1,20 @@
+/** Runs one stand-in of the platform or of a backend server as a process of its own. */
+import {defineCommand, runMain} from 'citty';
+import {instanceListCommand} from './commands/instance-list.js';
+import {objectsCommand} from './commands/objects.js';
+import {plainCommand} from './commands/plain.js';
+import {tableCommand} from './commands/table.js';
+import {weightStoreCommand} from './commands/weight-store.js';
+
+const main = defineCommand({
+	meta: {name: 'fakes', description: 'Stand-ins for tests'},
+	subCommands: {
+		table: tableCommand,
+		objects: objectsCommand,
+		'instance-list': instanceListCommand,
+		'weight-store': weightStoreCommand,
+		plain: plainCommand,
+	},
+});
+
+await runMain(main);
