--- a/fakes/commands/arguments.ts
+++ b/fakes/commands/arguments.ts
@@ -8,20 +8,22 @@
 /** An argument that does not fit. */
 export type ArgumentError = Readonly<{name: string; detail: string}>;
 
+function isNumber(text: string): boolean {
+	return text.trim() !== '' && Number.isFinite(Number(text)) && Number(text) >= 0;
+}
+
+/** Gives the value of a numeric argument that was read. */
+export type NumberArguments<N extends string> = (name: N) => number;
+
 /** Reads those of `args` that are numbers of at least 0; the error names the first that is not. */
 export function readNumbers<N extends string>(
 	args: Readonly<Record<N, string>>,
 	names: readonly N[],
-): Result<Readonly<Record<N, number>>, ArgumentError> {
-	const numbers: Partial<Record<N, number>> = {};
-	for (const name of names) {
-		const value = Number(args[name]);
-		if (args[name].trim() === '' || !Number.isFinite(value) || value < 0) {
-			return fail({name, detail: `must be a number of at least 0, not ${JSON.stringify(args[name])}`});
-		}
-
-		numbers[name] = value;
+): Result<NumberArguments<N>, ArgumentError> {
+	const wrong = names.find(name => !isNumber(args[name]));
+	if (wrong !== undefined) {
+		return fail({name: wrong, detail: `must be a number of at least 0, not ${JSON.stringify(args[wrong])}`});
 	}
 
-	return succeed(numbers as Record<N, number>);
+	return succeed(name => Number(args[name]));
 }
--- a/fakes/commands/instance-list.ts
+++ b/fakes/commands/instance-list.ts
@@ -12,6 +12,6 @@
 	},
 	run: async ({args}) => runStandIn(readNumbers(args, ['lag-millis']), async numbers => createInstanceListService({
 		listen: args.listen,
-		lagMillis: numbers['lag-millis'],
+		lagMillis: numbers('lag-millis'),
 	})),
 });
--- a/fakes/commands/plain.ts
+++ b/fakes/commands/plain.ts
@@ -13,7 +13,7 @@
 	},
 	run: async ({args}) => runStandIn(readNumbers(args, ['work-millis', 'load-lag-millis']), async numbers => createPlainBackend({
 		listen: args.listen,
-		workMillis: numbers['work-millis'],
-		loadLagMillis: numbers['load-lag-millis'],
+		workMillis: numbers('work-millis'),
+		loadLagMillis: numbers('load-lag-millis'),
 	})),
 });
--- a/fakes/commands/weight-store.ts
+++ b/fakes/commands/weight-store.ts
@@ -12,6 +12,6 @@
 	},
 	run: async ({args}) => runStandIn(readNumbers(args, ['rate-per-second']), async numbers => createWeightStore({
 		listen: args.listen,
-		ratePerSecond: numbers['rate-per-second'],
+		ratePerSecond: numbers('rate-per-second'),
 	})),
 });
