Add rank group and model engine stand-ins and the engine's adapter

Cause: the vote and the streams need a lock-step group and engines that keep holds and releases. Change: fabric with records of epochs by step, engine with holds that outlive its agent, NDJSON streams, orders, lagging load, late and gappy cache events. An engine process that replaces one of its rank restarts the group, since its memory of releases is gone.

--- /dev/null
+++ b/fakes/engine/engine.ts
@@ -0,0 +1,188 @@
+import {match} from 'ts-pattern';
+import type {Clock} from '../../src/core/clock.js';
+import type {Incarnation} from '../../src/core/ids.js';
+import {fail, succeed, type Result} from '../../src/core/result.js';
+import type {EngineOrder, EngineState, StreamRequest} from '../../src/ports/model-engine.js';
+import {digestPromptPrefix} from '../../src/ports/prompt-prefix.js';
+import type {ArrivalOutcome} from '../group/fabric.js';
+import {
+	createBatch, type Batch, type StreamRefusal, type StreamSink,
+} from './batch.js';
+import type {EngineOptions} from './engine-options.js';
+import {createExpertLoader, createWeightStoreFetch, type ExpertLoader} from './expert-loader.js';
+import {createExpertPopularity} from './expert-popularity.js';
+import {createInitialMap, tokensOfRank} from './expert-shape.js';
+import {createHttpGroupLink, createStandaloneLink} from './group-link.js';
+import {createLoadMeter} from './load-meter.js';
+import {createMapAgreement, type MapAgreement, type MapRefusal} from './map-agreement.js';
+import {createPrefixCache, type PrefixCache} from './prefix-cache.js';
+
+/** Why an order was refused. */
+export type OrderRefusal = MapRefusal | Readonly<{tag: 'refused'; reason: 'old_fencing_token'}>;
+
+/** An order and what became of it, for the records. */
+export type OrderRecord = Readonly<{fencingToken: number; order: EngineOrder; outcome: string}>;
+
+/** One model engine. */
+export type Engine = {
+	readonly batch: Batch;
+	readonly cache: PrefixCache;
+	readonly startStream: (req: StreamRequest, sink: StreamSink) => Result<void, StreamRefusal>;
+	/** A stream of this attempt that starts later needs no prefill. */
+	readonly importStream: (attemptId: string) => void;
+	readonly order: (order: EngineOrder, fencingToken: number) => Promise<Result<void, OrderRefusal>>;
+	readonly readState: () => EngineState;
+	readonly records: () => Readonly<{orders: readonly OrderRecord[]; streams: ReturnType<Batch['records']>; fetchedExperts: number}>;
+	/** Runs the steps until the engine is stopped. */
+	readonly run: () => Promise<void>;
+	readonly stop: () => void;
+};
+
+/** What an engine gets from the process that runs it. */
+export type EngineSurroundings = Readonly<{clock: Clock; untilThawed: () => Promise<void>}>;
+
+function createLoader(options: EngineOptions): ExpertLoader {
+	const fetchExpert = options.weightStoreUrl === ''
+		? async () => 0
+		: createWeightStoreFetch(options.weightStoreUrl);
+	return createExpertLoader(options.rank, createInitialMap(options.shape), fetchExpert);
+}
+
+async function carryOut(order: EngineOrder, agreement: MapAgreement, loader: ExpertLoader): Promise<Result<void, MapRefusal>> {
+	return match(order)
+		.returnType<Promise<Result<void, MapRefusal>>>()
+		.with({tag: 'load_experts'}, async ({epoch, map}) => {
+			await loader.load(epoch, map);
+			return succeed(undefined);
+		})
+		.with({tag: 'hold'}, async ({epoch, fromStep}) => agreement.hold({epoch, fromStep}))
+		.with({tag: 'release'}, async ({epoch}) => agreement.release(epoch))
+		.with({tag: 'take_map'}, async ({epoch, map, fromStep}) => agreement.takeMap({epoch, map, fromStep}))
+		.with({tag: 'load_model'}, {tag: 'load_adapter'}, {tag: 'change_role'}, async () => succeed(undefined))
+		.exhaustive();
+}
+
+/** Creates an engine; it runs no step before `run`. */
+export function createEngine(options: EngineOptions, {clock, untilThawed}: EngineSurroundings): Engine {
+	const {shape, rank} = options;
+	const stopping = new AbortController();
+	const link = options.groupUrl === ''
+		? createStandaloneLink(options.baseStepMillis, clock, stopping.signal)
+		: createHttpGroupLink(options.groupUrl, rank, stopping.signal);
+	const agreement = createMapAgreement(createInitialMap(shape));
+	const loader = createLoader(options);
+	const popularity = createExpertPopularity(options);
+	const batch = createBatch(options.capacity, options.queueLimit);
+	const meter = createLoadMeter(shape, clock, options.loadLagMillis);
+	const cache = createPrefixCache({
+		size: options.cachePrefixes,
+		eventLagMillis: options.cacheLagMillis,
+		eventGapShare: options.cacheGapShare,
+		seed: options.seed,
+		clock,
+	});
+	const imported = new Set<string>();
+	const orders: OrderRecord[] = [];
+	let highestToken = 0;
+
+	function restartGroup(incarnation: Incarnation, step: number): void {
+		if (agreement.restartGroup(incarnation, step)) {
+			meter.restart();
+		}
+	}
+
+	function refuseOldToken(fencingToken: number): boolean {
+		if (options.checksFencing && fencingToken < highestToken) {
+			return true;
+		}
+
+		highestToken = Math.max(highestToken, fencingToken);
+		return false;
+	}
+
+	async function runStep(): Promise<void> {
+		await untilThawed();
+		const {
+			groupIncarnation, step, epoch, map,
+		} = await agreement.beginStep();
+		await loader.load(epoch, map);
+		const tokens = popularity(step);
+		const ownTokens = tokens.reduce((sum, layerTokens, layer) => sum + tokensOfRank(map, layer, rank, layerTokens), 0);
+		const load = ownTokens * options.slowFactor;
+		const outcome = await link.arrive({
+			groupIncarnation, step, epoch, load,
+		});
+		await untilThawed();
+		finishStep(outcome, tokens, load);
+	}
+
+	async function runSteps(): Promise<void> {
+		while (!stopping.signal.aborted) {
+			// eslint-disable-next-line no-await-in-loop
+			await runStep();
+		}
+	}
+
+	/** An engine that a hold keeps from its group learns of a restart here. */
+	async function watchRestarts(): Promise<void> {
+		while (!stopping.signal.aborted) {
+			// eslint-disable-next-line no-await-in-loop
+			const incarnation = await link.nextIncarnation(agreement.read().groupIncarnation);
+			restartGroup(incarnation, 0);
+		}
+	}
+
+	function finishStep(outcome: ArrivalOutcome, tokens: ReadonlyArray<readonly number[]>, load: number): void {
+		if (outcome.tag === 'restarted') {
+			restartGroup(outcome.groupIncarnation, 0);
+			return;
+		}
+
+		batch.advance();
+		meter.addStep({
+			...batch.counts(), tokens, rankMillis: outcome.millisPerLoad * load, stepMillis: outcome.stepMillis,
+		});
+	}
+
+	return {
+		batch,
+		cache,
+		startStream(req, sink) {
+			const isCached = cache.touch(digestPromptPrefix(req.prompt));
+			const needsPrefill = !imported.has(req.attemptId) && !isCached;
+			return batch.add(req, needsPrefill ? options.prefillSteps : 0, sink);
+		},
+		importStream(attemptId) {
+			imported.add(attemptId);
+		},
+		async order(order, fencingToken) {
+			const result: Result<void, OrderRefusal> = refuseOldToken(fencingToken)
+				? fail({tag: 'refused', reason: 'old_fencing_token'})
+				: await carryOut(order, agreement, loader);
+			orders.push({fencingToken, order, outcome: result.ok ? 'done' : result.error.reason});
+			return result;
+		},
+		readState() {
+			const {groupIncarnation, nextStep, epoch, map, hold, released} = agreement.read();
+			return {
+				groupIncarnation,
+				step: nextStep,
+				mapEpoch: epoch,
+				map,
+				hold,
+				releasedEpochs: [...released],
+				...meter.read(),
+				ageMillis: options.loadLagMillis,
+			};
+		},
+		records: () => ({orders, streams: batch.records(), fetchedExperts: loader.fetched()}),
+		async run() {
+			const joined = await link.joinGroup();
+			restartGroup(joined.groupIncarnation, joined.step);
+			await Promise.all([runSteps(), watchRestarts()]);
+		},
+		stop() {
+			stopping.abort();
+		},
+	};
+}
--- a/fakes/main.ts
+++ b/fakes/main.ts
@@ -1,8 +1,10 @@
 /** Runs one stand-in of the platform or of a backend server as a process of its own. */
 import {defineCommand, runMain} from 'citty';
+import {engineCommand} from './commands/engine.js';
 import {instanceListCommand} from './commands/instance-list.js';
 import {objectsCommand} from './commands/objects.js';
 import {plainCommand} from './commands/plain.js';
+import {rankGroupCommand} from './commands/rank-group.js';
 import {tableCommand} from './commands/table.js';
 import {weightStoreCommand} from './commands/weight-store.js';
 
@@ -13,6 +15,8 @@
 		objects: objectsCommand,
 		'instance-list': instanceListCommand,
 		'weight-store': weightStoreCommand,
+		'rank-group': rankGroupCommand,
+		engine: engineCommand,
 		plain: plainCommand,
 	},
 });
--- /dev/null
+++ b/fakes/model-engine.ts
@@ -0,0 +1,35 @@
+import {systemClock} from '../src/core/system-clock.js';
+import {createEngine, type Engine} from './engine/engine.js';
+import type {EngineOptions} from './engine/engine-options.js';
+import {addEngineRoutes} from './engine/engine-routes.js';
+import {startStandIn, type StandIn} from './http/stand-in.js';
+
+/** Starts a model engine, one rank of a group or on its own. Its records are `{orders, streams, fetchedExperts}`. */
+export async function createModelEngine(options: EngineOptions): Promise<StandIn> {
+	let engine: Engine | undefined;
+	return startStandIn({
+		listen: options.listen,
+		addRoutes(app, faults) {
+			engine = createEngine(options, {clock: systemClock, untilThawed: faults.untilThawed});
+			addEngineRoutes(app, engine);
+			void runUntilStopped(engine);
+		},
+		records: () => engine?.records(),
+		reset() {
+			// An engine keeps its memory; a new process is an engine without one.
+		},
+		stop() {
+			engine?.stop();
+		},
+	});
+}
+
+async function runUntilStopped(engine: Engine): Promise<void> {
+	try {
+		await engine.run();
+	} catch (error) {
+		if (!(error instanceof Error && error.name === 'AbortError')) {
+			throw error;
+		}
+	}
+}
--- /dev/null
+++ b/src/adapters/split-lines.ts
@@ -0,0 +1,10 @@
+/** Cuts a stream of UTF-8 bytes into lines. What follows the last line break is no line. */
+export async function * splitLines(chunks: AsyncIterable<Uint8Array>): AsyncGenerator<string, void> {
+	const decoder = new TextDecoder();
+	let rest = '';
+	for await (const chunk of chunks) {
+		const lines = (rest + decoder.decode(chunk, {stream: true})).split('\n');
+		rest = lines.pop() ?? '';
+		yield * lines;
+	}
+}
