--- /dev/null
+++ b/src/entry/__tests__/whole-answer.test.ts
@@ -0,0 +1,112 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {encodeTokens} from '../../answer/payload-units.js';
+import {sha256Hex} from '../../core/digest.js';
+import {createLifeCycle} from '../../core/life-cycle.js';
+import {createInMemoryObjectStore} from '../../../fakes/in-memory-object-store.js';
+import {createInMemoryTableStore} from '../../../fakes/in-memory-table-store.js';
+import {
+	describeAgent, postPrompt, startTestEntry, type World,
+} from './entry-harness.js';
+import {answerTokens, startFakeAgent, type Script} from './fake-agent.js';
+
+const TOKENS = ['the ', 'wind ', 'clause ', 'was ', 'indexed'];
+const WHOLE = answerTokens(TOKENS);
+
+/** Sends the first two tokens of the answer, then what `next` does. */
+function begin(next: Script): Script {
+	return attempt => {
+		const {start, sender, send} = attempt;
+		if (start.offset > 0) {
+			return WHOLE(attempt);
+		}
+
+		for (const token of TOKENS.slice(0, 2)) {
+			send({$case: 'data', data: sender.createData(encodeTokens([token]), 1)});
+		}
+
+		return next(attempt);
+	};
+}
+
+/** Sends frame `index` of the whole answer, made by another sender, as `change` alters it. */
+const FAULTS: Readonly<Record<string, Script>> = {
+	'the engine dies mid-stream': begin(({start, send}) => {
+		send({$case: 'broken', broken: {attemptId: start.attemptId, reason: 'engine died'}});
+	}),
+	'the link is cut mid-stream': begin(({cutLink}) => {
+		cutLink();
+	}),
+	'the agent refuses': ({start, send}) => {
+		send({$case: 'refused', refused: {attemptId: start.attemptId, reason: 'leaving', retryAfterMillis: 0}});
+	},
+	'a frame comes twice': ({start, sender, send}) => {
+		for (const token of TOKENS) {
+			const data = sender.createData(encodeTokens([token]), 1);
+			send({$case: 'data', data});
+			send({$case: 'data', data});
+		}
+
+		send({$case: 'end', end: sender.createEnd(200, false)});
+	},
+	'two frames are swapped': ({sender, send}) => {
+		const frames = TOKENS.map(token => sender.createData(encodeTokens([token]), 1));
+		for (const index of [0, 2, 1, 3, 4]) {
+			const data = frames[index];
+			if (data) {
+				send({$case: 'data', data});
+			}
+		}
+
+		send({$case: 'end', end: sender.createEnd(200, false)});
+	},
+	'a frame of another attempt comes between': begin(attempt => {
+		const {start, sender, send} = attempt;
+		send({
+			$case: 'data', data: {
+				attemptId: 'another', offset: 2, count: 1, payload: encodeTokens(['secret']),
+			},
+		});
+		for (const token of TOKENS.slice(2)) {
+			send({$case: 'data', data: sender.createData(encodeTokens([token]), 1)});
+		}
+
+		send({$case: 'end', end: sender.createEnd(200, false)});
+	}),
+	'the end comes before the last frames': begin(({sender, send}) => {
+		const late = sender.createData(encodeTokens([TOKENS[2] ?? '']), 1);
+		send({$case: 'end', end: sender.createEnd(200, false)});
+		send({$case: 'data', data: late});
+	}),
+};
+
+async function startWorld(): Promise<World> {
+	return {
+		lifeCycle: createLifeCycle(), table: createInMemoryTableStore(), objects: createInMemoryObjectStore(), instances: [],
+	};
+}
+
+for (const [fault, script] of Object.entries(FAULTS)) {
+	test(`whole answer: ${fault}`, async () => {
+		const world = await startWorld();
+		let faulty = 0;
+		const once: Script = async attempt => {
+			faulty++;
+			return faulty === 1 ? script(attempt) : WHOLE(attempt);
+		};
+
+		const agents = [
+			await startFakeAgent(world.lifeCycle, 'agent-1', 'model', once),
+			await startFakeAgent(world.lifeCycle, 'agent-2', 'model', once),
+		];
+		world.instances = agents.map(agent => describeAgent(agent, 'model'));
+		const entry = await startTestEntry(world, 'entry-1');
+
+		const {status, events} = await postPrompt(entry);
+
+		assert.equal(status, 200);
+		assert.equal(events.filter(event => event.name === 'tokens').flatMap(event => event.data['tokens']).join(''), TOKENS.join(''));
+		assert.deepEqual(events.at(-1), {name: 'end', data: {count: TOKENS.length, digest: sha256Hex(TOKENS.join(''))}});
+		await world.lifeCycle.shutdown();
+	});
+}
--- a/src/entry/start-entry.ts
+++ b/src/entry/start-entry.ts
@@ -22,6 +22,8 @@
 	isReady: () => boolean;
 	/** Leaves the address answers, serves until the last of them has expired, then finishes what is in flight. */
 	drain: () => Promise<DrainReport>;
+	/** Ports listened on; they differ from the settings where those say 0. */
+	ports: Readonly<{caller: number; operator: number}>;
 }>;
 
 /** Secrets of an entry, read from files by the daemon. */
@@ -85,6 +87,7 @@
 	return succeed({
 		isReady: () => ctx.configuration.version() > 0 && links.links().length > 0 && !drain.isLeaving(),
 		drain: drain.run,
+		ports: {caller: listening.value, operator: operating.value},
 	});
 }
 
