Add the agent's link to entries, its attempt table and its ledger

The agent is the last check before a call runs. It refuses what it can prove not to have run, keeps tombstones and the ledger of calls that must not be repeated, tells its entries when it is leaving, and drains without cutting a call off.

Ruled out: dropping ledger keys by age, since a caller may use a key for as long as the incarnation lives; a full ledger refuses new keys.

--- /dev/null
+++ b/src/agent/attempt-gate.ts
@@ -0,0 +1,33 @@
+/** The last check before an attempt starts. */
+import type {ConfigVersion} from '../core/ids.js';
+import type {NotRunReason} from '../core/outcome.js';
+import type {StartAttempt} from '../wire/generated/link.js';
+import {ATTEMPTS_PER_CAPACITY} from './agent-constants.js';
+import type {AgentParts} from './agent-parts.js';
+
+/** Why an attempt that nobody has seen before must not start; undefined when it may. */
+export function findRefusal(parts: AgentParts, start: StartAttempt, entryVersion: ConfigVersion): NotRunReason | undefined {
+	if (parts.leaving.isLeaving()) {
+		return 'leaving';
+	}
+
+	if (entryVersion < parts.ctx.configuration.version()) {
+		return 'stale_configuration';
+	}
+
+	if (start.service !== parts.settings.service) {
+		return 'unknown_service';
+	}
+
+	// The ledger holds whole answers, so a stream can't be given again.
+	if (parts.backend.kind === 'engine' && !start.idempotent) {
+		return 'bad_request';
+	}
+
+	if (start.remainingMillis <= 0) {
+		return 'deadline';
+	}
+
+	const limit = parts.settings.backend.capacity * ATTEMPTS_PER_CAPACITY;
+	return parts.inFlight.size() >= limit ? 'overload' : undefined;
+}
--- /dev/null
+++ b/src/agent/entry-link.ts
@@ -0,0 +1,244 @@
+/**
+ * The link to one entry: a task that reads its frames and a task that sends heartbeats.
+ *
+ * Frames of attempts are served each in a task of its own. When the link ends, streams are cancelled at the engine,
+ * while calls to a plain service run on.
+ */
+import {status as grpcStatus} from '@grpc/grpc-js';
+import {match, P} from 'ts-pattern';
+import {createConfigDocument, parseConfigDocument} from '../configuration/configuration-document.js';
+import type {AttemptId, ConfigVersion} from '../core/ids.js';
+import {InvariantError} from '../core/invariant.js';
+import {digestKey} from '../ledger/key-digest.js';
+import type {
+	AttemptQuery, AttemptStatus, ConfigDocument, EntryFrame, StartAttempt,
+} from '../wire/generated/link.js';
+import {HEARTBEAT_INTERVAL_MILLIS, LINK_SILENCE_MILLIS} from './agent-constants.js';
+import type {AgentParts, EntryChannel} from './agent-parts.js';
+import {createEntryChannel, type EntryCall} from './entry-channel.js';
+import {createLoadReport} from './load-report.js';
+import {serveAttempt} from './serve-attempt.js';
+
+/** Why the agent closes a link. Each reason has its own counter. */
+type CloseReason = 'unauthorised' | 'silent' | 'bad_frame';
+
+type LinkState = Readonly<{
+	parts: AgentParts;
+	call: EntryCall;
+	channel: EntryChannel;
+	/** What stops the streams that this link started. */
+	cancels: Map<AttemptId, AbortController>;
+	close: (reason: CloseReason) => void;
+	/** Monotonic time of the last frame, in milliseconds. */
+	lastHeardMillis: () => number;
+	noteFrame: () => void;
+}>;
+
+/** Serves an entry until its link ends. Never rejects. */
+export async function serveEntry(parts: AgentParts, call: EntryCall): Promise<void> {
+	if (!parts.ctx.linkAccess.isAuthorised(call.metadata)) {
+		rejectCall(parts, call, 'unauthorised');
+		return;
+	}
+
+	const ending = new AbortController();
+	const link = createLinkState(parts, call, ending.signal);
+	const stopTelling = registerAnnouncements(link);
+	const endCall = () => {
+		call.end();
+	};
+
+	parts.ctx.lifeCycle.signal.addEventListener('abort', endCall, {once: true});
+	parts.ctx.metrics.links.inc();
+	void link.channel.send({$case: 'hello', hello: createHello(parts)});
+	void sendHeartbeats(link);
+	await readFrames(link);
+	ending.abort();
+	stopTelling();
+	parts.ctx.metrics.links.dec();
+	for (const cancel of link.cancels.values()) {
+		cancel.abort();
+	}
+
+	parts.ctx.lifeCycle.signal.removeEventListener('abort', endCall);
+	call.end();
+}
+
+function createLinkState(parts: AgentParts, call: EntryCall, signal: AbortSignal): LinkState {
+	let lastHeardMillis = parts.ctx.clock.monotonicMillis();
+	return {
+		parts,
+		call,
+		channel: createEntryChannel(call, parts.ctx.configuration, signal),
+		cancels: new Map(),
+		close(reason) {
+			rejectCall(parts, call, reason);
+		},
+		lastHeardMillis: () => lastHeardMillis,
+		noteFrame() {
+			lastHeardMillis = parts.ctx.clock.monotonicMillis();
+		},
+	};
+}
+
+function rejectCall(parts: AgentParts, call: EntryCall, reason: CloseReason): void {
+	parts.ctx.metrics.rejectedConnections.inc({reason});
+	parts.ctx.log.warn('link closed', {peer: call.getPeer(), reason});
+	const code = reason === 'unauthorised' ? grpcStatus.UNAUTHENTICATED : grpcStatus.ABORTED;
+	call.emit('error', Object.assign(new Error(reason), {code, details: reason}));
+}
+
+function createHello({ctx, settings, leaving}: AgentParts) {
+	return {
+		instanceId: settings.instanceId,
+		incarnation: ctx.incarnation,
+		failureDomain: settings.failureDomain,
+		service: settings.service,
+		group: settings.group,
+		rank: settings.rank,
+		leaving: leaving.isLeaving(),
+	};
+}
+
+/** Tells the entry of a leave at once, and of each configuration as it comes into force. */
+function registerAnnouncements({parts, channel}: LinkState): () => void {
+	const stopLeaving = parts.leaving.registerListener(isLeaving => {
+		void channel.send({$case: 'leaving', leaving: {leaving: isLeaving}});
+	});
+	const stopConfiguration = parts.ctx.configuration.registerListener(configuration => {
+		void channel.send({$case: 'config', config: createConfigDocument(configuration)});
+	});
+	return () => {
+		stopLeaving();
+		stopConfiguration();
+	};
+}
+
+async function sendHeartbeats(link: LinkState): Promise<void> {
+	const {parts, channel} = link;
+	const {clock} = parts.ctx;
+	let cursor = 0;
+	for (let sequence = 1; !channel.signal.aborted; sequence += 1) {
+		if (clock.monotonicMillis() - link.lastHeardMillis() > LINK_SILENCE_MILLIS) {
+			link.close('silent');
+			return;
+		}
+
+		const step = createLoadReport(parts, sequence, cursor);
+		cursor = step.cursor;
+		// A heartbeat does not wait for room: silence is what tells whether the entry is there.
+		void channel.send({$case: 'heartbeat', heartbeat: step.report});
+		// eslint-disable-next-line no-await-in-loop
+		await clock.sleep(HEARTBEAT_INTERVAL_MILLIS, channel.signal);
+	}
+}
+
+/** Reads frames until the stream ends, fails or is closed. */
+async function readFrames(link: LinkState): Promise<void> {
+	try {
+		for await (const frame of link.call as AsyncIterable<EntryFrame>) {
+			link.noteFrame();
+			compareVersions(link, frame.configVersion);
+			receive(link, frame);
+		}
+	} catch (error) {
+		if (error instanceof InvariantError) {
+			throw error;
+		}
+
+		link.parts.ctx.log.info('link lost', {peer: link.call.getPeer(), detail: String(error)});
+	}
+}
+
+/** Sends the configuration to an entry that is behind, and asks one that is ahead. */
+function compareVersions({parts, channel}: LinkState, entryVersion: ConfigVersion): void {
+	const {configuration} = parts.ctx;
+	const own = configuration.read();
+	if (own && entryVersion < own.version) {
+		void channel.send({$case: 'config', config: createConfigDocument(own)});
+	}
+
+	if (entryVersion > configuration.version()) {
+		void channel.send({$case: 'configRequest', configRequest: {knownVersion: configuration.version()}});
+	}
+}
+
+function receive(link: LinkState, {configVersion, body}: EntryFrame): void {
+	match(body)
+		.with({$case: 'start'}, ({start}) => {
+			void startAttempt(link, start, configVersion);
+		})
+		.with({$case: 'cancel'}, ({cancel}) => {
+			link.cancels.get(cancel.attemptId)?.abort();
+		})
+		.with({$case: 'tombstone'}, ({tombstone}) => {
+			tombstoneAttempt(link, tombstone.attemptId);
+		})
+		.with({$case: 'query'}, ({query}) => {
+			void link.channel.send({$case: 'status', status: readStatus(link.parts, query)});
+		})
+		.with({$case: 'config'}, ({config}) => {
+			takeConfiguration(link, config);
+		})
+		.with({$case: 'configRequest'}, () => {
+			sendConfiguration(link);
+		})
+		.with({$case: P.union('hello', 'heartbeat')}, () => {
+			// Their arrival is all that counts.
+		})
+		.with(undefined, () => {
+			link.close('bad_frame');
+		})
+		.exhaustive();
+}
+
+async function startAttempt(link: LinkState, start: StartAttempt, entryVersion: ConfigVersion): Promise<void> {
+	if (start.attemptId === '' || start.account === '') {
+		link.close('bad_frame');
+		return;
+	}
+
+	const cancel = new AbortController();
+	link.cancels.set(start.attemptId, cancel);
+	const {parts, channel} = link;
+	await serveAttempt({
+		parts, channel, start, signal: cancel.signal,
+	}, entryVersion);
+	link.cancels.delete(start.attemptId);
+}
+
+/** The ledger knows calls that the attempt table has forgotten. */
+function tombstoneAttempt({parts, channel}: LinkState, attemptId: AttemptId): void {
+	const recorded = !parts.ledger.hasAttempt(attemptId) && parts.attempts.recordTombstone(attemptId);
+	if (recorded) {
+		parts.ctx.audit.append({
+			kind: 'not_run', attemptId, requestId: '', reason: 'tombstone', proof: 'tombstone',
+		}, 'may_drop');
+	}
+
+	void channel.send({$case: 'tombstoned', tombstoned: {attemptId, recorded}});
+}
+
+function readStatus(parts: AgentParts, {attemptId, account, idempotencyKey}: AttemptQuery): AttemptStatus {
+	const state = idempotencyKey === ''
+		? parts.attempts.readState(attemptId)
+		: (parts.ledger.readState(digestKey(account, idempotencyKey))?.tag ?? 'never_seen');
+	return {attemptId, idempotencyKey, state};
+}
+
+function takeConfiguration(link: LinkState, document: ConfigDocument): void {
+	const parsed = parseConfigDocument(document);
+	if (parsed.ok) {
+		link.parts.ctx.configuration.offer(parsed.value);
+		return;
+	}
+
+	link.close('bad_frame');
+}
+
+function sendConfiguration({parts, channel}: LinkState): void {
+	const own = parts.ctx.configuration.read();
+	if (own) {
+		void channel.send({$case: 'config', config: createConfigDocument(own)});
+	}
+}
--- /dev/null
+++ b/src/agent/start-agent.ts
@@ -0,0 +1,90 @@
+/** Wiring of the agent role. */
+import {createAttemptTable} from '../attempts/attempt-table.js';
+import {createInFlight} from '../attempts/in-flight.js';
+import {succeed, type Result} from '../core/result.js';
+import type {ProcessContext} from '../daemon/process-context.js';
+import {createLedger, createLedgerLimits} from '../ledger/ledger.js';
+import type {AgentSettings} from '../settings/settings.js';
+import {AgentLinkService} from '../wire/generated/link.js';
+import type {AgentParts} from './agent-parts.js';
+import {watchBackendLoad} from './backend-load.js';
+import type {Backend} from './backend.js';
+import {drainAgent, type DrainReport} from './drain.js';
+import type {EntryCall} from './entry-channel.js';
+import {serveEntry} from './entry-link.js';
+import {createLeavingState} from './leaving-state.js';
+import {openLinkServer, type LinkService, type ListenError} from './link-server.js';
+import {watchLeaving} from './watch-leaving.js';
+
+/** An agent that serves its entries. */
+export type RunningAgent = Readonly<{
+	/** `host:port` of the link listener. */
+	linkAddress: string;
+	/** Refuses new work and waits for the rest. Further calls return the same promise. */
+	drain: () => Promise<DrainReport>;
+}>;
+
+/** Starts the agent of `backend`. Binds the link port before it touches the backend server. */
+export async function startAgent(
+	ctx: ProcessContext,
+	settings: AgentSettings,
+	backend: Backend,
+): Promise<Result<RunningAgent, ListenError>> {
+	const slot: {parts?: AgentParts} = {};
+	const links = createLinkService(() => slot.parts);
+	const server = await openLinkServer(ctx.linkAccess, ctx.clock, settings.linkListen, [links]);
+	if (!server.ok) {
+		return server;
+	}
+
+	ctx.lifeCycle.own('link listener', server.value.close);
+	const parts = createParts(ctx, settings, backend);
+	slot.parts = parts;
+	watchLeaving(ctx, settings, parts.leaving);
+	ctx.log.info('agent listens', {address: server.value.address});
+	return succeed(createRunningAgent(parts, server.value.address));
+}
+
+function createParts(ctx: ProcessContext, settings: AgentSettings, backend: Backend): AgentParts {
+	return {
+		ctx,
+		settings,
+		backend,
+		attempts: createAttemptTable(ctx.clock),
+		inFlight: createInFlight(size => {
+			ctx.metrics.inFlight.set(size);
+		}),
+		ledger: createLedger(ctx.incarnation, createLedgerLimits(settings.ledgerEntries)),
+		leaving: createLeavingState(settings.instanceId, ctx.audit),
+		load: watchBackendLoad(ctx, backend),
+	};
+}
+
+/** A call that comes before the parts are there is ended; the entry connects again. */
+function createLinkService(readParts: () => AgentParts | undefined): LinkService {
+	return {
+		definition: AgentLinkService,
+		implementation: {
+			connect(call: EntryCall) {
+				const parts = readParts();
+				if (parts) {
+					void serveEntry(parts, call);
+					return;
+				}
+
+				call.end();
+			},
+		},
+	};
+}
+
+function createRunningAgent(parts: AgentParts, linkAddress: string): RunningAgent {
+	let draining: Promise<DrainReport> | undefined;
+	return {
+		linkAddress,
+		async drain() {
+			draining ??= drainAgent(parts);
+			return draining;
+		},
+	};
+}
--- /dev/null
+++ b/src/agent/watch-leaving.ts
@@ -0,0 +1,41 @@
+import type {ProcessContext} from '../daemon/process-context.js';
+import type {AgentSettings} from '../settings/settings.js';
+import {INSTANCE_LIST_INTERVAL_MILLIS} from './agent-constants.js';
+import {hasPlannedStop, type LeavingState} from './leaving-state.js';
+
+/** Follows the planned stops of the configuration and the instance list until the process ends. */
+export function watchLeaving(ctx: ProcessContext, settings: AgentSettings, leaving: LeavingState): void {
+	const followStops = () => {
+		const cfg = ctx.configuration.read();
+		leaving.setCause('planned_stop', cfg !== undefined && hasPlannedStop(cfg, settings.instanceId, settings.failureDomain));
+	};
+
+	followStops();
+	ctx.lifeCycle.own('planned stop listener', ctx.configuration.registerListener(followStops));
+	void followInstanceList(ctx, settings, leaving);
+}
+
+async function followInstanceList(ctx: ProcessContext, settings: AgentSettings, leaving: LeavingState): Promise<void> {
+	const {signal} = ctx.lifeCycle;
+	while (!signal.aborted) {
+		// One look after the other.
+		// eslint-disable-next-line no-await-in-loop
+		await lookAtInstanceList(ctx, settings, leaving);
+		// eslint-disable-next-line no-await-in-loop
+		await ctx.clock.sleep(INSTANCE_LIST_INTERVAL_MILLIS, signal);
+	}
+}
+
+/** An unreachable list, or one that lacks this instance, changes nothing. */
+async function lookAtInstanceList(ctx: ProcessContext, settings: AgentSettings, leaving: LeavingState): Promise<void> {
+	const listed = await ctx.instances.list();
+	if (!listed.ok) {
+		ctx.metrics.platformErrors.inc({store: 'instance_list', error: listed.error.tag});
+		return;
+	}
+
+	const own = listed.value.find(instance => instance.id === settings.instanceId);
+	if (own) {
+		leaving.setCause('instance_list', own.state === 'leaving');
+	}
+}
