--- a/src/audit/audit-record.ts
+++ b/src/audit/audit-record.ts
@@ -39,8 +39,11 @@
 	hash: string;
 }>;
 
-/** Whether a record may be dropped when its room is full. */
-export type AuditImportance = 'must_keep' | 'may_drop';
+/**
+ * What happens when the room is full: `must_keep` is not taken, and what it is about must not happen;
+ * `closes_kept` ends something begun under `must_keep` and is always taken; `may_drop` is dropped and counted.
+ */
+export type AuditImportance = 'must_keep' | 'closes_kept' | 'may_drop';
 
 /** Takes records; never waits. */
 export type AuditRecorder = {
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -28,6 +28,10 @@
 	/** File with the token that the system's processes show each other. */
 	linkTokenFile: z.string().min(1).optional(),
 	tls: tlsSchema.optional(),
+	/** Time between two writes of audit records to the object store. */
+	auditIntervalMillis: z.number().int().positive().default(30_000),
+	/** Largest number of audit records that wait for the object store. */
+	auditPendingRecords: z.number().int().positive().default(50_000),
 	/** Time a shutdown waits for requests in flight. */
 	drainMillis: z.number().int().positive().default(60_000),
 };
