Add the experiment tool with a seeded generator of load traces

The deciders are to be measured on load that anyone can generate again. bench/main.ts holds one subcommand a file; bad options end with one line and exit code 2.

--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,21 @@
+/** Entry point of the experiment tool: `npm run bench -- NAME ...`. One file per experiment beside this one. */
+import process from 'node:process';
+import {defineCommand, runCommand} from 'citty';
+import {traceCommand} from './trace-command.js';
+
+/** Exit code for bad input. */
+const EXIT_BAD_INPUT = 2;
+
+const main = defineCommand({
+	meta: {name: 'bench', description: 'Measures the deciders against baselines; the last line of each experiment is JSON'},
+	subCommands: {
+		trace: traceCommand,
+	},
+});
+
+try {
+	await runCommand(main, {rawArgs: process.argv.slice(2)});
+} catch (error) {
+	console.error(error instanceof Error ? error.message : String(error));
+	process.exitCode = EXIT_BAD_INPUT;
+}
--- /dev/null
+++ b/bench/trace-command.ts
@@ -0,0 +1,40 @@
+import {writeFileSync} from 'node:fs';
+import {defineCommand} from 'citty';
+import {z} from 'zod';
+import {readOptions} from './options.js';
+import {generateTrace} from './trace/generate-trace.js';
+import {TRACE_KINDS, type TraceKind} from './trace/trace-shape.js';
+
+const count = z.coerce.number().int().positive();
+
+const schema = z.object({
+	kind: z.enum(TRACE_KINDS),
+	seed: z.coerce.number().int().nonnegative(),
+	experts: count,
+	layers: count,
+	steps: count,
+	'tokens-per-step': count,
+	exponent: z.coerce.number().nonnegative(),
+	out: z.string().min(1),
+});
+
+/** Writes a generated load trace as JSON lines. */
+export const traceCommand = defineCommand({
+	meta: {name: 'trace', description: 'Writes a generated load trace'},
+	args: {
+		kind: {type: 'string', default: 'zipf' satisfies TraceKind, description: TRACE_KINDS.join('|')},
+		seed: {type: 'string', default: '1'},
+		experts: {type: 'string', default: '64'},
+		layers: {type: 'string', default: '2'},
+		steps: {type: 'string', default: '1200'},
+		'tokens-per-step': {type: 'string', default: '65536'},
+		exponent: {type: 'string', default: '1'},
+		out: {type: 'string', required: true, description: 'File to write'},
+	},
+	run({args}) {
+		const {out, 'tokens-per-step': tokensPerStep, ...shape} = readOptions(schema, args);
+		const trace = generateTrace({...shape, tokensPerStep});
+		writeFileSync(out, trace.lines.map(line => `${JSON.stringify(line)}\n`).join(''));
+		console.log(JSON.stringify({out, lines: trace.lines.length, experts: trace.experts}));
+	},
+});
