--- /dev/null
+++ b/bench/system/local-system.ts
@@ -0,0 +1,227 @@
+import {mkdtemp, rm} from 'node:fs/promises';
+import os from 'node:os';
+import path from 'node:path';
+import {invariant} from '../../src/core/invariant.js';
+import {systemClock} from '../../src/core/system-clock.js';
+import type {Instance} from '../../src/ports/instance-list.js';
+import {createDaemonProcess, type DaemonProcess} from './daemon-process.js';
+import {findFreePorts} from './free-ports.js';
+import {answersWell} from './http-json.js';
+import {createStandInProcess, type StandInProcess} from './stand-in-process.js';
+import type {ManagedProcess} from './managed-process.js';
+import type {SystemOptions} from './system-options.js';
+
+/** Ports of a daemon: listener, metrics, operators. */
+const PORTS_PER_DAEMON = 3;
+/** Time that a process gets to end after SIGTERM before it is killed, in milliseconds. */
+const END_TIMEOUT_MILLIS = 15_000;
+/** Longest wait until all daemons are ready, in milliseconds. */
+const READY_TIMEOUT_MILLIS = 20_000;
+const READY_POLL_MILLIS = 50;
+
+/** The whole path as separate processes on loopback. */
+export type LocalSystem = Readonly<{
+	options: SystemOptions;
+	/** Holds settings and logs. */
+	dir: string;
+	table: StandInProcess;
+	objects: StandInProcess;
+	instanceList: StandInProcess;
+	weightStore: StandInProcess;
+	rankGroup: StandInProcess;
+	engines: readonly StandInProcess[];
+	plains: readonly StandInProcess[];
+	/** Agents of the engines, by rank. */
+	engineAgents: readonly DaemonProcess[];
+	plainAgents: readonly DaemonProcess[];
+	entries: readonly DaemonProcess[];
+	/** Waits until each daemon that runs has a configuration and its links. */
+	waitAllReady: () => Promise<void>;
+	/** Stops all daemons by SIGTERM, at once, then the stand-ins; resolves to the daemons that did not end well. */
+	close: () => Promise<readonly string[]>;
+}>;
+
+type PortSource = () => number;
+
+async function createPortSource(count: number): Promise<PortSource> {
+	const ports = [...await findFreePorts(count)];
+	return () => {
+		const port = ports.pop();
+		invariant(port !== undefined, 'enough ports were set aside');
+		return port;
+	};
+}
+
+function createStandIns(options: SystemOptions, dir: string, nextPort: PortSource) {
+	const create = (name: string, kind: string, args: Readonly<Record<string, string | number | boolean>> = {}) => createStandInProcess({
+		name, kind, port: nextPort(), logDir: dir, args,
+	});
+	const weightStore = create('weight-store', 'weight-store', {'rate-per-second': options.weightLoadsPerSecond});
+	const rankGroup = create('rank-group', 'rank-group', {ranks: options.ranks, 'step-millis': options.stepMillis});
+	const engines = Array.from({length: options.ranks}, (_, rank) => create(`engine-${rank}`, 'engine', {
+		rank,
+		group: rankGroup.url,
+		'weight-store': weightStore.url,
+		'checks-fencing': options.checksFencing,
+		ranks: options.ranks,
+		layers: options.layers,
+		experts: options.experts,
+		'slots-per-rank': options.slotsPerRank,
+		seed: options.seed,
+	}));
+	return {
+		table: create('table', 'table'),
+		objects: create('objects', 'objects'),
+		instanceList: create('instance-list', 'instance-list', {'lag-millis': options.listLagMillis}),
+		weightStore,
+		rankGroup,
+		engines,
+		plains: Array.from({length: options.plains}, (_, i) => create(`plain-${i}`, 'plain', {'work-millis': options.plainWorkMillis})),
+	};
+}
+
+type StandIns = ReturnType<typeof createStandIns>;
+
+function createSettings(instance: Instance, metricsPort: number, standIns: StandIns, options: SystemOptions) {
+	return {
+		role: instance.role,
+		instance_id: instance.id,
+		region: instance.region,
+		failure_domain: instance.failureDomain,
+		metrics_listen: `127.0.0.1:${metricsPort}`,
+		audit_interval_millis: options.auditIntervalMillis,
+		platform: {table_url: standIns.table.url, object_url: standIns.objects.url, instance_list_url: standIns.instanceList.url},
+	};
+}
+
+function createDaemons(options: SystemOptions, dir: string, nextPort: PortSource, standIns: StandIns) {
+	const domainOf = (i: number) => options.failureDomains[i % options.failureDomains.length] ?? 'domain-a';
+	const base = {region: options.region, state: 'live'} as const;
+
+	function createEntry(i: number): DaemonProcess {
+		const callerPort = nextPort();
+		const metricsPort = nextPort();
+		const operatorPort = nextPort();
+		const callerUrl = `http://127.0.0.1:${callerPort}`;
+		const instance: Instance = {
+			...base, id: `entry-${i}`, role: 'entry', failureDomain: domainOf(i), callerUrl, linkAddress: '', service: '', group: '', rank: -1,
+		};
+		const settings = {
+			...createSettings(instance, metricsPort, standIns, options),
+			caller_listen: `127.0.0.1:${callerPort}`,
+			caller_url: callerUrl,
+			operator_listen: `127.0.0.1:${operatorPort}`,
+			weight_loads_per_second: options.weightLoadsPerSecond,
+			address_lifetime_millis: options.addressLifetimeMillis,
+			plan_interval_millis: options.planIntervalMillis,
+		};
+		return createDaemonProcess({
+			instance, metricsPort, operatorPort, dir, settings,
+		});
+	}
+
+	function createAgent(i: number, name: string, backendUrl: string, rank: number): DaemonProcess {
+		const linkPort = nextPort();
+		const metricsPort = nextPort();
+		const isEngine = rank >= 0;
+		const instance: Instance = {
+			...base,
+			id: name,
+			role: 'agent',
+			failureDomain: domainOf(i),
+			callerUrl: '',
+			linkAddress: `127.0.0.1:${linkPort}`,
+			service: isEngine ? options.modelService : options.plainService,
+			group: isEngine ? options.group : '',
+			rank,
+		};
+		const settings = {
+			...createSettings(instance, metricsPort, standIns, options),
+			link_listen: instance.linkAddress,
+			service: instance.service,
+			group: instance.group,
+			rank,
+			backend: {kind: isEngine ? 'engine' : 'plain', url: backendUrl, checks_fencing: options.checksFencing},
+		};
+		return createDaemonProcess({
+			instance, metricsPort, operatorPort: 0, dir, settings,
+		});
+	}
+
+	return {
+		engineAgents: standIns.engines.map((engine, rank) => createAgent(rank, `agent-engine-${rank}`, engine.url, rank)),
+		plainAgents: standIns.plains.map((plain, i) => createAgent(i, `agent-plain-${i}`, plain.url, -1)),
+		entries: Array.from({length: options.entries}, (_, i) => createEntry(i)),
+	};
+}
+
+async function startAll(processes: readonly ManagedProcess[]): Promise<void> {
+	for (const managed of processes) {
+		managed.launch();
+	}
+
+	await Promise.all(processes.map(async managed => managed.waitReady()));
+}
+
+/** Ends a process; says whether it ended by itself and well. */
+async function endProcess(managed: ManagedProcess): Promise<boolean> {
+	const timeout = new AbortController();
+	managed.signal('SIGCONT');
+	managed.signal('SIGTERM');
+	const late = systemClock.sleep(END_TIMEOUT_MILLIS, timeout.signal).then(() => undefined);
+	const end = await Promise.race([managed.waitEnd(), late]);
+	timeout.abort();
+	if (end === undefined) {
+		managed.signal('SIGKILL');
+		await managed.waitEnd();
+	}
+
+	return end?.code === 0;
+}
+
+async function waitAllReady(daemons: readonly DaemonProcess[]): Promise<void> {
+	const deadline = systemClock.monotonicMillis() + READY_TIMEOUT_MILLIS;
+	for (const daemon of daemons.filter(item => item.pid() !== undefined)) {
+		// eslint-disable-next-line no-await-in-loop
+		while (!await answersWell(`${daemon.metricsUrl}/readyz`)) {
+			invariant(systemClock.monotonicMillis() < deadline, `${daemon.name} becomes ready in time`);
+			// eslint-disable-next-line no-await-in-loop
+			await systemClock.sleep(READY_POLL_MILLIS);
+		}
+	}
+}
+
+/** Starts all processes. The system has no configuration yet. */
+export async function startLocalSystem(options: SystemOptions): Promise<LocalSystem> {
+	const dir = await mkdtemp(path.join(os.tmpdir(), 'pollenport-'));
+	const daemonCount = options.entries + options.ranks + options.plains;
+	const standInCount = 5 + options.ranks + options.plains;
+	const nextPort = await createPortSource((daemonCount * PORTS_PER_DAEMON) + standInCount);
+	const standIns = createStandIns(options, dir, nextPort);
+	const daemons = createDaemons(options, dir, nextPort, standIns);
+	const platform = [standIns.table, standIns.objects, standIns.instanceList, standIns.weightStore, standIns.rankGroup];
+	const allDaemons = [...daemons.entries, ...daemons.engineAgents, ...daemons.plainAgents];
+
+	await startAll([...platform, ...standIns.plains]);
+	await startAll(standIns.engines);
+	await standIns.instanceList.control('PUT', 'instances', {instances: allDaemons.map(daemon => daemon.instance)});
+	await startAll(allDaemons);
+
+	return {
+		options,
+		dir,
+		...standIns,
+		...daemons,
+		waitAllReady: async () => waitAllReady(allDaemons),
+		async close() {
+			const ends = await Promise.all(allDaemons.map(async daemon => [daemon.name, await endProcess(daemon)] as const));
+			await Promise.all([...platform, ...standIns.engines, ...standIns.plains].map(async standIn => endProcess(standIn)));
+			const failed = ends.filter(([, isGood]) => !isGood).map(([name]) => name);
+			if (failed.length === 0) {
+				await rm(dir, {recursive: true});
+			}
+
+			return failed;
+		},
+	};
+}
--- /dev/null
+++ b/bench/system/managed-process.ts
@@ -0,0 +1,81 @@
+import {spawn, type ChildProcess} from 'node:child_process';
+import {openSync, closeSync} from 'node:fs';
+import process from 'node:process';
+import {invariant} from '../../src/core/invariant.js';
+import {systemClock} from '../../src/core/system-clock.js';
+
+/** Time between two looks whether a process is ready, in milliseconds. */
+const READY_POLL_MILLIS = 25;
+/** Longest time a process may take to be ready, in milliseconds. */
+const READY_TIMEOUT_MILLIS = 20_000;
+
+/** What to run, and how to tell that it serves. */
+export type ProcessDefinition = Readonly<{
+	name: string;
+	/** Path of the program, then its arguments. */
+	args: readonly string[];
+	/** File that takes standard output and error. */
+	logFile: string;
+	isReady: () => Promise<boolean>;
+}>;
+
+/** How a process ended: its exit code, or the signal that ended it. */
+export type ProcessEnd = Readonly<{code: number | undefined; signal: NodeJS.Signals | undefined}>;
+
+/** A separate process of the system under test. */
+export type ManagedProcess = {
+	readonly name: string;
+	/** Process id; undefined while it does not run. */
+	readonly pid: () => number | undefined;
+	/** Starts it without waiting until it serves. */
+	readonly launch: () => void;
+	readonly waitReady: () => Promise<void>;
+	readonly signal: (signal: NodeJS.Signals) => void;
+	/** Resolves when the present run has ended; at once when there is none. */
+	readonly waitEnd: () => Promise<ProcessEnd>;
+};
+
+type Run = Readonly<{child: ChildProcess; ended: Promise<ProcessEnd>}>;
+
+const NOT_RUN: ProcessEnd = {code: undefined, signal: undefined};
+
+/** Defines a process; it can be started again after it ended. */
+export function createManagedProcess(definition: ProcessDefinition): ManagedProcess {
+	let run: Run | undefined;
+	let lastEnd = NOT_RUN;
+
+	function launch(): void {
+		invariant(!run, `${definition.name} runs already`);
+		const log = openSync(definition.logFile, 'a');
+		const child = spawn(process.execPath, definition.args, {stdio: ['ignore', log, log]});
+		closeSync(log);
+		const ended = new Promise<ProcessEnd>(resolve => {
+			child.once('exit', (code, signal) => {
+				lastEnd = {code: code ?? undefined, signal: signal ?? undefined};
+				run = undefined;
+				resolve(lastEnd);
+			});
+		});
+		run = {child, ended};
+	}
+
+	return {
+		name: definition.name,
+		pid: () => run?.child.pid,
+		launch,
+		async waitReady() {
+			const deadline = systemClock.monotonicMillis() + READY_TIMEOUT_MILLIS;
+			// eslint-disable-next-line no-await-in-loop
+			while (!await definition.isReady()) {
+				invariant(run, `${definition.name} ended before it was ready; see ${definition.logFile}`);
+				invariant(systemClock.monotonicMillis() < deadline, `${definition.name} is not ready in time; see ${definition.logFile}`);
+				// eslint-disable-next-line no-await-in-loop
+				await systemClock.sleep(READY_POLL_MILLIS);
+			}
+		},
+		signal(signal) {
+			run?.child.kill(signal);
+		},
+		waitEnd: async () => run ? run.ended : lastEnd,
+	};
+}
--- /dev/null
+++ b/src/cli/ask-entry.ts
@@ -0,0 +1,16 @@
+import type {z} from 'zod';
+import {fail, succeed, type Result} from '../core/result.js';
+import {readAccess, type AccessArguments} from './access-arguments.js';
+import {createOperatorClient, type OperatorError, type OperatorRequest} from './operator-client.js';
+
+/** Asks an entry and checks the shape of its answer. */
+export async function askEntry<T>(args: AccessArguments, req: OperatorRequest, schema: z.ZodType<T>): Promise<Result<T, OperatorError>> {
+	const client = createOperatorClient(readAccess(args));
+	const answer = await client(req);
+	if (!answer.ok) {
+		return answer;
+	}
+
+	const parsed = schema.safeParse(answer.value);
+	return parsed.success ? succeed(parsed.data) : fail({tag: 'no_answer', detail: 'the answer has an unknown shape; the entry may run another release'});
+}
--- /dev/null
+++ b/src/cli/commands/audit.ts
@@ -0,0 +1,106 @@
+import {defineCommand} from 'citty';
+import {match} from 'ts-pattern';
+import {createHttpObjectStore} from '../../adapters/http-object-store.js';
+import {readChains, verifyAudit} from '../../audit/verify-audit.js';
+import {createLifeCycle} from '../../core/life-cycle.js';
+import {EXIT_OK, EXIT_REFUSED, EXIT_UNREACHABLE} from '../../daemon/exit-code.js';
+import {printReport, type Report} from '../report.js';
+import type {AuditRecord} from '../../audit/audit-record.js';
+import type {AuditReport} from '../../audit/audit-report.js';
+import type {ObjectError, ObjectStore} from '../../ports/object-store.js';
+
+/** Longest wait for one object, in milliseconds. */
+const OBJECT_TIMEOUT_MILLIS = 10_000;
+
+const auditArguments = {
+	objects: {
+		type: 'string', description: 'URL of the object store', required: true, valueHint: 'URL',
+	},
+	json: {type: 'boolean', description: 'Print one JSON document', default: false},
+} as const;
+
+/** Runs `ask` against the store and closes the connections afterwards. */
+async function withStore(url: string, ask: (objects: ObjectStore) => Promise<Report>): Promise<Report> {
+	const lifeCycle = createLifeCycle();
+	const report = await ask(createHttpObjectStore({baseUrl: url, timeoutMillis: OBJECT_TIMEOUT_MILLIS, lifeCycle}));
+	await lifeCycle.shutdown();
+	return report;
+}
+
+function unreachableReport(err: ObjectError): Report {
+	const detail = match(err)
+		.with({tag: 'exists'}, () => 'unexpected answer')
+		.with({tag: 'unavailable'}, {tag: 'reply_lost'}, ({detail}) => detail)
+		.exhaustive();
+	return {
+		lines: [`the object store cannot be read: ${detail}`, 'Nothing was verified. Try again when it is back.'],
+		document: {outcome: 'unreachable', detail},
+		exitCode: EXIT_UNREACHABLE,
+	};
+}
+
+function describeRecord(record: AuditRecord): string {
+	const {kind, ...fields} = record.event;
+	return `${record.at}  ${record.instanceId}  #${record.sequence}  ${kind}  ${JSON.stringify(fields)}`;
+}
+
+function describeReport(report: AuditReport): readonly string[] {
+	return [
+		`${report.records} records in ${report.chains} chains, ${report.dropped} dropped, ${report.faults.length} faults`,
+		...report.faults.map(fault => `fault: ${fault.chain} #${fault.sequence} ${fault.kind}: ${fault.detail}`),
+		...report.promises.flatMap(promise => [
+			`${promise.verdict.padEnd('not_shown'.length)}  ${promise.name}: ${promise.detail}`,
+			...promise.records.map(record => `           ${describeRecord(record)}`),
+		]),
+	];
+}
+
+async function verify(objects: ObjectStore): Promise<Report> {
+	const report = await verifyAudit(objects);
+	if (!report.ok) {
+		return unreachableReport(report.error);
+	}
+
+	const isBroken = report.value.faults.length > 0 || report.value.promises.some(promise => promise.verdict === 'broken');
+	return {lines: describeReport(report.value), document: report.value, exitCode: isBroken ? EXIT_REFUSED : EXIT_OK};
+}
+
+async function show(objects: ObjectStore, kind: string | undefined, instance: string | undefined): Promise<Report> {
+	const chains = await readChains(objects);
+	if (!chains.ok) {
+		return unreachableReport(chains.error);
+	}
+
+	const records = chains.value
+		.flatMap(chain => chain.records)
+		.filter(record => kind === undefined || record.event.kind === kind)
+		.filter(record => instance === undefined || record.instanceId === instance)
+		.toSorted((left, right) => left.at.localeCompare(right.at));
+	return {lines: records.map(record => describeRecord(record)), document: records, exitCode: EXIT_OK};
+}
+
+const verifyCommand = defineCommand({
+	meta: {name: 'verify', description: 'Check all chains, and say of each promise whether it is held, broken or not shown'},
+	args: auditArguments,
+	async run({args}) {
+		printReport(await withStore(args.objects, verify), args.json);
+	},
+});
+
+const showCommand = defineCommand({
+	meta: {name: 'show', description: 'Print records in order of time'},
+	args: {
+		...auditArguments,
+		kind: {type: 'string', description: 'Only records of this kind', valueHint: 'KIND'},
+		instance: {type: 'string', description: 'Only records of this instance', valueHint: 'ID'},
+	},
+	async run({args}) {
+		printReport(await withStore(args.objects, async objects => show(objects, args.kind, args.instance)), args.json);
+	},
+});
+
+/** `pollenport audit` */
+export const auditCommand = defineCommand({
+	meta: {name: 'audit', description: 'The record for the auditor'},
+	subCommands: {verify: verifyCommand, show: showCommand},
+});
--- /dev/null
+++ b/src/cli/commands/status.ts
@@ -0,0 +1,67 @@
+import {defineCommand} from 'citty';
+import {z} from 'zod';
+import {EXIT_OK} from '../../daemon/exit-code.js';
+import {accessArguments, type AccessArguments} from '../access-arguments.js';
+import {askEntry} from '../ask-entry.js';
+import {errorReport, printReport, type Report} from '../report.js';
+
+/** Answer to a question about the state of the system, as one entry sees it. */
+const statusSchema = z.object({
+	version: z.number(),
+	changeId: z.string(),
+	failureDomains: z.array(z.object({
+		failureDomain: z.string(),
+		instances: z.array(z.object({
+			instanceId: z.string(),
+			role: z.string(),
+			version: z.number(),
+			leaving: z.boolean(),
+			linked: z.boolean(),
+		})),
+	})),
+	classes: z.array(z.object({
+		name: z.string(),
+		requests: z.number(),
+		lateShare: z.number(),
+		lateShareTarget: z.number(),
+		refusedShare: z.number(),
+		refusedShareTarget: z.number(),
+	})),
+	groups: z.array(z.object({
+		name: z.string(),
+		favour: z.string(),
+		skew: z.number().nullable(),
+		movedExperts: z.number(),
+	})),
+});
+
+type StatusDocument = z.infer<typeof statusSchema>;
+
+/** Digits of a share or a skew behind the point. */
+const FIGURE_DIGITS = 4;
+
+function describeStatus(status: StatusDocument): readonly string[] {
+	return [
+		`version ${status.version} in force (change ${status.changeId})`,
+		...status.failureDomains.flatMap(({failureDomain, instances}) => [
+			`failure domain ${failureDomain}`,
+			...instances.map(instance => `  ${instance.instanceId}  ${instance.role}  version ${instance.version}  ${instance.linked ? 'linked' : 'no link'}${instance.leaving ? '  leaving' : ''}`),
+		]),
+		...status.classes.map(item => `class ${item.name}: ${item.requests} requests, late ${item.lateShare.toFixed(FIGURE_DIGITS)} (target ${item.lateShareTarget}), refused ${item.refusedShare.toFixed(FIGURE_DIGITS)} (target ${item.refusedShareTarget})`),
+		...status.groups.map(item => `group ${item.name}: favour ${item.favour}, step skew ${item.skew?.toFixed(FIGURE_DIGITS) ?? 'unknown'}, ${item.movedExperts} experts moved`),
+	];
+}
+
+async function readStatus(args: AccessArguments): Promise<Report> {
+	const answer = await askEntry(args, {method: 'GET', path: '/v1/status'}, statusSchema);
+	return answer.ok ? {lines: describeStatus(answer.value), document: answer.value, exitCode: EXIT_OK} : errorReport(answer.error);
+}
+
+/** `pollenport status` */
+export const statusCommand = defineCommand({
+	meta: {name: 'status', description: 'Instances by failure domain, classes against their targets, groups with skew and moves'},
+	args: accessArguments,
+	async run({args}) {
+		printReport(await readStatus(args), args.json);
+	},
+});
--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,26 @@
+#!/usr/bin/env node
+import process from 'node:process';
+import {defineCommand, runMain} from 'citty';
+import {applyCommand} from './commands/apply.js';
+import {auditCommand} from './commands/audit.js';
+import {checkCommand} from './commands/check.js';
+import {diffCommand} from './commands/diff.js';
+import {statusCommand} from './commands/status.js';
+import {stopCommand} from './commands/stop.js';
+
+const main = defineCommand({
+	meta: {
+		name: 'pollenport',
+		description: 'Operators\' tool. Exit codes: 0 done, 1 refused or broken, 2 bad input, 3 not reachable.',
+	},
+	subCommands: {
+		apply: applyCommand,
+		diff: diffCommand,
+		status: statusCommand,
+		stop: stopCommand,
+		audit: auditCommand,
+		check: checkCommand,
+	},
+});
+
+await runMain(main, {rawArgs: process.argv.slice(2)});
