--- a/src/ports/prompt-prefix.ts
+++ b/src/ports/prompt-prefix.ts
@@ -1,7 +1,7 @@
 import {sha256Hex} from '../core/digest.js';
 
 /** Characters of a prompt that make up its cacheable prefix. */
-const PREFIX_CHARACTERS = 256;
+export const PREFIX_CHARACTERS = 256;
 
 /** Identifies the prefix of a prompt in cache events: SHA-256 as lower-case hex. */
 export function digestPromptPrefix(prompt: string): string {
