Escape the dash in the pattern of names

Cause: under the v flag an unescaped dash in a class is a syntax error, so every import of targets.ts failed at load; tsc and XO do not see it. Change: one escape. Shown by: the configuration tests, which import it, failed at load before and run now.

--- a/src/targets/targets.ts
+++ b/src/targets/targets.ts
@@ -1,6 +1,6 @@
 import {z} from 'zod';
 
-const name = z.string().regex(/^[a-z\d][a-z\d-]{0,62}$/v, 'must be lower-case letters, digits and dashes');
+const name = z.string().regex(/^[a-z\d][a-z\d\-]{0,62}$/v, 'must be lower-case letters, digits and dashes');
 const share = z.number().min(0).max(1);
 const millis = z.number().int().positive();
 
