--- /dev/null
+++ b/src/configuration/__tests__/configuration-sync.test.ts
@@ -0,0 +1,201 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {match} from 'ts-pattern';
+import {createHastyClock} from '../../../fakes/hasty-clock.js';
+import {inTurn} from '../../../fakes/in-turn.js';
+import {createInMemoryTableStore, type InMemoryTableStore} from '../../../fakes/in-memory-table-store.js';
+import {createManualClock} from '../../core/manual-clock.js';
+import {silentLog} from '../../observability/log.js';
+import {createMetrics} from '../../observability/metrics.js';
+import {changeConfiguration} from '../change-configuration.js';
+import type {Configuration} from '../configuration.js';
+import {createConfigurationHolder, type ConfigurationHolder} from '../configuration-holder.js';
+import {CONFIGURATION_KEY, CONFIGURATION_TABLE} from '../configuration-row.js';
+import {registerConfigurationSync} from '../configuration-sync.js';
+import {replaceTargets} from '../configuration-update.js';
+import {pollPauseMillis} from '../poll-pause.js';
+import {createTargets} from './example-targets.js';
+
+const hastyClock = createHastyClock();
+
+async function accept(table: InMemoryTableStore, changeId: string): Promise<Configuration | undefined> {
+	const result = await changeConfiguration({table, clock: hastyClock}, {
+		changeId, changedBy: 'operator', update: replaceTargets(createTargets(100)),
+	});
+	return result.ok ? result.value : undefined;
+}
+
+/** Lets the polls that are due run to their next pause. */
+async function settle(): Promise<void> {
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+}
+
+function startSync(table: InMemoryTableStore, holder: ConfigurationHolder) {
+	const clock = createManualClock();
+	const metrics = createMetrics();
+	const teardown = registerConfigurationSync({
+		table, holder, clock, metrics, log: silentLog, random: () => 0.5,
+	});
+	return {clock, metrics, teardown};
+}
+
+test('configuration: an accepted version is in force after the next poll, and outages are counted and outlived', async () => {
+	const table = createInMemoryTableStore(hastyClock);
+	const holder = createConfigurationHolder();
+	const {clock, metrics, teardown} = startSync(table, holder);
+	await settle();
+	assert.equal(holder.version(), 0);
+
+	await accept(table, 'c1');
+	table.faults.set({outage: true});
+	clock.advance(1000);
+	await settle();
+	assert.equal(holder.version(), 0);
+	const errors = await metrics.platformErrors.get();
+	assert.deepEqual(errors.values.map(({value, labels}) => [labels.error, value]), [['unavailable', 1]]);
+
+	table.faults.reset();
+	clock.advance(1000);
+	await settle();
+	assert.equal(holder.version(), 0, 'polls again only after twice the pause');
+	clock.advance(1000);
+	await settle();
+	assert.equal(holder.version(), 1);
+	teardown();
+	await accept(table, 'c2');
+	clock.advance(60_000);
+	await settle();
+	assert.equal(holder.version(), 1, 'no poll after the teardown');
+});
+
+test('configuration: an older or ill-formed row in the table changes nothing in force', async () => {
+	const table = createInMemoryTableStore(hastyClock);
+	const holder = createConfigurationHolder();
+	const old = await accept(table, 'c1');
+	await accept(table, 'c2');
+	const {clock, teardown} = startSync(table, holder);
+	await settle();
+	await inTurn([old, {version: 99}, undefined], async value => {
+		await table.transact({conditions: [], writes: [{table: CONFIGURATION_TABLE, key: CONFIGURATION_KEY, value}]});
+		clock.advance(10_000);
+		await settle();
+		assert.deepEqual([holder.version(), holder.read()?.changeId], [2, 'c2']);
+	});
+
+	teardown();
+});
+
+test('configuration: the pause doubles with each failure up to its limit and is spread around its mean', () => {
+	const timing = {intervalMillis: 100, maxIntervalMillis: 400};
+	assert.deepEqual([0, 1, 2, 3, 9].map(failures => pollPauseMillis(timing, failures, 0.5)), [100, 200, 400, 400, 400]);
+	assert.deepEqual([0, 0.5, 1].map(random => pollPauseMillis(timing, 0, random)), [50, 100, 150]);
+});
+
+const PROCESSES = 4;
+const processIndex = fc.nat(PROCESSES - 1);
+const operation = fc.oneof(
+	fc.record({tag: fc.constant('change' as const), replyLost: fc.boolean()}),
+	fc.record({tag: fc.constant('poll' as const), process: processIndex}),
+	fc.record({tag: fc.constant('send' as const), process: processIndex}),
+	fc.record({
+		tag: fc.constant('deliver' as const), process: processIndex, pick: fc.nat(), isDoubled: fc.boolean(),
+	}),
+	fc.record({tag: fc.constant('lose' as const), pick: fc.nat()}),
+	fc.record({tag: fc.constant('restart' as const), process: processIndex}),
+	fc.record({tag: fc.constant('outage' as const), isOn: fc.boolean()}),
+);
+
+type Operation = typeof operation extends fc.Arbitrary<infer T> ? T : never;
+
+/** Processes that share a table and send each other what they have in force. */
+class World {
+	readonly table = createInMemoryTableStore(hastyClock);
+	readonly holders = Array.from({length: PROCESSES}, () => createConfigurationHolder());
+	readonly accepted: Configuration[] = [];
+	readonly messages: Configuration[] = [];
+	changes = 0;
+
+	async run(op: Operation): Promise<void> {
+		const before = this.holders.map(holder => ({holder, version: holder.version()}));
+		await this.carryOut(op);
+		for (const {holder, version} of before) {
+			assert.ok(holder.version() >= version, 'a lower version in a process');
+		}
+	}
+
+	async poll(index: number): Promise<void> {
+		const {teardown} = startSync(this.table, this.holders[index]!);
+		await settle();
+		teardown();
+	}
+
+	private async carryOut(op: Operation): Promise<void> {
+		return match(op)
+			.returnType<Promise<void>>()
+			.with({tag: 'change'}, async ({replyLost}) => this.change(replyLost))
+			.with({tag: 'poll'}, async ({process}) => this.poll(process))
+			.with({tag: 'send'}, async ({process}) => {
+				this.send(process);
+			})
+			.with({tag: 'deliver'}, async ({process, pick, isDoubled}) => {
+				this.deliver(process, pick, isDoubled);
+			})
+			.with({tag: 'lose'}, async ({pick}) => {
+				this.lose(pick);
+			})
+			.with({tag: 'restart'}, async ({process}) => {
+				this.restart(process);
+			})
+			.with({tag: 'outage'}, async ({isOn}) => {
+				this.table.faults.set({outage: isOn});
+			})
+			.exhaustive();
+	}
+
+	private send(index: number): void {
+		const configuration = this.holders[index]!.read();
+		this.messages.push(...(configuration ? [configuration] : []));
+	}
+
+	private lose(pick: number): void {
+		this.messages.splice(pick % (this.messages.length + 1), 1);
+	}
+
+	private restart(index: number): void {
+		this.holders[index] = createConfigurationHolder();
+	}
+
+	private async change(isReplyLost: boolean): Promise<void> {
+		this.changes += 1;
+		this.table.faults.set({replyLostNext: isReplyLost ? 1 : 0});
+		const configuration = await accept(this.table, `change-${this.changes}`);
+		this.accepted.push(...(configuration ? [configuration] : []));
+	}
+
+	private deliver(index: number, pick: number, isDoubled: boolean): void {
+		const at = pick % (this.messages.length + 1);
+		const [message] = isDoubled ? this.messages.slice(at, at + 1) : this.messages.splice(at, 1);
+		if (message) {
+			this.holders[index]!.offer(message);
+		}
+	}
+}
+
+test('configuration: never a lower version in any process, and every accepted change ends up in force everywhere', async () => {
+	await fc.assert(fc.asyncProperty(fc.array(operation, {maxLength: 40}), async operations => {
+		const world = new World();
+		await inTurn(operations, async op => world.run(op));
+
+		world.table.faults.reset();
+		await inTurn(world.holders.entries(), async ([index, holder]) => {
+			await world.poll(index);
+			assert.equal(holder.version(), world.accepted.at(-1)?.version ?? 0);
+			assert.equal(holder.read()?.changeId, world.accepted.at(-1)?.changeId);
+		});
+
+		assert.deepEqual(world.accepted.map(({version}) => version), world.accepted.map((_, index) => index + 1));
+	}), {seed: 20_261_203, numRuns: 200});
+});
--- /dev/null
+++ b/src/configuration/__tests__/example-targets.ts
@@ -0,0 +1,20 @@
+import type {Targets} from '../../targets/targets.js';
+
+/** Targets whose only class promises an answer within `lateAfterMillis`. */
+export function createTargets(lateAfterMillis: number): Targets {
+	return {
+		services: [{name: 'settlements', kind: 'plain'}],
+		classes: [{
+			name: 'posting',
+			service: 'settlements',
+			lateAfterMillis,
+			lateShare: 0.05,
+			refusedShare: 0.01,
+			idempotent: false,
+			priority: 10,
+			deadlineMillis: 10_000,
+		}],
+		groups: [],
+		accounts: [{name: 'desk', credentialDigest: 'a'.repeat(64)}],
+	};
+}
