Add the placement decider, its baselines and the replay of load traces

First thin cut: experts are copied, moved, swapped and dropped from the hottest rank as long as a change pays.

--- /dev/null
+++ b/bench/placement-command.ts
@@ -0,0 +1,84 @@
+import {readFileSync} from 'node:fs';
+import {defineCommand} from 'citty';
+import {match} from 'ts-pattern';
+import {z} from 'zod';
+import type {PlacementError} from '../src/decisions/placement/placement-types.js';
+import {BadInputError, readOptions} from './options.js';
+import {comparePolicies, type SlowRank} from './placement/compare-policies.js';
+import {parseTrace} from './trace/parse-trace.js';
+import type {LoadTrace} from './trace/trace-line.js';
+
+/** Steps between two full rebalances unless the option says otherwise. */
+const DEFAULT_INTERVAL_STEPS = 50;
+
+const count = z.coerce.number().int().positive();
+
+const schema = z.object({
+	trace: z.string().min(1),
+	ranks: count,
+	'slots-per-rank': count,
+	favour: z.enum(['skew', 'cost']),
+	interval: count,
+	'slow-rank': z.string().regex(/^\d+:\d+(?:\.\d+)?$/v, 'must be INDEX:FACTOR').optional(),
+});
+
+function readTrace(file: string): LoadTrace {
+	const text = readFileSync(file, 'utf8');
+	const parsed = parseTrace(text);
+	if (!parsed.ok) {
+		const {line, field, detail} = parsed.error;
+		throw new BadInputError(`${file}: line ${line}: field ${field}: ${detail}`);
+	}
+
+	return parsed.value;
+}
+
+function readSlowRank(option: string | undefined, ranks: number): SlowRank | undefined {
+	if (option === undefined) {
+		return undefined;
+	}
+
+	const [rank = 0, factor = 1] = option.split(':').map(Number);
+	if (rank >= ranks || factor <= 0) {
+		throw new BadInputError(`option --slow-rank: ${option} names no rank below ${ranks} or no positive factor`);
+	}
+
+	return {rank, factor};
+}
+
+function describeError(file: string, error: PlacementError): string {
+	const detail = match(error)
+		.with({tag: 'too_few_slots'}, ({slots, experts}) => `${slots} slots for ${experts} experts`)
+		.with({tag: 'no_ranks'}, () => 'no ranks')
+		.with({tag: 'bad_count'}, {tag: 'wrong_length'}, ({layer}) => `unusable counts of layer ${layer}`)
+		.exhaustive();
+	return `${file}: line 1: field tokens: ${detail}`;
+}
+
+/** Replays a load trace through both baselines and the decider. */
+export const placementCommand = defineCommand({
+	meta: {name: 'placement', description: 'Replays a load trace through the baselines and the decider'},
+	args: {
+		trace: {type: 'string', required: true, description: 'File of JSON lines'},
+		ranks: {type: 'string', required: true},
+		'slots-per-rank': {type: 'string', required: true},
+		favour: {type: 'string', required: true, description: 'skew|cost'},
+		interval: {type: 'string', default: String(DEFAULT_INTERVAL_STEPS), description: 'Steps between two full rebalances'},
+		'slow-rank': {type: 'string', description: 'INDEX:FACTOR'},
+	},
+	run({args}) {
+		const options = readOptions(schema, args);
+		const reports = comparePolicies(readTrace(options.trace), {
+			ranks: options.ranks,
+			slotsPerRank: options['slots-per-rank'],
+			favour: options.favour,
+			interval: options.interval,
+			slowRank: readSlowRank(options['slow-rank'], options.ranks),
+		});
+		if (!reports.ok) {
+			throw new BadInputError(describeError(options.trace, reports.error));
+		}
+
+		console.log(JSON.stringify({policies: reports.value}));
+	},
+});
--- /dev/null
+++ b/bench/placement/pollenport-policy.ts
@@ -0,0 +1,17 @@
+import {createPlacementDecider} from '../../src/decisions/placement/placement-decider.js';
+import type {Favour, GroupShape} from '../../src/decisions/placement/placement-types.js';
+import type {PlacementPolicy} from './placement-policy.js';
+
+/** The project's decider, asked after every step. */
+export function createPollenportPolicy(shape: GroupShape, favour: Favour): PlacementPolicy {
+	const decider = createPlacementDecider(shape);
+
+	return {
+		name: 'pollenport',
+		afterStep({layer, tokens, rankTokens, rankTimes, map}) {
+			decider.observeLoad(layer, tokens, 1);
+			decider.observePaces(rankTokens.map((count, rank) => ({tokens: count, time: rankTimes[rank]})));
+			return decider.planLayer(layer, map, favour, Number.POSITIVE_INFINITY)?.map;
+		},
+	};
+}
--- /dev/null
+++ b/bench/trace/parse-trace.ts
@@ -0,0 +1,81 @@
+import {z} from 'zod';
+import {fail, succeed, type Result} from '../../src/core/result.js';
+import type {LoadTrace, TraceLine} from './trace-line.js';
+
+/** A line of a trace that cannot be used. Lines count from 1. */
+export type TraceError = Readonly<{line: number; field: string; detail: string}>;
+
+const index = z.number().int().nonnegative();
+
+const lineSchema = z.strictObject({
+	step: index,
+	layer: index,
+	tokens: z.array(z.number().nonnegative()).min(1),
+});
+
+function readJson(text: string): unknown {
+	try {
+		return JSON.parse(text) as unknown;
+	} catch {
+		return undefined;
+	}
+}
+
+function parseLine(text: string, line: number): Result<TraceLine, TraceError> {
+	const json = readJson(text);
+	if (json === undefined) {
+		return fail({line, field: '(line)', detail: 'not JSON'});
+	}
+
+	const parsed = lineSchema.safeParse(json);
+	if (parsed.success) {
+		return succeed(parsed.data);
+	}
+
+	const issue = parsed.error.issues[0];
+	const unknownKey = issue?.code === 'unrecognized_keys' ? issue.keys[0] : undefined;
+	const field = issue?.path.map(String).join('.') ?? '';
+	return fail({line, field: unknownKey ?? (field === '' ? '(line)' : field), detail: issue?.message ?? 'invalid'});
+}
+
+/** Checks a line against those before it. */
+function findDisorder(before: TraceLine | undefined, current: TraceLine, line: number): TraceError | undefined {
+	if (!before) {
+		return undefined;
+	}
+
+	if (current.step < before.step) {
+		return {line, field: 'step', detail: `${current.step} comes after ${before.step}`};
+	}
+
+	return current.tokens.length === before.tokens.length
+		? undefined
+		: {line, field: 'tokens', detail: `${current.tokens.length} experts, ${before.tokens.length} before`};
+}
+
+/** Reads a trace from JSON lines. Empty lines are passed over. */
+export function parseTrace(text: string): Result<LoadTrace, TraceError> {
+	const lines: TraceLine[] = [];
+	for (const [i, lineText] of text.split('\n').entries()) {
+		if (lineText.trim() === '') {
+			continue;
+		}
+
+		const parsed = parseLine(lineText, i + 1);
+		if (!parsed.ok) {
+			return parsed;
+		}
+
+		const disorder = findDisorder(lines.at(-1), parsed.value, i + 1);
+		if (disorder) {
+			return fail(disorder);
+		}
+
+		lines.push(parsed.value);
+	}
+
+	const first = lines[0];
+	return first
+		? succeed({experts: first.tokens.length, lines})
+		: fail({line: 1, field: '(line)', detail: 'the trace is empty'});
+}
