--- /dev/null
+++ b/src/planner/group-view.ts
@@ -0,0 +1,115 @@
+import {fail, succeed, type Result} from '../core/result.js';
+import type {Instance} from '../ports/instance-list.js';
+import type {ExpertMap} from '../ports/model-engine.js';
+import type {Member, RankState} from '../wire/generated/vote.js';
+
+/** Agent of one rank, as the instance list names it. */
+export type ListedMember = Readonly<{rank: number; address: string}>;
+
+/** What all agents of a group report together. */
+export type GroupView = Readonly<{
+	groupIncarnation: string;
+	members: readonly Member[];
+	/** State of each rank, in rank order. */
+	states: readonly RankState[];
+	/** Furthest step of any rank. */
+	step: number;
+	/** Shortest step time that a rank reports, in milliseconds; 0 when none does. */
+	stepMillis: number;
+	map: ExpertMap;
+	/** Whether the group has no map yet. */
+	isFresh: boolean;
+}>;
+
+/** Why a group cannot be planned now. */
+export type GroupViewError
+	= | Readonly<{tag: 'no_members'}>
+		| Readonly<{tag: 'rank_missing'; rank: number}>
+		| Readonly<{tag: 'rank_twice'; rank: number}>
+		| Readonly<{tag: 'rank_silent'; rank: number}>
+		| Readonly<{tag: 'mixed_incarnations'}>
+		| Readonly<{tag: 'mixed_maps'}>
+		| Readonly<{tag: 'vote_pending'}>;
+
+/** Leaves out an instance that leaves while a live one of the same rank is listed. */
+function dropReplaced(agents: readonly Instance[]): readonly Instance[] {
+	const liveRanks = new Set(agents.filter(({state}) => state === 'live').map(({rank}) => rank));
+	return agents.filter(({state, rank}) => state === 'live' || !liveRanks.has(rank));
+}
+
+/** Agents of the group `group` in rank order; every rank from 0 to the largest must be listed once. */
+export function listMembers(instances: readonly Instance[], group: string): Result<readonly ListedMember[], GroupViewError> {
+	const agents = instances.filter(instance => instance.role === 'agent' && instance.group === group && instance.rank >= 0);
+	const members = dropReplaced(agents)
+		.map(({rank, linkAddress}) => ({rank, address: linkAddress}))
+		.toSorted((left, right) => left.rank - right.rank);
+	if (members.length === 0) {
+		return fail({tag: 'no_members'});
+	}
+
+	const misplaced = members.findIndex(({rank}, i) => rank !== i);
+	if (misplaced === -1) {
+		return succeed(members);
+	}
+
+	const found = members[misplaced]?.rank ?? 0;
+	return fail(found < misplaced ? {tag: 'rank_twice', rank: found} : {tag: 'rank_missing', rank: misplaced});
+}
+
+function isEmptyMap(map: ExpertMap): boolean {
+	return map.layers.every(({slots}) => slots.every(expert => expert < 0));
+}
+
+/** Ranks that a map is made for; 0 when it does not say. */
+function countRanks({layers}: ExpertMap): number {
+	const layer = layers[0];
+	return layer && layer.slotsPerRank > 0 ? layer.slots.length / layer.slotsPerRank : 0;
+}
+
+/** Joins the states of all ranks, which are in rank order; undefined stands for a rank that did not answer. */
+export function joinRankStates(
+	listed: readonly ListedMember[],
+	answers: ReadonlyArray<RankState | undefined>,
+): Result<GroupView, GroupViewError> {
+	const silent = answers.indexOf(undefined);
+	if (silent !== -1) {
+		return fail({tag: 'rank_silent', rank: silent});
+	}
+
+	const states = answers.filter(state => state !== undefined);
+	const first = states[0];
+	if (!first) {
+		return fail({tag: 'no_members'});
+	}
+
+	if (states.some(({groupIncarnation}) => groupIncarnation !== first.groupIncarnation)) {
+		return fail({tag: 'mixed_incarnations'});
+	}
+
+	if (states.some(({pending}) => pending)) {
+		return fail({tag: 'vote_pending'});
+	}
+
+	if (states.some(({mapEpoch}) => mapEpoch !== first.mapEpoch)) {
+		return fail({tag: 'mixed_maps'});
+	}
+
+	const map = first.map ?? {layers: []};
+	const mapRanks = countRanks(map);
+	if (mapRanks > states.length) {
+		return fail({tag: 'rank_missing', rank: states.length});
+	}
+
+	const stepTimes = states.map(({stepMillis}) => stepMillis).filter(stepMillis => stepMillis > 0);
+	return succeed({
+		groupIncarnation: first.groupIncarnation,
+		members: states.map(({agentId, agentIncarnation}, rank) => ({
+			rank, agentId, agentIncarnation, address: listed[rank]?.address ?? '',
+		})),
+		states,
+		step: Math.max(...states.map(({step}) => step)),
+		stepMillis: stepTimes.length > 0 ? Math.min(...stepTimes) : 0,
+		map,
+		isFresh: isEmptyMap(map),
+	});
+}
