--- a/src/entry/__tests__/entry-harness.ts
+++ b/src/entry/__tests__/entry-harness.ts
@@ -1,4 +1,5 @@
 /** An entry for tests, in this process, with in-memory platform stores and fake agents. */
+import type {TestContext} from 'node:test';
 import {z} from 'zod';
 import {createInMemoryObjectStore, type InMemoryObjectStore} from '../../../fakes/in-memory-object-store.js';
 import {createInMemoryTableStore, type InMemoryTableStore} from '../../../fakes/in-memory-table-store.js';
@@ -135,10 +136,12 @@
 	return bindings.find(item => item.service === 'bookings')?.binding ?? '';
 }
 
-/** A world without agents. */
-export function createWorld(): World {
+/** A world without agents, which ends with the test however that ends. */
+export function createWorld(t: TestContext): World {
+	const lifeCycle = createLifeCycle();
+	t.after(async () => lifeCycle.shutdown());
 	return {
-		lifeCycle: createLifeCycle(), table: createInMemoryTableStore(), objects: createInMemoryObjectStore(), instances: [],
+		lifeCycle, table: createInMemoryTableStore(), objects: createInMemoryObjectStore(), instances: [],
 	};
 }
 
--- a/src/entry/__tests__/fake-agent.ts
+++ b/src/entry/__tests__/fake-agent.ts
@@ -35,6 +35,13 @@
 	refuseAll: string | undefined;
 	/** Swallows this many start frames without a trace. */
 	swallowStarts: number;
+	/** Start frames are kept back, as if still on their way, while this is set. */
+	holdStarts: boolean;
+	readonly heldStarts: () => number;
+	/** Lets the start frames that were kept back arrive. */
+	readonly releaseStarts: () => void;
+	/** No tombstone is recorded while this is set. */
+	refusesTombstones: boolean;
 	/** In force at the agent; entries on an older version are refused. */
 	configuration: Configuration | undefined;
 	/** Start frames that were taken. */
@@ -85,6 +92,7 @@
 export async function startFakeAgent(lifeCycle: LifeCycle, agentId: string, service: string, script: Script): Promise<FakeAgent> {
 	const streams = new Set<Stream>();
 	const silent = new WeakSet<Stream>();
+	const held: Array<() => void> = [];
 	const server = new Server();
 	server.addService(AgentLinkService, {connect});
 	const port = await new Promise<number>((resolve, reject) => {
@@ -106,6 +114,14 @@
 		incarnation: `${agentId}-1`,
 		script,
 		refuseAll: undefined,
+		refusesTombstones: false,
+		holdStarts: false,
+		heldStarts: () => held.length,
+		releaseStarts() {
+			for (const deliver of held.splice(0)) {
+				deliver();
+			}
+		},
 		swallowStarts: 0,
 		configuration: undefined,
 		starts: [],
@@ -171,13 +187,23 @@
 			}
 
 			case 'start': {
-				takeStart(stream, body.start, entryVersion);
+				const {start} = body;
+				const deliver = () => {
+					takeStart(stream, start, entryVersion);
+				};
+
+				if (agent.holdStarts) {
+					held.push(deliver);
+				} else {
+					deliver();
+				}
+
 				break;
 			}
 
 			case 'tombstone': {
 				const {attemptId} = body.tombstone;
-				const recorded = !agent.starts.some(start => start.attemptId === attemptId);
+				const recorded = !agent.refusesTombstones && !agent.starts.some(start => start.attemptId === attemptId);
 				if (recorded) {
 					agent.tombstones.add(attemptId);
 				}
--- a/src/entry/__tests__/graceful.test.ts
+++ b/src/entry/__tests__/graceful.test.ts
@@ -20,9 +20,9 @@
 	};
 }
 
-test('graceful: a drain waits for a long stream, serves callers with cached addresses, and ignores a second signal', async () => {
+test('graceful: a drain waits for a long stream, serves callers with cached addresses, and ignores a second signal', async t => {
 	const {script, release} = createHeldStream();
-	const world = createWorld();
+	const world = createWorld(t);
 	const [agent] = await startAgents(world, 'model', [script]);
 	const entry = await startTestEntry(world, 'entry-1', {addressLifetimeMillis: 300});
 	assert.deepEqual(await readUrls(entry), ['http://entry-1.test']);
@@ -46,11 +46,10 @@
 	const refused = await postPrompt(entry);
 	assert.equal(refused.status, 503);
 	assert.ok(entry.events.some(event => event.kind === 'drain_ended' && event.cutOff === 0));
-	await world.lifeCycle.shutdown();
 });
 
-test('graceful: a leaving entry is left out by the other entries too', async () => {
-	const world = createWorld();
+test('graceful: a leaving entry is left out by the other entries too', async t => {
+	const world = createWorld(t);
 	const [one, two] = [await startTestEntry(world, 'entry-1'), await startTestEntry(world, 'entry-2')];
 	world.instances = [describeEntry('entry-1', one), describeEntry('entry-2', two)];
 	await waitFor(async () => {
@@ -66,11 +65,10 @@
 
 	const {cutOff} = await drained;
 	assert.equal(cutOff, 0);
-	await world.lifeCycle.shutdown();
 });
 
-test('graceful: an agent that says it is leaving gets no new work while another serves', async () => {
-	const world = createWorld();
+test('graceful: an agent that says it is leaving gets no new work while another serves', async t => {
+	const world = createWorld(t);
 	const answer = answerTokens(['ok']);
 	const [leaving, staying] = await startAgents(world, 'model', [answer, answer]);
 	const entry = await startTestEntry(world, 'entry-1');
@@ -87,7 +85,6 @@
 
 	assert.equal(leaving?.starts.length, 0);
 	assert.equal(staying?.starts.length, 10);
-	await world.lifeCycle.shutdown();
 });
 
 async function readUrls(entry: TestEntry): Promise<readonly string[]> {
--- a/src/entry/__tests__/not-run.test.ts
+++ b/src/entry/__tests__/not-run.test.ts
@@ -14,8 +14,8 @@
 	// No answer ever comes.
 };
 
-test('"not run" is true: the agent refuses, and the refusal is final at once with a time to come back', async () => {
-	const world = createWorld();
+test('"not run" is true: the agent refuses, and the refusal is final at once with a time to come back', async t => {
+	const world = createWorld(t);
 	const [agent] = await startAgents(world, 'bookings', [refuseWith('ledger_full')]);
 	const entry = await startTestEntry(world, 'entry-1');
 	const res = await postCall(entry, 'van', headers);
@@ -24,11 +24,10 @@
 	assert.deepEqual(await readOutcome(res), {outcome: 'not_run', reason: 'ledger_full'});
 	assert.deepEqual(agent?.runs, []);
 	assert.equal(entry.events.find(event => event.kind === 'not_run')?.proof, 'refused');
-	await world.lifeCycle.shutdown();
 });
 
-test('"not run" is true: the deadline passes on the way, and a tombstone proves that nothing started', async () => {
-	const world = createWorld();
+test('"not run" is true: the deadline passes on the way, and a tombstone proves that nothing started', async t => {
+	const world = createWorld(t);
 	const [agent] = await startAgents(world, 'bookings', [book]);
 	const entry = await startTestEntry(world, 'entry-1');
 	assert.ok(agent);
@@ -38,22 +37,20 @@
 	assert.deepEqual(await readOutcome(res), {outcome: 'not_run', reason: 'deadline'});
 	assert.equal(entry.events.find(event => event.kind === 'not_run')?.proof, 'tombstone');
 	assert.equal(agent.tombstones.size, 1);
-	await world.lifeCycle.shutdown();
 });
 
-test('"not run" is true: the deadline passes while the call runs, and the outcome is unknown', async () => {
-	const world = createWorld();
+test('"not run" is true: the deadline passes while the call runs, and the outcome is unknown', async t => {
+	const world = createWorld(t);
 	await startAgents(world, 'bookings', [swallow]);
 	const entry = await startTestEntry(world, 'entry-1');
 	const res = await postCall(entry, 'van', {...headers, 'Pollenport-Deadline-Ms': '200'});
 
 	assert.equal(res.status, 504);
 	assert.deepEqual(await readOutcome(res), {outcome: 'unknown', reason: 'deadline'});
-	await world.lifeCycle.shutdown();
 });
 
-test('"not run" is true: a repeat that the agent refuses is unknown once the key has run', async () => {
-	const world = createWorld();
+test('"not run" is true: a repeat that the agent refuses is unknown once the key has run', async t => {
+	const world = createWorld(t);
 	const [agent] = await startAgents(world, 'bookings', [book]);
 	const entry = await startTestEntry(world, 'entry-1');
 	assert.ok(agent);
@@ -65,11 +62,10 @@
 
 	assert.deepEqual(await readOutcome(repeat), {outcome: 'unknown', reason: 'repeat_refused'});
 	assert.deepEqual(await readOutcome(fresh), {outcome: 'not_run', reason: 'leaving'});
-	await world.lifeCycle.shutdown();
 });
 
-test('"not run" is true: an entry on an older configuration is refused, catches up and is served', async () => {
-	const world = createWorld();
+test('"not run" is true: an entry on an older configuration is refused, catches up and is served', async t => {
+	const world = createWorld(t);
 	const [agent] = await startAgents(world, 'model', [answerTokens(['a', 'b'])]);
 	const entry = await startTestEntry(world, 'entry-1');
 	assert.ok(agent);
@@ -78,11 +74,10 @@
 
 	assert.equal(events.at(-1)?.name, 'end');
 	assert.equal(entry.ctx.configuration.version(), 7);
-	await world.lifeCycle.shutdown();
 });
 
-test('"not run" is true: a silent connection in mid-stream is replaced, and no part looks whole', async () => {
-	const world = createWorld();
+test('"not run" is true: a silent connection in mid-stream is replaced, and no part looks whole', async t => {
+	const world = createWorld(t);
 	const tokens = ['a', 'b', 'c'];
 	const [first] = await startAgents(world, 'model', [async attempt => {
 		if (attempt.start.offset === 0 && first?.starts.length === 1) {
@@ -104,11 +99,10 @@
 
 	assert.equal(events.flatMap(event => event.tokens).join(''), 'abc');
 	assert.equal(events.at(-1)?.name, 'end');
-	await world.lifeCycle.shutdown();
 });
 
-test('"not run" is true: an engine that never finishes gives a cut and no end', async () => {
-	const world = createWorld();
+test('"not run" is true: an engine that never finishes gives a cut and no end', async t => {
+	const world = createWorld(t);
 	await startAgents(world, 'model', [({start, sender, send}) => {
 		if (start.offset === 0) {
 			send({$case: 'data', data: sender.createData(encodeTokens(['x']), 1)});
@@ -120,7 +114,6 @@
 	assert.equal(status, 200);
 	assert.deepEqual(events.map(event => event.name), ['tokens', 'cut']);
 	assert.equal(events.at(-1)?.outcome, 'unknown');
-	await world.lifeCycle.shutdown();
 });
 
 const REFUSED: ReadonlyArray<readonly [string, number, string, Readonly<{body: string; headers?: Readonly<Record<string, string>>}>]> = [
@@ -132,8 +125,8 @@
 ];
 
 for (const [fault, status, reason, init] of REFUSED) {
-	test(`"not run" is true: ${fault} is refused with ${status}`, async () => {
-		const world = createWorld();
+	test(`"not run" is true: ${fault} is refused with ${status}`, async t => {
+		const world = createWorld(t);
 		const [agent] = await startAgents(world, 'bookings', [book]);
 		const entry = await startTestEntry(world, 'entry-1');
 		const res = await fetch(`${entry.url}/v1/services/bookings/calls`, {
@@ -143,6 +136,5 @@
 		assert.equal(res.status, status);
 		assert.deepEqual(await readOutcome(res), {outcome: 'not_run', reason});
 		assert.deepEqual(agent?.starts, []);
-		await world.lifeCycle.shutdown();
 	});
 }
--- a/src/entry/__tests__/whole-answer.test.ts
+++ b/src/entry/__tests__/whole-answer.test.ts
@@ -77,8 +77,8 @@
 };
 
 for (const [fault, script] of Object.entries(FAULTS)) {
-	test(`whole answer: ${fault}`, async () => {
-		const world = createWorld();
+	test(`whole answer: ${fault}`, async t => {
+		const world = createWorld(t);
 		let faulty = 0;
 		const once: Script = async attempt => {
 			faulty++;
@@ -95,6 +95,5 @@
 		assert.equal(events.at(-1)?.name, 'end');
 		assert.equal(events.at(-1)?.count, TOKENS.length);
 		assert.equal(events.at(-1)?.digest, sha256Hex(TOKENS.join('')));
-		await world.lifeCycle.shutdown();
 	});
 }
