--- a/src/decisions/random.ts
+++ b/src/decisions/random.ts
@@ -1,11 +1,18 @@
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 
+/** Numbers thrown away at first: those of neighbouring seeds are alike. */
+const WARM_UP_DRAWS = 64;
+
 /** Gives a number from 0 (inclusive) to 1 (exclusive) at each call. */
 export type RandomSource = () => number;
 
 /** A source that gives the same numbers for the same seed. */
 export function createSeededRandom(seed: number): RandomSource {
 	const generator = xoroshiro128plus(seed);
+	for (let i = 0; i < WARM_UP_DRAWS; i++) {
+		generator.next();
+	}
+
 	return () => uniformFloat64(generator);
 }
--- a/src/decisions/routing/candidate.ts
+++ b/src/decisions/routing/candidate.ts
@@ -1,26 +1,18 @@
 import type {InstanceId} from '../../core/ids.js';
 import type {PrefixBelief} from './prefix-belief.js';
 
-/** The last load report of a backend server, as it was when it was measured. */
-export type LoadObservation = Readonly<{
-	running: number;
-	queued: number;
-	stepMillis: number;
-	/** Monotonic time at which it was measured, in milliseconds: time of receipt less the age it had then. */
-	measuredAtMillis: number;
-}>;
-
 /** A backend server that could serve a request, as this entry sees it now. */
 export type Candidate = Readonly<{
 	agentId: InstanceId;
 	failureDomain: string;
 	/** Own attempts that have not ended. */
 	ownInFlight: number;
-	/** Own attempts started since the report was measured. */
-	ownStartedSinceReport: number;
-	/** Own attempts that ran when the report was measured and have ended since. */
-	ownEndedSinceReport: number;
-	load: LoadObservation | undefined;
+	/** Expected time that the prompts of own attempts without a first token take, in milliseconds. */
+	ownPromptMillis: number;
+	/** Requests that other entries are believed to have there: the last report, faded towards the mean of all with its age. */
+	othersInFlight: number;
+	/** Requests believed to wait there for a place in the batch. */
+	queued: number;
 	/** How long the oldest own attempt without a first token has waited, in milliseconds; 0 when there is none. */
 	oldestWaitMillis: number;
 	/** Measured time to first token over the expected one; 1 is normal, larger is slower. */
--- a/src/decisions/routing/choose-backend-server.ts
+++ b/src/decisions/routing/choose-backend-server.ts
@@ -3,7 +3,7 @@
 import {estimateCachedTokens, estimateFirstTokenMillis} from './first-token-cost.js';
 
 /** Candidates drawn at random for each decision, beside those believed to hold the prefix. */
-const RANDOM_CHOICES = 3;
+const RANDOM_CHOICES = 12;
 /** Candidates added because they are believed to hold the longest part of the prompt. */
 const PREFIX_CHOICES = 2;
 
--- a/src/decisions/routing/first-token-cost.ts
+++ b/src/decisions/routing/first-token-cost.ts
@@ -2,33 +2,18 @@
 import {readPrefixBelief, type PrefixBelief} from './prefix-belief.js';
 
 /** Expected wait for each request that a backend server already has. */
-const MILLIS_PER_REQUEST = 6;
+const MILLIS_PER_REQUEST = 2;
 /** Expected wait for each request that is queued there beyond those running. */
 const MILLIS_PER_QUEUED_REQUEST = 40;
 /** Expected time to process a prompt token that is not cached. */
 const MILLIS_PER_PROMPT_TOKEN = 0.2;
+/** Expected time of a prompt beside that of its tokens. */
+const PROMPT_BASE_MILLIS = 5;
 /** Time to first token of an idle backend server. */
 const BASE_MILLIS = 30;
 /** Price of leaving the failure domain. */
 const OTHER_DOMAIN_MILLIS = 3;
 
-/** Requests at the backend server now: the report, brought up to date by own attempts since. */
-export function estimateInFlight(candidate: Candidate): number {
-	const reported = candidate.load ? candidate.load.running + candidate.load.queued : 0;
-	const current = reported + candidate.ownStartedSinceReport - candidate.ownEndedSinceReport;
-	return Math.max(current, candidate.ownInFlight);
-}
-
-/** Requests that wait there: those reported, and own attempts since that found a queue. */
-function estimateQueued(candidate: Candidate): number {
-	const reported = candidate.load?.queued ?? 0;
-	if (reported === 0) {
-		return 0;
-	}
-
-	return Math.max(0, reported + candidate.ownStartedSinceReport - candidate.ownEndedSinceReport);
-}
-
 /** Prompt tokens that are expected to be found in the cache. */
 export function estimateCachedTokens(belief: PrefixBelief, req: RoutingRequest): number {
 	let best = 0;
@@ -39,11 +24,17 @@
 	return best;
 }
 
+/** Expected time that the prompt takes at a backend server of normal speed, in milliseconds. */
+export function estimatePromptMillis(candidate: Candidate, req: RoutingRequest): number {
+	const promptTokens = req.promptTokens - estimateCachedTokens(candidate.prefixes, req);
+	return PROMPT_BASE_MILLIS + (promptTokens * MILLIS_PER_PROMPT_TOKEN);
+}
+
 /** Expected time to first token at a backend server of normal speed, in milliseconds; for a plain service, to its first byte. */
 export function estimateNominalMillis(candidate: Candidate, req: RoutingRequest): number {
-	const promptTokens = req.promptTokens - estimateCachedTokens(candidate.prefixes, req);
-	const waitMillis = (estimateInFlight(candidate) * MILLIS_PER_REQUEST) + (estimateQueued(candidate) * MILLIS_PER_QUEUED_REQUEST);
-	return BASE_MILLIS + waitMillis + (promptTokens * MILLIS_PER_PROMPT_TOKEN);
+	const inFlightMillis = (candidate.ownInFlight + candidate.othersInFlight) * MILLIS_PER_REQUEST;
+	const queuedMillis = candidate.queued * MILLIS_PER_QUEUED_REQUEST;
+	return BASE_MILLIS + inFlightMillis + queuedMillis + candidate.ownPromptMillis + estimatePromptMillis(candidate, req);
 }
 
 /** Expected time to first token at this candidate, in milliseconds: at its measured speed, and no less than own attempts wait there now. */
--- /dev/null
+++ b/src/decisions/routing/server-record.ts
@@ -0,0 +1,191 @@
+import type {Clock} from '../../core/clock.js';
+import type {InstanceId} from '../../core/ids.js';
+import type {Candidate} from './candidate.js';
+import type {AttemptExpectation} from './load-view.js';
+import {
+	noPrefixBelief, updatePrefixBelief, type PrefixBelief, type PrefixNews,
+} from './prefix-belief.js';
+import {
+	addSlowRatio, computeSlowRatio, readSlowFactor, type SlowFactor,
+} from './slow-factor.js';
+
+/** Time without a heartbeat after which a backend server counts as stalled. */
+const HEARTBEAT_LIMIT_MILLIS = 3000;
+/** Time without progress, while own attempts run, after which a backend server counts as stalled. */
+const PROGRESS_LIMIT_MILLIS = 1500;
+
+/** A load report as it came in. */
+export type LoadReportInput = Readonly<{
+	running: number;
+	queued: number;
+	/** Age of the backend server's own report when it came in. */
+	ageMillis: number;
+	cacheNews: readonly PrefixNews[];
+}>;
+
+/** An own attempt at one backend server; its methods are called as things happen. */
+export type TrackedAttempt = Readonly<{
+	/** The first token or byte came. */
+	noteFirstToken: () => void;
+	/** Any later token or byte came. */
+	noteProgress: () => void;
+	/** The attempt ended in any way. Further calls have no effect. */
+	end: () => void;
+}>;
+
+/** What is usual over all backend servers. */
+export type UsualLoad = Readonly<{othersInFlight: number; heldMillis: number; slowFactor: number}>;
+
+/** Means over all own attempts. */
+export type AttemptMeans = Readonly<{
+	noteHeld: (millis: number) => void;
+	/** Gives the mean ratio before this one. */
+	noteSlowRatio: (ratio: number) => number;
+}>;
+
+type Attempt = {
+	readonly startedAtMillis: number;
+	readonly expectation: AttemptExpectation;
+	hasFirstToken: boolean;
+};
+
+type EndedAttempt = Readonly<{startedAtMillis: number; endedAtMillis: number}>;
+
+type ReportedLoad = Readonly<{othersInFlight: number; queued: number; measuredAtMillis: number}>;
+
+/** What is known of one backend server; changed only by the functions of this module. */
+export type ServerRecord = {
+	readonly agentId: InstanceId;
+	readonly failureDomain: string;
+	report: ReportedLoad | undefined;
+	prefixes: PrefixBelief;
+	slowFactor: SlowFactor | undefined;
+	heardAtMillis: number;
+	progressAtMillis: number;
+	readonly running: Set<Attempt>;
+	/** Own attempts that ended since the last report was measured. */
+	ended: EndedAttempt[];
+};
+
+/** A record of a backend server of which nothing was heard. */
+export function createServerRecord(agentId: InstanceId, failureDomain: string, nowMillis: number): ServerRecord {
+	return {
+		agentId,
+		failureDomain,
+		report: undefined,
+		prefixes: noPrefixBelief,
+		slowFactor: undefined,
+		heardAtMillis: nowMillis,
+		progressAtMillis: nowMillis,
+		running: new Set(),
+		ended: [],
+	};
+}
+
+/** Own attempts that were at the backend server at a time since the last report. */
+function countOwnAt(record: ServerRecord, atMillis: number): number {
+	let count = 0;
+	for (const attempt of record.running) {
+		count += attempt.startedAtMillis <= atMillis ? 1 : 0;
+	}
+
+	for (const attempt of record.ended) {
+		count += attempt.startedAtMillis <= atMillis && attempt.endedAtMillis > atMillis ? 1 : 0;
+	}
+
+	return count;
+}
+
+/** Takes a load report. */
+export function noteReport(record: ServerRecord, input: LoadReportInput, nowMillis: number): void {
+	const measuredAtMillis = nowMillis - input.ageMillis;
+	const own = countOwnAt(record, measuredAtMillis);
+	record.heardAtMillis = nowMillis;
+	record.report = {othersInFlight: Math.max(0, input.running + input.queued - own), queued: input.queued, measuredAtMillis};
+	record.ended = record.ended.filter(attempt => attempt.endedAtMillis > measuredAtMillis);
+	record.prefixes = updatePrefixBelief(record.prefixes, input.cacheNews, nowMillis);
+}
+
+function addRunning(record: ServerRecord, attempt: Attempt): void {
+	const nowMillis = attempt.startedAtMillis;
+	const digests = attempt.expectation.prefixDigests;
+	if (record.running.size === 0) {
+		record.progressAtMillis = nowMillis;
+	}
+
+	record.running.add(attempt);
+	record.prefixes = updatePrefixBelief(record.prefixes, digests.length > 0 ? [{tag: 'requested', digests}] : [], nowMillis);
+}
+
+/** Records that an own attempt starts now. */
+export function startAttempt(record: ServerRecord, expectation: AttemptExpectation, clock: Clock, means: AttemptMeans): TrackedAttempt {
+	const startedAtMillis = clock.monotonicMillis();
+	const attempt: Attempt = {startedAtMillis, expectation, hasFirstToken: false};
+	addRunning(record, attempt);
+	return {
+		noteFirstToken() {
+			const nowMillis = clock.monotonicMillis();
+			record.progressAtMillis = nowMillis;
+			if (!attempt.hasFirstToken) {
+				attempt.hasFirstToken = true;
+				const ratio = computeSlowRatio(nowMillis - startedAtMillis, expectation.nominalMillis);
+				record.slowFactor = addSlowRatio(record.slowFactor, ratio, means.noteSlowRatio(ratio), nowMillis);
+			}
+		},
+		noteProgress() {
+			record.progressAtMillis = clock.monotonicMillis();
+		},
+		end() {
+			if (record.running.delete(attempt)) {
+				const endedAtMillis = clock.monotonicMillis();
+				record.ended.push({startedAtMillis, endedAtMillis});
+				means.noteHeld(endedAtMillis - startedAtMillis);
+			}
+		},
+	};
+}
+
+function isStalled(record: ServerRecord, nowMillis: number): boolean {
+	if (nowMillis - record.heardAtMillis > HEARTBEAT_LIMIT_MILLIS) {
+		return true;
+	}
+
+	return record.running.size > 0 && nowMillis - record.progressAtMillis > PROGRESS_LIMIT_MILLIS;
+}
+
+function readWaiting(record: ServerRecord, nowMillis: number): Readonly<{ownPromptMillis: number; oldestWaitMillis: number}> {
+	let ownPromptMillis = 0;
+	let oldestWaitMillis = 0;
+	for (const attempt of record.running) {
+		if (!attempt.hasFirstToken) {
+			ownPromptMillis += attempt.expectation.promptMillis;
+			oldestWaitMillis = Math.max(oldestWaitMillis, nowMillis - attempt.startedAtMillis);
+		}
+	}
+
+	return {ownPromptMillis, oldestWaitMillis};
+}
+
+/** How much the last report still says: 1 when it is fresh, less the more of the requests it counted have ended by now. */
+function readReportWeight(record: ServerRecord, heldMillis: number, nowMillis: number): number {
+	return record.report ? Math.exp((record.report.measuredAtMillis - nowMillis) / heldMillis) : 0;
+}
+
+/** The backend server as a candidate. */
+export function toCandidate(record: ServerRecord, usual: UsualLoad, nowMillis: number): Candidate {
+	const slowFactor = readSlowFactor(record.slowFactor, usual.slowFactor, nowMillis);
+	const heldMillis = usual.heldMillis * (slowFactor / usual.slowFactor);
+	const weight = readReportWeight(record, heldMillis, nowMillis);
+	const others = record.report?.othersInFlight ?? usual.othersInFlight;
+	return {
+		agentId: record.agentId,
+		failureDomain: record.failureDomain,
+		ownInFlight: record.running.size,
+		...readWaiting(record, nowMillis),
+		othersInFlight: usual.othersInFlight + ((others - usual.othersInFlight) * weight),
+		queued: (record.report?.queued ?? 0) * weight,
+		slowFactor,
+		stalled: isStalled(record, nowMillis),
+		prefixes: record.prefixes,
+	};
+}
