--- a/src/dispatch/create-deciders.ts
+++ b/src/dispatch/create-deciders.ts
@@ -5,9 +5,10 @@
 import {createRetryBudget} from '../decisions/retry/retry-budget.js';
 import type {Candidate, RoutingRequest} from '../decisions/routing/candidate.js';
 import {chooseBackendServer} from '../decisions/routing/choose-backend-server.js';
-import {estimateNominalMillis} from '../decisions/routing/first-token-cost.js';
-import {createLoadView, type LoadReportInput} from '../decisions/routing/load-view.js';
+import {estimateNominalMillis, estimatePromptMillis} from '../decisions/routing/first-token-cost.js';
+import {createLoadView, type AttemptExpectation} from '../decisions/routing/load-view.js';
 import type {PrefixNews} from '../decisions/routing/prefix-belief.js';
+import type {LoadReportInput} from '../decisions/routing/server-record.js';
 import type {LinkObserver} from '../entry/agent-link.js';
 import type {LoadReport} from '../wire/generated/link.js';
 import type {CallRequest} from './call-request.js';
@@ -28,12 +29,19 @@
 	return {
 		running: report.inFlight,
 		queued: report.queued,
-		stepMillis: report.stepMillis,
 		ageMillis: report.ageMillis,
 		cacheNews: [...gap, ...events],
 	};
 }
 
+function expectAttempt(candidate: Candidate | undefined, req: CallRequest, routing: RoutingRequest): AttemptExpectation {
+	return {
+		nominalMillis: candidate ? estimateNominalMillis(candidate, routing) : 0,
+		promptMillis: candidate ? estimatePromptMillis(candidate, routing) : 0,
+		prefixDigests: req.prefixes.map(prefix => prefix.digest),
+	};
+}
+
 /** Creates deciders that have seen no load yet. */
 export function createDeciders({clock, random, failureDomain}: DecidersDeps): ConnectedDeciders {
 	const view = createLoadView(clock);
@@ -82,8 +90,7 @@
 			},
 			track(link, req) {
 				const candidate = findCandidate(link.hello.instanceId);
-				const expectedMillis = candidate ? estimateNominalMillis(candidate, toRoutingRequest(req)) : 0;
-				return view.startAttempt(link.hello.instanceId, expectedMillis, req.prefixes.map(prefix => prefix.digest));
+				return view.startAttempt(link.hello.instanceId, expectAttempt(candidate, req, toRoutingRequest(req)));
 			},
 			decideRetry: (req, retries) => budget.decide({
 				workClass: req.workClass.name,
--- a/src/entry/__tests__/entry-harness.ts
+++ b/src/entry/__tests__/entry-harness.ts
@@ -130,6 +130,8 @@
 		metricsListen: '127.0.0.1:0',
 		platform: {tableUrl: 'http://127.0.0.1', objectUrl: 'http://127.0.0.1', instanceListUrl: 'http://127.0.0.1'},
 		drainMillis: 5000,
+		auditIntervalMillis: 1000,
+		auditPendingRecords: 1000,
 		callerListen: '127.0.0.1:0',
 		callerUrl: `http://${instanceId}.test`,
 		operatorListen: '127.0.0.1:0',
