Wire the daemon and the demo

Cause: the parts are in; the whole path has to run as separate processes. Ruled out: leaving children to themselves when the demo fails; they end with their parent.

--- a/bench/system/local-system.ts
+++ b/bench/system/local-system.ts
@@ -37,8 +37,15 @@
 	entries: readonly DaemonProcess[];
 	/** Waits until each daemon that runs has a configuration and its links. */
 	waitAllReady: () => Promise<void>;
-	/** Stops all daemons by SIGTERM, at once, then the stand-ins; resolves to the daemons that did not end well. */
-	close: () => Promise<readonly string[]>;
+	/** Stops all daemons by SIGTERM, at once, calls `beforePlatformEnds`, then stops the stand-ins. */
+	close: <T>(beforePlatformEnds: () => Promise<T>) => Promise<SystemEnd<T>>;
+}>;
+
+/** How a system ended. */
+export type SystemEnd<T> = Readonly<{
+	/** Daemons that did not end by themselves with exit code 0; the folder with their logs is kept then. */
+	badEnds: readonly string[];
+	beforePlatformEnds: T;
 }>;
 
 type PortSource = () => number;
@@ -213,15 +220,17 @@
 		...standIns,
 		...daemons,
 		waitAllReady: async () => waitAllReady(allDaemons),
-		async close() {
-			const ends = await Promise.all(allDaemons.map(async daemon => [daemon.name, await endProcess(daemon)] as const));
+		async close(beforePlatformEnds) {
+			const running = allDaemons.filter(daemon => daemon.pid() !== undefined);
+			const ends = await Promise.all(running.map(async daemon => [daemon.name, await endProcess(daemon)] as const));
+			const seen = await beforePlatformEnds();
 			await Promise.all([...platform, ...standIns.engines, ...standIns.plains].map(async standIn => endProcess(standIn)));
-			const failed = ends.filter(([, isGood]) => !isGood).map(([name]) => name);
-			if (failed.length === 0) {
+			const badEnds = ends.filter(([, isGood]) => !isGood).map(([name]) => name);
+			if (badEnds.length === 0) {
 				await rm(dir, {recursive: true});
 			}
 
-			return failed;
+			return {badEnds, beforePlatformEnds: seen};
 		},
 	};
 }
--- a/bench/system/managed-process.ts
+++ b/bench/system/managed-process.ts
@@ -49,10 +49,16 @@
 		const log = openSync(definition.logFile, 'a');
 		const child = spawn(process.execPath, definition.args, {stdio: ['ignore', log, log]});
 		closeSync(log);
+		const killWithParent = () => {
+			child.kill('SIGKILL');
+		};
+
+		process.once('exit', killWithParent);
 		const ended = new Promise<ProcessEnd>(resolve => {
 			child.once('exit', (code, signal) => {
 				lastEnd = {code: code ?? undefined, signal: signal ?? undefined};
 				run = undefined;
+				process.off('exit', killWithParent);
 				resolve(lastEnd);
 			});
 		});
--- /dev/null
+++ b/scripts/demo.ts
@@ -0,0 +1,7 @@
+/** Runs the whole path as separate processes on loopback, checks every promise, and prints one JSON summary as the last line. */
+import process from 'node:process';
+import {runDemo} from '../bench/demo/run-demo.js';
+
+const summary = await runDemo();
+console.log(JSON.stringify(summary));
+process.exitCode = summary.promises.every(promise => promise.held) ? 0 : 1;
--- a/src/cli/commands/apply.ts
+++ b/src/cli/commands/apply.ts
@@ -6,8 +6,9 @@
 import {readTargets} from '../../targets/read-targets.js';
 import {describeDocumentError} from '../../toml/toml-document.js';
 import {accessArguments, type AccessArguments} from '../access-arguments.js';
+import {readConfiguration} from '../read-configuration.js';
 import {askEntry} from '../ask-entry.js';
-import {acceptedSchema, configurationAnswerSchema, conflictSchema} from '../entry-answers.js';
+import {acceptedSchema, conflictSchema} from '../entry-answers.js';
 import {
 	errorReport, printReport, usageReport, type Report,
 } from '../report.js';
@@ -23,7 +24,7 @@
 		return Number.isSafeInteger(version) && version >= 0 ? version : usageReport('--expected-version must be a whole number from 0');
 	}
 
-	const current = await askEntry(args, {method: 'GET', path: '/v1/configuration'}, configurationAnswerSchema);
+	const current = await readConfiguration(args);
 	return current.ok ? current.value?.version ?? 0 : errorReport(current.error);
 }
 
@@ -34,7 +35,7 @@
 	}
 
 	const {expectedVersion, current} = conflict.data;
-	const inForce = await askEntry(args, {method: 'GET', path: '/v1/configuration'}, configurationAnswerSchema);
+	const inForce = await readConfiguration(args);
 	const changes = inForce.ok && inForce.value ? diffTargets(inForce.value.targets, targets) : [];
 	return {
 		lines: [
@@ -50,7 +51,7 @@
 
 /** A change whose answer was lost is looked up by its id, never sent again. */
 async function settleLostAnswer(args: ApplyArguments, changeId: string, err: OperatorError): Promise<Report> {
-	const current = await askEntry(args, {method: 'GET', path: '/v1/configuration'}, configurationAnswerSchema);
+	const current = await readConfiguration(args);
 	if (!current.ok || current.value?.changeId !== changeId) {
 		return errorReport(err);
 	}
--- a/src/cli/commands/diff.ts
+++ b/src/cli/commands/diff.ts
@@ -4,8 +4,7 @@
 import {readTargets} from '../../targets/read-targets.js';
 import {describeDocumentError} from '../../toml/toml-document.js';
 import {accessArguments, type AccessArguments} from '../access-arguments.js';
-import {askEntry} from '../ask-entry.js';
-import {configurationAnswerSchema} from '../entry-answers.js';
+import {readConfiguration} from '../read-configuration.js';
 import {
 	errorReport, printReport, usageReport, type Report,
 } from '../report.js';
@@ -21,7 +20,7 @@
 		return usageReport(describeDocumentError(targets.error));
 	}
 
-	const current = await askEntry(args, {method: 'GET', path: '/v1/configuration'}, configurationAnswerSchema);
+	const current = await readConfiguration(args);
 	if (!current.ok) {
 		return errorReport(current.error);
 	}
--- a/src/cli/entry-answers.ts
+++ b/src/cli/entry-answers.ts
@@ -1,5 +1,4 @@
 import {z} from 'zod';
-import {configurationSchema} from '../configuration/configuration.js';
 
 /** Answer to an accepted change. */
 export const acceptedSchema = z.object({
@@ -18,9 +17,6 @@
 	current: changeSchema.nullable(),
 });
 
-/** The configuration in force at the entry that was asked; null when it knows none. */
-export const configurationAnswerSchema = configurationSchema.nullable();
-
 /** Answer to a question about planned stops. */
 export const stopsSchema = z.object({
 	stops: z.array(z.object({
--- /dev/null
+++ b/src/daemon/run-daemon.ts
@@ -0,0 +1,69 @@
+import process from 'node:process';
+import {registerConfigurationSync} from '../configuration/configuration-sync.js';
+import {startMetricsListener, type ListenError} from '../observability/metrics-listener.js';
+import type {Secrets} from '../settings/read-secrets.js';
+import type {Settings} from '../settings/settings.js';
+import {createContext} from './create-context.js';
+import {EXIT_OK, EXIT_REFUSED, EXIT_USAGE} from './exit-code.js';
+import {startRole, type RunningRole} from './start-role.js';
+import type {ProcessContext} from './process-context.js';
+
+/** Resolves with the first signal to stop; later ones are only logged, so that a drain is not cut short. */
+async function waitForStopSignal(ctx: ProcessContext): Promise<NodeJS.Signals> {
+	return new Promise(resolve => {
+		for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+			process.on(signal, () => {
+				ctx.log.info('stop signal', {signal});
+				resolve(signal);
+			});
+		}
+	});
+}
+
+/** Drains for at most the time that the settings allow; resolves to the number of requests cut off. */
+async function drainInTime(ctx: ProcessContext, role: RunningRole, drainMillis: number): Promise<number> {
+	const timeout = new AbortController();
+	const late = ctx.clock.sleep(drainMillis, timeout.signal).then(() => undefined);
+	const cutOff = await Promise.race([role.drain(), late]);
+	timeout.abort();
+	if (cutOff === undefined) {
+		ctx.log.error('the drain took too long; requests in flight are cut off', {drainMillis});
+		return 1;
+	}
+
+	return cutOff;
+}
+
+async function endWithListenError(ctx: ProcessContext, err: ListenError): Promise<number> {
+	ctx.log.error('cannot listen', {address: err.address, detail: err.detail});
+	process.stderr.write(`${err.address}: cannot listen: ${err.detail}\n`);
+	await ctx.lifeCycle.shutdown();
+	return EXIT_USAGE;
+}
+
+/** Runs a role until a signal to stop; resolves to the exit code. */
+export async function runDaemon(settings: Settings, secrets: Secrets): Promise<number> {
+	const ctx = createContext(settings, secrets);
+	const stopSignal = waitForStopSignal(ctx);
+	ctx.lifeCycle.own('configuration polling', registerConfigurationSync({...ctx, holder: ctx.configuration, random: Math.random}));
+	const role = await startRole(ctx, settings, secrets);
+	if (!role.ok) {
+		return endWithListenError(ctx, role.error);
+	}
+
+	const metricsListener = await startMetricsListener(settings.metricsListen, ctx.metrics, ctx.lifeCycle, role.value.isReady);
+	if (!metricsListener.ok) {
+		return endWithListenError(ctx, metricsListener.error);
+	}
+
+	ctx.log.info('started', {role: settings.role});
+	await stopSignal;
+	const cutOff = await drainInTime(ctx, role.value, settings.drainMillis);
+	const failures = await ctx.lifeCycle.shutdown();
+	for (const {name, err} of failures) {
+		ctx.log.error('clean-up failed', {name, detail: String(err)});
+	}
+
+	ctx.log.info('stopped', {cutOff});
+	return cutOff === 0 ? EXIT_OK : EXIT_REFUSED;
+}
--- /dev/null
+++ b/src/daemon/start-role.ts
@@ -0,0 +1,71 @@
+import {match} from 'ts-pattern';
+import {createHttpModelEngine} from '../adapters/http-model-engine.js';
+import {createHttpPlainService} from '../adapters/http-plain-service.js';
+import {startAgent} from '../agent/start-agent.js';
+import {succeed, type Result} from '../core/result.js';
+import {startEntry} from '../entry/start-entry.js';
+import type {Backend} from '../agent/backend.js';
+import type {ListenError} from '../observability/metrics-listener.js';
+import type {Secrets} from '../settings/read-secrets.js';
+import type {AgentSettings, EntrySettings, Settings} from '../settings/settings.js';
+import type {ProcessContext} from './process-context.js';
+
+/** Longest wait for an answer of the backend server other than the work itself, in milliseconds. */
+const BACKEND_TIMEOUT_MILLIS = 2000;
+
+/** Longest wait until an engine has loaded what an order names, in milliseconds. */
+const LOAD_TIMEOUT_MILLIS = 60_000;
+
+/** A role that serves. */
+export type RunningRole = Readonly<{
+	/** Whether callers or entries may come. */
+	isReady: () => boolean;
+	/** Refuses new work and waits for the rest; resolves to the number of requests cut off. */
+	drain: () => Promise<number>;
+}>;
+
+function createBackend(ctx: ProcessContext, {backend}: AgentSettings): Backend {
+	const options = {baseUrl: backend.url, timeoutMillis: BACKEND_TIMEOUT_MILLIS, lifeCycle: ctx.lifeCycle};
+	return match(backend.kind)
+		.with('engine', kind => ({kind, engine: createHttpModelEngine({...options, loadTimeoutMillis: LOAD_TIMEOUT_MILLIS})}))
+		.with('plain', kind => ({kind, plain: createHttpPlainService(options)}))
+		.exhaustive();
+}
+
+async function startAgentRole(ctx: ProcessContext, settings: AgentSettings): Promise<Result<RunningRole, ListenError>> {
+	const agent = await startAgent(ctx, settings, createBackend(ctx, settings));
+	if (!agent.ok) {
+		return agent;
+	}
+
+	return succeed({
+		isReady: () => ctx.configuration.version() > 0,
+		async drain() {
+			const report = await agent.value.drain();
+			return report.cutOff;
+		},
+	});
+}
+
+async function startEntryRole(ctx: ProcessContext, settings: EntrySettings, secrets: Secrets): Promise<Result<RunningRole, ListenError>> {
+	const entry = await startEntry(ctx, settings, {operatorToken: secrets.operatorToken});
+	if (!entry.ok) {
+		return entry;
+	}
+
+	return succeed({
+		isReady: entry.value.isReady,
+		async drain() {
+			const report = await entry.value.drain();
+			return report.cutOff;
+		},
+	});
+}
+
+/** Starts the role that the settings name. */
+export async function startRole(ctx: ProcessContext, settings: Settings, secrets: Secrets): Promise<Result<RunningRole, ListenError>> {
+	return match(settings)
+		.with({role: 'agent'}, async agentSettings => startAgentRole(ctx, agentSettings))
+		.with({role: 'entry'}, async entrySettings => startEntryRole(ctx, entrySettings, secrets))
+		.exhaustive();
+}
--- a/src/entry/__tests__/whole-answer.test.ts
+++ b/src/entry/__tests__/whole-answer.test.ts
@@ -15,7 +15,7 @@
 
 /** Sends the first two tokens of the answer, then what `next` does. */
 function begin(next: Script): Script {
-	return attempt => {
+	return async attempt => {
 		const {start, sender, send} = attempt;
 		if (start.offset > 0) {
 			return WHOLE(attempt);
@@ -37,10 +37,10 @@
 	'the link is cut mid-stream': begin(({cutLink}) => {
 		cutLink();
 	}),
-	'the agent refuses': ({start, send}) => {
+	'the agent refuses'({start, send}) {
 		send({$case: 'refused', refused: {attemptId: start.attemptId, reason: 'leaving', retryAfterMillis: 0}});
 	},
-	'a frame comes twice': ({start, sender, send}) => {
+	'a frame comes twice'({start, sender, send}) {
 		for (const token of TOKENS) {
 			const data = sender.createData(encodeTokens([token]), 1);
 			send({$case: 'data', data});
@@ -49,7 +49,7 @@
 
 		send({$case: 'end', end: sender.createEnd(200, false)});
 	},
-	'two frames are swapped': ({sender, send}) => {
+	'two frames are swapped'({sender, send}) {
 		const frames = TOKENS.map(token => sender.createData(encodeTokens([token]), 1));
 		for (const index of [0, 2, 1, 3, 4]) {
 			const data = frames[index];
@@ -105,7 +105,7 @@
 		const {status, events} = await postPrompt(entry);
 
 		assert.equal(status, 200);
-		assert.equal(events.filter(event => event.name === 'tokens').flatMap(event => event.data['tokens']).join(''), TOKENS.join(''));
+		assert.equal(events.filter(event => event.name === 'tokens').flatMap(event => event.data.tokens).join(''), TOKENS.join(''));
 		assert.deepEqual(events.at(-1), {name: 'end', data: {count: TOKENS.length, digest: sha256Hex(TOKENS.join(''))}});
 		await world.lifeCycle.shutdown();
 	});
