--- a/src/entry/__tests__/whole-answer.test.ts
+++ b/src/entry/__tests__/whole-answer.test.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {encodeTokens} from '../../answer/payload-units.js';
@@ -64,7 +65,7 @@
 		const {start, sender, send} = attempt;
 		send({
 			$case: 'data', data: {
-				attemptId: 'another', offset: 2, count: 1, payload: encodeTokens(['secret']),
+				attemptId: 'another', offset: 2, count: 1, payload: Buffer.from('["secret"]'),
 			},
 		});
 		for (const token of TOKENS.slice(2)) {
