Add the vote of the ranks on their expert map

Each rank's vote lives in its engine: a hold is a yes, a release is a no, and a restarted agent reads it back. Reports carry the proposal, so that an agent that has lost it takes part again, and the sender's fencing floor.

Ruled out: orders that end a vote under the proposal's own token, since an engine that has meanwhile seen a newer token would refuse them for good; they carry the highest token seen. The proposal's group incarnation is read again behind the hold, since a hold may arrive after a restart of the group.

--- a/src/agent/start-agent.ts
+++ b/src/agent/start-agent.ts
@@ -3,9 +3,15 @@
 import {createInFlight} from '../attempts/in-flight.js';
 import {succeed, type Result} from '../core/result.js';
 import type {ProcessContext} from '../daemon/process-context.js';
+import {createFencingFloor} from '../expert-map/fencing-floor.js';
+import {createGrpcVotePeers} from '../expert-map/grpc-vote-peers.js';
+import {createRankVoteService} from '../expert-map/rank-vote-server.js';
+import {createRankVote} from '../expert-map/rank-vote.js';
 import {createLedger, createLedgerLimits} from '../ledger/ledger.js';
 import type {AgentSettings} from '../settings/settings.js';
+import type {ModelEngine} from '../ports/model-engine.js';
 import {AgentLinkService} from '../wire/generated/link.js';
+import {RankVoteService} from '../wire/generated/vote.js';
 import type {AgentParts} from './agent-parts.js';
 import {watchBackendLoad} from './backend-load.js';
 import type {Backend} from './backend.js';
@@ -32,7 +38,8 @@
 ): Promise<Result<RunningAgent, ListenError>> {
 	const slot: {parts?: AgentParts} = {};
 	const links = createLinkService(() => slot.parts);
-	const server = await openLinkServer(ctx.linkAccess, ctx.clock, settings.linkListen, [links]);
+	const services = backend.kind === 'engine' ? [links, createVoteService(ctx, settings, backend.engine)] : [links];
+	const server = await openLinkServer(ctx.linkAccess, ctx.clock, settings.linkListen, services);
 	if (!server.ok) {
 		return server;
 	}
@@ -78,6 +85,27 @@
 	};
 }
 
+/** The vote touches the engine only when a proposal or a report comes. */
+function createVoteService(ctx: ProcessContext, settings: AgentSettings, engine: ModelEngine): LinkService {
+	const peers = createGrpcVotePeers(ctx.linkAccess, ctx.clock);
+	ctx.lifeCycle.own('vote peers', peers.close);
+	const vote = createRankVote({
+		group: settings.group,
+		rank: settings.rank,
+		agentId: settings.instanceId,
+		incarnation: ctx.incarnation,
+		checksFencing: settings.backend.checksFencing,
+		engine,
+		peers,
+		floor: createFencingFloor(ctx.table, settings.group),
+		clock: ctx.clock,
+		audit: ctx.audit,
+		metrics: ctx.metrics,
+		signal: ctx.lifeCycle.signal,
+	});
+	return {definition: RankVoteService, implementation: createRankVoteService(ctx, settings, engine, vote)};
+}
+
 function createRunningAgent(parts: AgentParts, linkAddress: string): RunningAgent {
 	let draining: Promise<DrainReport> | undefined;
 	return {
--- /dev/null
+++ b/src/expert-map/grpc-vote-peers.ts
@@ -0,0 +1,62 @@
+/** The agents of the other ranks over gRPC, one connection each. */
+import type {LinkAccess} from '../access/link-access.js';
+import type {Clock} from '../core/clock.js';
+import {fail, succeed, type Result} from '../core/result.js';
+import {RankVoteClient, type VoteReport} from '../wire/generated/vote.js';
+import {PEER_TIMEOUT_MILLIS} from './vote-constants.js';
+import type {VotePeerError, VotePeers} from './vote-peers.js';
+
+const CHANNEL_OPTIONS = {
+	'grpc.enable_retries': 0,
+	'grpc.initial_reconnect_backoff_ms': 100,
+	'grpc.max_reconnect_backoff_ms': 1000,
+};
+
+/** Peers whose connections are closed by `close`. */
+export type GrpcVotePeers = VotePeers & Readonly<{close: () => void}>;
+
+/** Creates the peers; a connection that has failed a call by its deadline is replaced before the next call. */
+export function createGrpcVotePeers(access: LinkAccess, clock: Clock): GrpcVotePeers {
+	const clients = new Map<string, RankVoteClient>();
+
+	function openClient(address: string): RankVoteClient {
+		const client = clients.get(address) ?? new RankVoteClient(address, access.channel, CHANNEL_OPTIONS);
+		clients.set(address, client);
+		return client;
+	}
+
+	/** A connection can go silent for good while new ones work. */
+	function dropClient(address: string, client: RankVoteClient): void {
+		client.close();
+		if (clients.get(address) === client) {
+			clients.delete(address);
+		}
+	}
+
+	async function exchange(address: string, report: VoteReport): Promise<Result<VoteReport, VotePeerError>> {
+		const client = openClient(address);
+		const deadline = new Date(clock.now().getTime() + PEER_TIMEOUT_MILLIS);
+		return new Promise(resolve => {
+			client.exchange(report, access.createMetadata(), {deadline}, (err, reply) => {
+				if (err) {
+					dropClient(address, client);
+					resolve(fail({tag: 'no_answer', detail: err.message}));
+					return;
+				}
+
+				resolve(succeed(reply));
+			});
+		});
+	}
+
+	return {
+		exchange,
+		close() {
+			for (const client of clients.values()) {
+				client.close();
+			}
+
+			clients.clear();
+		},
+	};
+}
--- /dev/null
+++ b/src/expert-map/rank-vote.ts
@@ -0,0 +1,242 @@
+/**
+ * One rank's part in the votes on the expert map of its group.
+ *
+ * A proposal is committed when all ranks have voted yes, and aborted by one no. Each proposal has a task that votes and
+ * settles the engine, and a task for each peer that exchanges reports until both sides know the outcome. No proposer
+ * and no store is needed to finish.
+ */
+import {match} from 'ts-pattern';
+import {fail, succeed, type Result} from '../core/result.js';
+import {createSnapshotStore} from '../core/snapshot-store.js';
+import type {Member, Proposal, VoteReport} from '../wire/generated/vote.js';
+import {
+	concludeVote, isSameGroup, release, takeMap, tryHold, type HeldVote,
+} from './engine-vote.js';
+import type {RankVoteDeps, VoteRefusal} from './rank-vote-types.js';
+import {EXCHANGE_INTERVAL_MILLIS, GROUP_LOOK_MILLIS, KEPT_VOTES} from './vote-constants.js';
+import {
+	castVote, learnReport, openRecord, setOutcome, type VoteRecord,
+} from './vote-record.js';
+
+/** A rank's part in the votes. */
+export type RankVote = {
+	/** Takes a proposal, at once and without waiting for the vote. The same proposal may be sent again. */
+	readonly propose: (proposal: Proposal) => Result<VoteReport, VoteRefusal>;
+	/** Takes a peer's report and gives this rank's. */
+	readonly exchange: (report: VoteReport) => Result<VoteReport, VoteRefusal>;
+	/** Whether a vote is not settled at this rank. */
+	readonly isPending: () => boolean;
+};
+
+/** Records by epoch, oldest first. */
+type Records = ReadonlyMap<number, VoteRecord>;
+
+/** Creates the part of a rank that knows of no proposal. */
+export function createRankVote(deps: RankVoteDeps): RankVote {
+	const store = createSnapshotStore<Records>(new Map());
+	const read = (epoch: number) => store.read().get(epoch);
+
+	function update(epoch: number, change: (record: VoteRecord) => VoteRecord): void {
+		store.update(records => {
+			const before = records.get(epoch);
+			const after = before && change(before);
+			return after === undefined || after === before ? records : new Map([...records, [epoch, after]]);
+		});
+	}
+
+	function hasPending(): boolean {
+		return [...store.read().values()].some(record => !record.isSettled);
+	}
+
+	function propose(proposal: Proposal): Result<VoteReport, VoteRefusal> {
+		const own = proposal.members.find(member => member.rank === deps.rank && member.agentId === deps.agentId);
+		if (proposal.group !== deps.group) {
+			return fail({tag: 'other_group'});
+		}
+
+		if (!own) {
+			return fail({tag: 'not_a_member'});
+		}
+
+		if (!read(proposal.epoch)) {
+			open(proposal, own);
+		}
+
+		return succeed(createReport(proposal.epoch));
+	}
+
+	function open(proposal: Proposal, own: Member): void {
+		const mayHold = own.agentIncarnation === deps.incarnation && !hasPending();
+		deps.floor.note(proposal.fencingToken);
+		store.update(records => new Map([...keepLatest(records), [proposal.epoch, openRecord(proposal, deps.rank)]]));
+		void vote(proposal, mayHold);
+		for (const member of proposal.members) {
+			if (member.rank !== deps.rank) {
+				void exchangeWithPeer(proposal.epoch, member);
+			}
+		}
+	}
+
+	async function vote(proposal: Proposal, mayHold: boolean): Promise<void> {
+		const {epoch} = proposal;
+		if (mayHold) {
+			await tryHold(deps, proposal, () => read(epoch)?.outcome === 'unknown');
+		}
+
+		takeVote(proposal, await concludeVote(deps, proposal));
+		await awaitOutcome(proposal);
+		await settle(proposal);
+	}
+
+	function takeVote(proposal: Proposal, held: HeldVote): void {
+		match(held)
+			.with('yes', 'no', cast => {
+				update(proposal.epoch, record => castVote(record, cast));
+				recordVote(deps, proposal, cast);
+			})
+			.with('taken', () => {
+				update(proposal.epoch, record => setOutcome({...record, vote: 'yes'}, 'committed'));
+			})
+			.with('ended', () => {
+				// The next incarnation reads the vote back.
+			})
+			.exhaustive();
+	}
+
+	/** Returns when the outcome is known, the group has restarted, or the process ends. */
+	async function awaitOutcome(proposal: Proposal): Promise<void> {
+		while (read(proposal.epoch)?.outcome === 'unknown' && !deps.signal.aborted) {
+			// eslint-disable-next-line no-await-in-loop
+			await untilChanged(proposal.epoch, GROUP_LOOK_MILLIS);
+			// eslint-disable-next-line no-await-in-loop
+			if (read(proposal.epoch)?.outcome === 'unknown' && !await isSameGroup(deps, proposal)) {
+				return;
+			}
+		}
+	}
+
+	/** Without an outcome the group has restarted: its engines hold nothing of the proposal any more. */
+	async function settle(proposal: Proposal): Promise<void> {
+		const {epoch} = proposal;
+		const outcome = read(epoch)?.outcome ?? 'unknown';
+		await (outcome === 'committed' ? takeMap(deps, proposal) : release(deps, epoch));
+
+		if (deps.signal.aborted) {
+			return;
+		}
+
+		update(epoch, record => ({...record, isSettled: true}));
+		if (outcome !== 'unknown') {
+			recordOutcome(deps, proposal, outcome);
+		}
+	}
+
+	/** Ends when both sides know the outcome, or when it will never be known. */
+	async function exchangeWithPeer(epoch: number, member: Member): Promise<void> {
+		while (!deps.signal.aborted) {
+			// eslint-disable-next-line no-await-in-loop
+			const reply = await deps.peers.exchange(member.address, createReport(epoch));
+			if (reply.ok) {
+				learn(reply.value);
+			}
+
+			const record = read(epoch);
+			const isPeerDone = reply.ok && reply.value.epoch === epoch && reply.value.outcome !== 'unknown';
+			if (!record || isOver(record, isPeerDone)) {
+				return;
+			}
+
+			// eslint-disable-next-line no-await-in-loop
+			await untilChanged(epoch, EXCHANGE_INTERVAL_MILLIS);
+		}
+	}
+
+	function learn(report: VoteReport): void {
+		deps.floor.learnFromPeer(report.fencingFloor);
+		update(report.epoch, record => learnReport(record, report));
+	}
+
+	/** Waits until the record has changed, but not beyond `millis`. */
+	async function untilChanged(epoch: number, millis: number): Promise<void> {
+		const seen = read(epoch);
+		const wait = new AbortController();
+		const wake = () => {
+			if (read(epoch) !== seen) {
+				wait.abort();
+			}
+		};
+
+		const end = () => {
+			wait.abort();
+		};
+
+		const stop = store.registerListener(wake);
+		deps.signal.addEventListener('abort', end, {once: true});
+		await deps.clock.sleep(millis, wait.signal);
+		deps.signal.removeEventListener('abort', end);
+		stop();
+	}
+
+	function createReport(epoch: number): VoteReport {
+		const record = read(epoch);
+		return {
+			group: deps.group,
+			epoch,
+			rank: deps.rank,
+			agentIncarnation: deps.incarnation,
+			vote: record?.vote ?? 'none',
+			outcome: record?.outcome ?? 'unknown',
+			proposal: record?.proposal,
+			fencingFloor: deps.floor.read() ?? 0,
+		};
+	}
+
+	return {
+		propose,
+		isPending: hasPending,
+		exchange(report) {
+			if (report.group !== deps.group) {
+				return fail({tag: 'other_group'});
+			}
+
+			if (!read(report.epoch)) {
+				const opened = report.proposal ? propose(report.proposal) : fail({tag: 'no_proposal'} as const);
+				if (!opened.ok) {
+					return opened;
+				}
+			}
+
+			learn(report);
+			return succeed(createReport(report.epoch));
+		},
+	};
+}
+
+/** A record that is settled without an outcome is void: the group has restarted. */
+function isOver({outcome, isSettled}: VoteRecord, isPeerDone: boolean): boolean {
+	return outcome === 'unknown' ? isSettled : isPeerDone;
+}
+
+/** Drops the oldest settled records beyond the limit. */
+function keepLatest(records: Records): Records {
+	const surplus = Math.max(0, records.size + 1 - KEPT_VOTES);
+	const dropped = [...records.entries()].filter(([, record]) => record.isSettled).slice(0, surplus);
+	const epochs = new Set(dropped.map(([epoch]) => epoch));
+	return new Map([...records].filter(([epoch]) => !epochs.has(epoch)));
+}
+
+function recordVote({audit, metrics, rank}: RankVoteDeps, proposal: Proposal, vote: 'yes' | 'no'): void {
+	const {group, groupIncarnation, epoch, fromStep} = proposal;
+	metrics.votes.inc({vote});
+	audit.append({
+		kind: 'vote_cast', group, groupIncarnation, epoch, fromStep, rank, vote,
+	}, 'may_drop');
+}
+
+function recordOutcome({audit, metrics, rank}: RankVoteDeps, proposal: Proposal, outcome: 'committed' | 'aborted'): void {
+	const {group, groupIncarnation, epoch, fromStep} = proposal;
+	metrics.mapOutcomes.inc({outcome});
+	audit.append({
+		kind: 'vote_outcome', group, groupIncarnation, epoch, fromStep, rank, outcome,
+	}, 'may_drop');
+}
