--- a/src/entry/__tests__/entry-harness.ts
+++ b/src/entry/__tests__/entry-harness.ts
@@ -139,8 +139,6 @@
 		addressLifetimeMillis: 200,
 		planIntervalMillis: 5000,
 		maxBodyBytes: 4096,
-		auditIntervalMillis: 1000,
-		auditPendingRecords: 1000,
 		...overrides,
 	}, {operatorToken: undefined});
 	if (!started.ok) {
