--- a/bench/system/local-system.ts
+++ b/bench/system/local-system.ts
@@ -4,6 +4,7 @@
 import {invariant} from '../../src/core/invariant.js';
 import {systemClock} from '../../src/core/system-clock.js';
 import type {Instance} from '../../src/ports/instance-list.js';
+import {startTcpRelay, type TcpRelay} from './tcp-relay.js';
 import {createDaemonProcess, type DaemonProcess} from './daemon-process.js';
 import {findFreePorts} from './free-ports.js';
 import {answersWell} from './http-json.js';
@@ -11,8 +12,8 @@
 import type {ManagedProcess} from './managed-process.js';
 import type {SystemOptions} from './system-options.js';
 
-/** Ports of a daemon: listener, metrics, operators. */
-const PORTS_PER_DAEMON = 3;
+/** Ports of a daemon at most: listener, relay, metrics, operators. */
+const PORTS_PER_DAEMON = 4;
 /** Time that a process gets to end after SIGTERM before it is killed, in milliseconds. */
 const END_TIMEOUT_MILLIS = 15_000;
 /** Longest wait until all daemons are ready, in milliseconds. */
@@ -35,6 +36,8 @@
 	engineAgents: readonly DaemonProcess[];
 	plainAgents: readonly DaemonProcess[];
 	entries: readonly DaemonProcess[];
+	/** Relays before the agents: those of the engines by rank, then those of the plain services. */
+	relays: readonly TcpRelay[];
 	/** Waits until each daemon that runs has a configuration and its links. */
 	waitAllReady: () => Promise<void>;
 	/** Stops all daemons by SIGTERM, at once, calls `beforePlatformEnds`, then stops the stand-ins. */
@@ -87,6 +90,8 @@
 	};
 }
 
+type RelayedPort = Readonly<{listenPort: number; targetPort: number}>;
+
 type StandIns = ReturnType<typeof createStandIns>;
 
 function createSettings(instance: Instance, metricsPort: number, standIns: StandIns, options: SystemOptions) {
@@ -104,6 +109,7 @@
 function createDaemons(options: SystemOptions, dir: string, nextPort: PortSource, standIns: StandIns) {
 	const domainOf = (i: number) => options.failureDomains[i % options.failureDomains.length] ?? 'domain-a';
 	const base = {region: options.region, state: 'live'} as const;
+	const relayed: RelayedPort[] = [];
 
 	function createEntry(i: number): DaemonProcess {
 		const callerPort = nextPort();
@@ -129,22 +135,27 @@
 
 	function createAgent(i: number, name: string, backendUrl: string, rank: number): DaemonProcess {
 		const linkPort = nextPort();
+		const listedPort = options.withRelays ? nextPort() : linkPort;
 		const metricsPort = nextPort();
 		const isEngine = rank >= 0;
+		if (options.withRelays) {
+			relayed.push({listenPort: listedPort, targetPort: linkPort});
+		}
+
 		const instance: Instance = {
 			...base,
 			id: name,
 			role: 'agent',
 			failureDomain: domainOf(i),
 			callerUrl: '',
-			linkAddress: `127.0.0.1:${linkPort}`,
+			linkAddress: `127.0.0.1:${listedPort}`,
 			service: isEngine ? options.modelService : options.plainService,
 			group: isEngine ? options.group : '',
 			rank,
 		};
 		const settings = {
 			...createSettings(instance, metricsPort, standIns, options),
-			link_listen: instance.linkAddress,
+			link_listen: `127.0.0.1:${linkPort}`,
 			service: instance.service,
 			group: instance.group,
 			rank,
@@ -159,6 +170,7 @@
 		engineAgents: standIns.engines.map((engine, rank) => createAgent(rank, `agent-engine-${rank}`, engine.url, rank)),
 		plainAgents: standIns.plains.map((plain, i) => createAgent(i, `agent-plain-${i}`, plain.url, -1)),
 		entries: Array.from({length: options.entries}, (_, i) => createEntry(i)),
+		relayed,
 	};
 }
 
@@ -205,7 +217,8 @@
 	const standInCount = 5 + options.ranks + options.plains;
 	const nextPort = await createPortSource((daemonCount * PORTS_PER_DAEMON) + standInCount);
 	const standIns = createStandIns(options, dir, nextPort);
-	const daemons = createDaemons(options, dir, nextPort, standIns);
+	const {relayed, ...daemons} = createDaemons(options, dir, nextPort, standIns);
+	const relays = await Promise.all(relayed.map(async ({listenPort, targetPort}) => startTcpRelay(listenPort, targetPort)));
 	const platform = [standIns.table, standIns.objects, standIns.instanceList, standIns.weightStore, standIns.rankGroup];
 	const allDaemons = [...daemons.entries, ...daemons.engineAgents, ...daemons.plainAgents];
 
@@ -219,12 +232,14 @@
 		dir,
 		...standIns,
 		...daemons,
+		relays,
 		waitAllReady: async () => waitAllReady(allDaemons),
 		async close(beforePlatformEnds) {
 			const running = allDaemons.filter(daemon => daemon.pid() !== undefined);
 			const ends = await Promise.all(running.map(async daemon => [daemon.name, await endProcess(daemon)] as const));
 			const seen = await beforePlatformEnds();
 			await Promise.all([...platform, ...standIns.engines, ...standIns.plains].map(async standIn => endProcess(standIn)));
+			await Promise.all(relays.map(async relay => relay.close()));
 			const badEnds = ends.filter(([, isGood]) => !isGood).map(([name]) => name);
 			if (badEnds.length === 0) {
 				await rm(dir, {recursive: true});
--- a/bench/system/system-options.ts
+++ b/bench/system/system-options.ts
@@ -27,6 +27,8 @@
 	addressLifetimeMillis: number;
 	auditIntervalMillis: number;
 	seed: number;
+	/** Puts a relay before each agent, which can cut or silence its links. */
+	withRelays: boolean;
 }>;
 
 /** Two entries, one group of four ranks, one plain service, after the targets in `examples/workshops.toml`. */
@@ -51,4 +53,5 @@
 	addressLifetimeMillis: 1500,
 	auditIntervalMillis: 500,
 	seed: 1,
+	withRelays: false,
 };
