End all children by one listener; count only switches to proposed maps

Cause: one exit listener a child drew a warning, and the map a group starts with was counted as a switch.

--- a/bench/demo/run-demo.ts
+++ b/bench/demo/run-demo.ts
@@ -7,7 +7,7 @@
 import {createCallWorker, type CallWorker} from '../system/call-worker.js';
 import {fetchAddresses} from '../system/caller.js';
 import {
-	findDuplicates, judgeAnswers, judgeAtMostOnce, judgeExpertMaps, judgeNotRun, parseGroupRecords, parsePlainRecords, type Evidence,
+	countSwitches, findDuplicates, judgeAnswers, judgeAtMostOnce, judgeExpertMaps, judgeNotRun, parseGroupRecords, parsePlainRecords, type Evidence,
 } from '../system/evidence.js';
 import {startLocalSystem, type LocalSystem} from '../system/local-system.js';
 import {runTool} from '../system/run-tool.js';
@@ -90,7 +90,7 @@
 	while (systemClock.monotonicMillis() < deadline) {
 		// eslint-disable-next-line no-await-in-loop
 		const group = parseGroupRecords(await system.rankGroup.readRecords());
-		if (group.switches.length > 0) {
+		if (countSwitches(group) > 0) {
 			return;
 		}
 
@@ -197,7 +197,7 @@
 		unknown: countTag(calls, 'unknown') + countTag(calls, 'disconnected'),
 		duplicates: findDuplicates(executions).length,
 		mixedMapSteps: group.mixedSteps.length,
-		mapSwitches: group.switches.length,
+		mapSwitches: countSwitches(group),
 		meanSkew: group.meanSkew,
 		processes,
 		promises: addAudit(evidence, failed.beforePlatformEnds),
--- a/bench/faults/judge-run.ts
+++ b/bench/faults/judge-run.ts
@@ -1,5 +1,5 @@
 import {
-	judgeAnswers, judgeAtMostOnce, judgeExpertMaps, judgeNotRun, parseGroupRecords, parsePlainRecords,
+	countSwitches, judgeAnswers, judgeAtMostOnce, judgeExpertMaps, judgeNotRun, parseGroupRecords, parsePlainRecords,
 } from '../system/evidence.js';
 import type {AuditSummary} from '../system/audit-summary.js';
 import type {LoggedCall} from '../system/call-log.js';
@@ -36,7 +36,7 @@
 		judgeAtMostOnce(records.calls, executions),
 	];
 	return {
-		mapSwitches: group.switches.length,
+		mapSwitches: countSwitches(group),
 		broken: [
 			...evidence.filter(item => !item.held).map(({name, detail}) => ({name, detail})),
 			...records.badEnds.map(name => ({name: 'stop_cuts_nothing_off', detail: `${name} ended badly at the end`})),
--- a/bench/system/evidence.ts
+++ b/bench/system/evidence.ts
@@ -10,7 +10,8 @@
 const groupRecordsSchema = z.object({
 	steps: z.number(),
 	mixedSteps: z.array(z.unknown()),
-	switches: z.array(z.looseObject({})),
+	/** The first is that to the map the ranks start with. */
+	switches: z.array(z.looseObject({epoch: z.number()})),
 	meanSkew: z.number(),
 });
 
@@ -29,6 +30,11 @@
 	return groupRecordsSchema.parse(records);
 }
 
+/** Switches to maps that were proposed; a group starts with epoch 0. */
+export function countSwitches(group: GroupRecords): number {
+	return group.switches.filter(({epoch}) => epoch > 0).length;
+}
+
 /** What callers and stand-ins saw of one promise. */
 export type Evidence = Readonly<{name: PromiseName; held: boolean; detail: string}>;
 
@@ -52,7 +58,7 @@
 	return {
 		name: 'one_expert_map_per_step',
 		held: group.steps > 0 && group.mixedSteps.length === 0,
-		detail: `${group.steps} steps, ${group.switches.length} switches, ${group.mixedSteps.length} mixed`,
+		detail: `${group.steps} steps, ${countSwitches(group)} switches, ${group.mixedSteps.length} mixed`,
 	};
 }
 
--- a/bench/system/managed-process.ts
+++ b/bench/system/managed-process.ts
@@ -37,6 +37,14 @@
 
 type Run = Readonly<{child: ChildProcess; ended: Promise<ProcessEnd>}>;
 
+/** Children end with this process, also when it fails. */
+const liveChildren = new Set<ChildProcess>();
+process.once('exit', () => {
+	for (const child of liveChildren) {
+		child.kill('SIGKILL');
+	}
+});
+
 const NOT_RUN: ProcessEnd = {code: undefined, signal: undefined};
 
 /** Defines a process; it can be started again after it ended. */
@@ -49,16 +57,12 @@
 		const log = openSync(definition.logFile, 'a');
 		const child = spawn(process.execPath, definition.args, {stdio: ['ignore', log, log]});
 		closeSync(log);
-		const killWithParent = () => {
-			child.kill('SIGKILL');
-		};
-
-		process.once('exit', killWithParent);
+		liveChildren.add(child);
 		const ended = new Promise<ProcessEnd>(resolve => {
 			child.once('exit', (code, signal) => {
 				lastEnd = {code: code ?? undefined, signal: signal ?? undefined};
 				run = undefined;
-				process.off('exit', killWithParent);
+				liveChildren.delete(child);
 				resolve(lastEnd);
 			});
 		});
