--- a/src/core/manual-clock.ts
+++ b/src/core/manual-clock.ts
@@ -22,12 +22,15 @@
 			}
 
 			await new Promise<void>(resolve => {
-				const sleeper = {dueMillis: elapsedMillis + millis, wake: resolve};
-				sleepers = [...sleepers, sleeper];
-				signal?.addEventListener('abort', () => {
+				const wake = () => {
 					sleepers = sleepers.filter(other => other !== sleeper);
+					signal?.removeEventListener('abort', wake);
 					resolve();
-				}, {once: true});
+				};
+
+				const sleeper = {dueMillis: elapsedMillis + millis, wake};
+				sleepers = [...sleepers, sleeper];
+				signal?.addEventListener('abort', wake);
 			});
 		},
 		advance(millis) {
