--- a/src/decisions/placement/load-tracker.ts
+++ b/src/decisions/placement/load-tracker.ts
@@ -25,12 +25,15 @@
 	/** Average over up to {@link SHORT_WINDOW_STEPS}, in tokens a step. */
 	short: number;
 	shortSteps: number;
-	/** Variance of the count of one step. */
+	/** Variance of the count of one step, from the differences of successive counts, which a slow drift hardly touches. */
 	variance: number;
+	varianceSteps: number;
+	/** The count before, in tokens a step. */
+	last: number;
 }>;
 
 const NO_ESTIMATE: ExpertEstimate = {
-	long: 0, longSteps: 0, short: 0, shortSteps: 0, variance: 0,
+	long: 0, longSteps: 0, short: 0, shortSteps: 0, variance: 0, varianceSteps: 0, last: 0,
 };
 
 /** Averages `value` over `steps` into `mean`, which rests on `meanSteps`. */
@@ -50,14 +53,17 @@
 function updateEstimate(before: ExpertEstimate, value: number, steps: number): ExpertEstimate {
 	const keptLong = Math.min(before.longSteps, Math.max(0, LONG_WINDOW_STEPS - steps));
 	const keptShort = Math.min(before.shortSteps, Math.max(0, SHORT_WINDOW_STEPS - steps));
+	const keptVariance = Math.min(before.varianceSteps, Math.max(0, LONG_WINDOW_STEPS - steps));
 	// A single observation says nothing about its variance; that of a Poisson count stands in for it.
-	const deviation = before.longSteps > 0 ? steps * ((value - before.long) ** 2) : value;
+	const deviation = before.varianceSteps > 0 ? steps * ((value - before.last) ** 2) / 2 : value;
 	const estimate = {
 		long: mix(before.long, keptLong, value, steps),
 		longSteps: keptLong + steps,
 		short: mix(before.short, keptShort, value, steps),
 		shortSteps: keptShort + steps,
-		variance: mix(before.variance, keptLong, deviation, steps),
+		variance: mix(before.variance, keptVariance, deviation, steps),
+		varianceSteps: keptVariance + steps,
+		last: value,
 	};
 	return isChanged(estimate) ? {...estimate, long: estimate.short, longSteps: estimate.shortSteps} : estimate;
 }
