--- a/fakes/faults/fault-middleware.ts
+++ b/fakes/faults/fault-middleware.ts
@@ -63,6 +63,8 @@
 	const middleware = createMiddleware<{Bindings: HttpBindings}>(async (ctx, next) => {
 		const socket = socketOf(ctx);
 		silencer.track(socket);
+		// A caller that gives up while the stand-in is frozen has sent its request all the same.
+		await ctx.req.arrayBuffer();
 		await faults.untilThawed();
 		await systemClock.sleep(faults.read().delayMillis);
 		if (silencer.isSilent(socket)) {
--- a/fakes/table-service.ts
+++ b/fakes/table-service.ts
@@ -13,7 +13,7 @@
 const writeSchema = z.strictObject({
 	table: z.string().min(1),
 	key: z.string().min(1),
-	value: z.unknown(),
+	value: z.unknown().optional(),
 });
 
 const transactionSchema = z.strictObject({
@@ -28,7 +28,8 @@
 			return ctx.json(tx.error, 400);
 		}
 
-		const result = state.transact(tx.value);
+		const {conditions, writes} = tx.value;
+		const result = state.transact({conditions, writes: writes.map(({table, key, value}) => ({table, key, value}))});
 		return result.ok ? ctx.json({rows: result.value}) : ctx.json(result.error, 409);
 	});
 	app.get('/v1/tables/:table/rows/:key', ctx => {
--- /dev/null
+++ b/src/adapters/__tests__/http-client.test.ts
@@ -0,0 +1,128 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {createServer, type Server, type Socket} from 'node:net';
+import {test, type TestContext} from 'node:test';
+import {createLifeCycle} from '../../core/life-cycle.js';
+import {createHttpClient, type HttpClient} from '../http-client.js';
+
+const TIMEOUT_MILLIS = 150;
+const HEAD = 'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n';
+
+/** What a server does with a connection that has sent a request. */
+type Behaviour = (socket: Socket) => void;
+
+async function listen(server: Server): Promise<string> {
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const address = server.address();
+	assert.ok(address !== null && typeof address === 'object');
+	return `http://127.0.0.1:${address.port}`;
+}
+
+async function startServer(ctx: TestContext, behave: Behaviour): Promise<Readonly<{url: string; requests: () => number}>> {
+	let requests = 0;
+	const sockets = new Set<Socket>();
+	const server = createServer(socket => {
+		sockets.add(socket);
+		socket.on('error', () => undefined);
+		socket.on('data', () => {
+			requests += 1;
+			behave(socket);
+		});
+	});
+	const url = await listen(server);
+	ctx.after(() => {
+		server.close();
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+	});
+	return {url, requests: () => requests};
+}
+
+function createClient(ctx: TestContext, baseUrl: string): HttpClient {
+	const lifeCycle = createLifeCycle();
+	ctx.after(async () => lifeCycle.shutdown());
+	return createHttpClient({baseUrl, timeoutMillis: TIMEOUT_MILLIS, lifeCycle});
+}
+
+/** Sends `text`, then does what `then` says. */
+function sendAnd(then: 'wait' | 'close', text: string): Behaviour {
+	return socket => {
+		socket.write(text);
+		if (then === 'close') {
+			socket.end();
+		}
+	};
+}
+
+const HALF_BODY = `${HEAD}Content-Length: 10\r\n\r\nhalf`;
+const HALF_CHUNKED_BODY = `${HEAD}Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n`;
+
+const faults: ReadonlyArray<Readonly<{name: string; behave: Behaviour}>> = [
+	{
+		name: 'that closes at once',
+		behave(socket) {
+			socket.destroy();
+		},
+	},
+	{
+		name: 'that resets the connection',
+		behave(socket) {
+			socket.resetAndDestroy();
+		},
+	},
+	{name: 'that never answers', behave: sendAnd('wait', '')},
+	{name: 'that sends half a body and closes', behave: sendAnd('close', HALF_BODY)},
+	{name: 'that sends half a body and goes silent', behave: sendAnd('wait', HALF_BODY)},
+	{name: 'that cuts a chunked body', behave: sendAnd('close', HALF_CHUNKED_BODY)},
+	{name: 'that does not speak HTTP', behave: sendAnd('close', 'hello\r\n\r\n')},
+];
+for (const {name, behave} of faults) {
+	for (const method of ['GET', 'POST', 'PUT'] as const) {
+		test(`http client: ${method} to a server ${name} has no answer and is sent once`, async ctx => {
+			const server = await startServer(ctx, behave);
+			const reply = await createClient(ctx, server.url).exchange({method, path: '/'});
+			assert.equal(reply.ok ? 'answered' : reply.error.tag, 'no_answer');
+			assert.equal(server.requests(), 1);
+		});
+	}
+}
+
+test('http client: a refused connection is not sent', async ctx => {
+	const server = createServer();
+	const url = await listen(server);
+	server.close();
+	const reply = await createClient(ctx, url).exchange({method: 'POST', path: '/'});
+	assert.equal(reply.ok ? 'answered' : reply.error.tag, 'not_sent');
+});
+
+test('http client: after a silent connection the next exchange takes a new one', async ctx => {
+	const silent = new Set<Socket>();
+	const server = await startServer(ctx, socket => {
+		if (silent.size === 0) {
+			silent.add(socket);
+		}
+
+		if (!silent.has(socket)) {
+			socket.write(`${HEAD}Content-Length: 2\r\n\r\nok`);
+		}
+	});
+	const client = createClient(ctx, server.url);
+	const first = await client.exchange({method: 'POST', path: '/'});
+	const second = await client.exchange({method: 'POST', path: '/'});
+	assert.deepEqual([first.ok, second.ok && second.value.status], [false, 200]);
+});
+
+test('http client: an aborted stream ends', async ctx => {
+	const server = await startServer(ctx, sendAnd('wait', HALF_CHUNKED_BODY));
+	const controller = new AbortController();
+	const stream = await createClient(ctx, server.url).openStream({method: 'GET', path: '/'}, controller.signal);
+	assert.ok(stream.ok);
+	await assert.rejects(async () => {
+		for await (const chunk of stream.value.body) {
+			assert.equal(chunk.byteLength, 4);
+			controller.abort();
+		}
+	});
+});
--- a/src/adapters/http-client.ts
+++ b/src/adapters/http-client.ts
@@ -1,10 +1,8 @@
-import {Agent, request, type Dispatcher} from 'undici';
+import {request, type Dispatcher} from 'undici';
 import type {LifeCycle} from '../core/life-cycle.js';
 import {fail, succeed, type Result} from '../core/result.js';
-import {toHttpFailure, type HttpFailure} from './http-failure.js';
-
-/** Connections that one client opens at most. */
-const MAX_CONNECTIONS = 128;
+import {createConnectionPool} from './connection-pool.js';
+import {isTimeout, toHttpFailure, type HttpFailure} from './http-failure.js';
 
 /** One exchange with a server. */
 export type HttpRequest = Readonly<{
@@ -38,45 +36,64 @@
 	lifeCycle: LifeCycle;
 }>;
 
+/** Passes a body on; a server that falls silent in the middle loses its connections. */
+async function * watchBody(body: AsyncIterable<Uint8Array>, onSilence: () => void): AsyncGenerator<Uint8Array, void> {
+	try {
+		yield * body;
+	} catch (error) {
+		if (isTimeout(error)) {
+			onSilence();
+		}
+
+		throw error;
+	}
+}
+
 /** Creates a client whose connections end with the life cycle. */
 export function createHttpClient({baseUrl, timeoutMillis, lifeCycle}: HttpClientOptions): HttpClient {
-	const dispatcher = new Agent({
-		connections: MAX_CONNECTIONS,
-		pipelining: 1,
-		connect: {timeout: timeoutMillis},
-		headersTimeout: timeoutMillis,
-		bodyTimeout: timeoutMillis,
-	});
-	lifeCycle.own(`connections to ${baseUrl}`, async () => dispatcher.destroy());
+	const pool = createConnectionPool(baseUrl, timeoutMillis, lifeCycle);
 
-	async function send(req: HttpRequest, signal: AbortSignal): Promise<Dispatcher.ResponseData> {
-		return request(baseUrl + req.path, {
-			dispatcher,
-			signal,
-			method: req.method,
-			headers: req.headers,
-			body: req.body,
-			headersTimeout: req.timeoutMillis,
-			bodyTimeout: req.timeoutMillis,
-		});
+	/** Sends a request once and reads its reply; after a timeout the next request takes a new connection. */
+	async function send<T>(
+		req: HttpRequest,
+		signal: AbortSignal,
+		read: (reply: Dispatcher.ResponseData, onSilence: () => void) => Promise<T>,
+	): Promise<Result<T, HttpFailure>> {
+		const dispatcher = pool.current();
+		const onSilence = () => {
+			pool.replace(dispatcher);
+		};
+
+		try {
+			const reply = await request(baseUrl + req.path, {
+				dispatcher,
+				signal,
+				method: req.method,
+				headers: req.headers,
+				body: req.body,
+				headersTimeout: req.timeoutMillis,
+				bodyTimeout: req.timeoutMillis,
+			});
+			return succeed(await read(reply, onSilence));
+		} catch (error) {
+			if (isTimeout(error)) {
+				onSilence();
+			}
+
+			return fail(toHttpFailure(error));
+		}
 	}
 
 	return {
-		async exchange(req) {
-			try {
-				const reply = await send(req, AbortSignal.timeout(req.timeoutMillis ?? timeoutMillis));
-				return succeed({status: reply.statusCode, body: await reply.body.bytes()});
-			} catch (error) {
-				return fail(toHttpFailure(error));
-			}
-		},
-		async openStream(req, signal) {
-			try {
-				const reply = await send(req, signal);
-				return succeed({status: reply.statusCode, body: reply.body});
-			} catch (error) {
-				return fail(toHttpFailure(error));
-			}
-		},
+		exchange: async req => send(
+			req,
+			AbortSignal.timeout(req.timeoutMillis ?? timeoutMillis),
+			async reply => ({status: reply.statusCode, body: await reply.body.bytes()}),
+		),
+		openStream: async (req, signal) => send(
+			req,
+			signal,
+			async (reply, onSilence) => ({status: reply.statusCode, body: watchBody(reply.body, onSilence)}),
+		),
 	};
 }
--- a/src/adapters/http-failure.ts
+++ b/src/adapters/http-failure.ts
@@ -30,3 +30,11 @@
 	const detail = [code, detailOf(error)].filter(Boolean).join(': ');
 	return {tag: CONNECT_ERROR_CODES.has(code) ? 'not_sent' : 'no_answer', detail};
 }
+
+/** Codes of the library's own timeouts. */
+const TIMEOUT_CODES: ReadonlySet<string> = new Set(['UND_ERR_HEADERS_TIMEOUT', 'UND_ERR_BODY_TIMEOUT']);
+
+/** Whether an error says that the server fell silent, rather than that the caller gave up. */
+export function isTimeout(error: unknown): boolean {
+	return TIMEOUT_CODES.has(codeOf(error)) || (error instanceof Error && error.name === 'TimeoutError');
+}
