--- a/src/planner/__tests__/fake-rank-group.ts
+++ b/src/planner/__tests__/fake-rank-group.ts
@@ -71,6 +71,8 @@
 
 			return succeed({
 				group: 'g', epoch: proposal.epoch, rank: 0, agentIncarnation: '', vote: 'yes', outcome: isCommitted ? 'committed' : 'unknown',
+				proposal,
+				fencingFloor: proposal.fencingToken,
 			});
 		},
 		close() {
