Measure admission against its baselines and mend what the measurement showed

Ruled out: one estimate of the time to first token for all classes (engines honour priorities, so the lowest class waits there too); a limit on in-flight requests that starts high; sending callers back while the overload still lasts. Change: a limit that keeps the engines' queues near empty, an estimate for each class that fades when it is not measured, fair shares filled from the highest priority down, waits that count the arrivals served first, and returns booked after the overload into spare capacity. Conclusion: small accounts within their share are still refused now and then; next.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,6 +1,7 @@
 /** Entry point of the experiment tool: `npm run bench -- NAME ...`. One file per experiment beside this one. */
 import process from 'node:process';
 import {defineCommand, runCommand} from 'citty';
+import {admissionCommand} from './admission-command.js';
 import {routingCommand} from './routing-command.js';
 import {traceCommand} from './trace-command.js';
 
@@ -10,6 +11,7 @@
 const main = defineCommand({
 	meta: {name: 'bench', description: 'Measures the deciders against baselines; the last line of each experiment is JSON'},
 	subCommands: {
+		admission: admissionCommand,
 		routing: routingCommand,
 		trace: traceCommand,
 	},
--- a/src/decisions/admission/concurrency-limit.ts
+++ b/src/decisions/admission/concurrency-limit.ts
@@ -1,15 +1,19 @@
 import type {ServiceLoad} from './admission-request.js';
 
 /** Requests in flight allowed at first, for each backend server. */
-const INITIAL_PER_BACKEND_SERVER = 16;
+const INITIAL_PER_BACKEND_SERVER = 4;
 /** Requests in flight that are always allowed. */
 const MIN_LIMIT = 4;
 /** Requests queued at the backend servers over those running, above which the limit goes down. */
-const MAX_QUEUED_SHARE = 0.1;
-/** Factor on the limit when too many queue. */
-const DECREASE_FACTOR = 0.9;
+const MAX_QUEUED_SHARE = 0.01;
+/** Part of the queued share by which the limit goes down. */
+const DECREASE_PART = 0.5;
+/** Smallest factor of one decrease. */
+const MIN_DECREASE_FACTOR = 0.6;
 /** Factor on the limit when it was reached and few queue. */
 const INCREASE_FACTOR = 1.05;
+/** The same as long as no backend server has ever reported a queue. */
+const START_INCREASE_FACTOR = 1.3;
 /** Shortest time between two changes of the limit. */
 const MIN_CHANGE_INTERVAL_MILLIS = 500;
 /** Weight of the latest request in the mean time that a request is in flight. */
@@ -36,16 +40,23 @@
 	let inFlight = 0;
 	let meanHeldMillis = 0;
 	let wasReached = false;
+	let hasSeenQueue = false;
 	let changedAtMillis = -Infinity;
 
 	const readLimit = () => limit ?? INITIAL_PER_BACKEND_SERVER;
 
 	function chooseFactor(load: ServiceLoad): number {
-		if (load.queued > load.running * MAX_QUEUED_SHARE) {
-			return DECREASE_FACTOR;
+		const queuedShare = load.queued / Math.max(1, load.running);
+		if (queuedShare > MAX_QUEUED_SHARE) {
+			hasSeenQueue = true;
+			return Math.max(MIN_DECREASE_FACTOR, 1 - (queuedShare * DECREASE_PART));
 		}
 
-		return wasReached ? INCREASE_FACTOR : 1;
+		return wasReached ? chooseIncrease() : 1;
+	}
+
+	function chooseIncrease(): number {
+		return hasSeenQueue ? INCREASE_FACTOR : START_INCREASE_FACTOR;
 	}
 
 	function change(load: ServiceLoad, nowMillis: number): void {
--- a/src/decisions/admission/service-lane.ts
+++ b/src/decisions/admission/service-lane.ts
@@ -6,7 +6,8 @@
 } from './admission-request.js';
 import {createConcurrencyLimit} from './concurrency-limit.js';
 import {createFairShares} from './fair-shares.js';
-import {createFirstByteEstimate} from './first-byte-estimate.js';
+import {createFirstByteEstimate, type FirstByteEstimate} from './first-byte-estimate.js';
+import {compareRanks, createRankDemand, type ServiceRank} from './rank-demand.js';
 import {createReturnCalendar} from './return-calendar.js';
 
 /** Largest number of requests of one service that wait. */
@@ -29,36 +30,57 @@
 	decide: (decision: AdmissionDecision) => void;
 }>;
 
-type RankedWaiter = Readonly<{waiter: Waiter; over: boolean; admittedRate: number}>;
+type RankedWaiter = Readonly<{waiter: Waiter; rank: ServiceRank; admittedRate: number}>;
 
-/** Order of service: accounts within their share first, then by priority; above the share, whoever had least. */
+/** Order of service: by rank; beyond the share, the account that had least; then first come, first served. */
 function compareRanked(left: RankedWaiter, right: RankedWaiter): number {
-	return Number(left.over) - Number(right.over)
-		|| right.waiter.req.workClass.priority - left.waiter.req.workClass.priority
-		|| (left.over ? left.admittedRate - right.admittedRate : 0)
+	return compareRanks(left.rank, right.rank)
+		|| (left.rank.standing === 2 ? left.admittedRate - right.admittedRate : 0)
 		|| left.waiter.arrivedAtMillis - right.waiter.arrivedAtMillis;
 }
 
 /** Creates the lane of one service. */
 export function createServiceLane({clock, random}: Readonly<{clock: Clock; random: RandomSource}>): ServiceLane {
 	const limit = createConcurrencyLimit();
-	const shares = createFairShares(limit.readDrainRate);
-	const firstByte = createFirstByteEstimate();
+	const shares = createFairShares();
+	const firstBytes = new Map<string, FirstByteEstimate>();
+	const demand = createRankDemand();
 	const calendar = createReturnCalendar(random);
 	let waiting: readonly Waiter[] = [];
 
-	function sortWaiting(nowMillis: number): void {
-		waiting = waiting
+	/** Backend servers honour priorities, so each class has an estimate of its own. */
+	function readFirstByte(workClass: string): FirstByteEstimate {
+		const known = firstBytes.get(workClass);
+		if (known) {
+			return known;
+		}
+
+		const estimate = createFirstByteEstimate();
+		firstBytes.set(workClass, estimate);
+		return estimate;
+	}
+
+	function readRank(req: AdmissionRequest, nowMillis: number): ServiceRank {
+		return {standing: shares.readStanding(req.account, req.workClass.priority, nowMillis), priority: req.workClass.priority};
+	}
+
+	function rankWaiting(nowMillis: number): readonly RankedWaiter[] {
+		return waiting
 			.map(waiter => ({
 				waiter,
-				over: shares.isOver(waiter.req.account, nowMillis),
+				rank: readRank(waiter.req, nowMillis),
 				admittedRate: shares.readAdmittedRate(waiter.req.account, nowMillis),
 			}))
-			.toSorted(compareRanked)
-			.map(ranked => ranked.waiter);
+			.toSorted(compareRanked);
+	}
+
+	/** Expected time until a waiting request is dispatched: those before it, and those that will come and be served before it. */
+	function estimateWaitMillis(rank: ServiceRank, ahead: number, nowMillis: number): number {
+		const rate = limit.readDrainRate() - demand.readRateBefore(rank, nowMillis);
+		return rate > 0 ? (ahead + 1) / rate : Infinity;
 	}
 
-	function createAdmitted(dispatchedAtMillis: number): Admitted {
+	function createAdmitted(workClass: string, dispatchedAtMillis: number): Admitted {
 		let hasFirstByte = false;
 		let isReleased = false;
 		return {
@@ -66,7 +88,8 @@
 			noteFirstByte() {
 				if (!hasFirstByte) {
 					hasFirstByte = true;
-					firstByte.note(clock.monotonicMillis() - dispatchedAtMillis);
+					const nowMillis = clock.monotonicMillis();
+					readFirstByte(workClass).note(nowMillis - dispatchedAtMillis, nowMillis);
 				}
 			},
 			release() {
@@ -82,15 +105,14 @@
 	function dispatch(waiter: Waiter, nowMillis: number): void {
 		limit.noteDispatched();
 		shares.noteAdmitted(waiter.req.account, nowMillis);
-		waiter.decide(createAdmitted(nowMillis));
+		waiter.decide(createAdmitted(waiter.req.workClass.name, nowMillis));
 	}
 
 	function dispatchNext(): void {
 		const nowMillis = clock.monotonicMillis();
 		while (waiting.length > 0 && limit.hasRoom()) {
-			sortWaiting(nowMillis);
-			const [first, ...rest] = waiting;
-			waiting = rest;
+			const first = rankWaiting(nowMillis)[0]?.waiter;
+			waiting = waiting.filter(waiter => waiter !== first);
 			if (first) {
 				dispatch(first, nowMillis);
 			}
@@ -98,11 +120,11 @@
 	}
 
 	function chooseReason(waiter: Waiter, nowMillis: number): RefusalReason {
-		if (waiter.req.remainingMillis < firstByte.read()) {
+		if (waiter.req.remainingMillis < readFirstByte(waiter.req.workClass.name).read(nowMillis)) {
 			return 'deadline';
 		}
 
-		return shares.isOver(waiter.req.account, nowMillis) ? 'fair_share' : 'overload';
+		return readRank(waiter.req, nowMillis).standing === 0 ? 'overload' : 'fair_share';
 	}
 
 	function refuse(waiter: Waiter, nowMillis: number): void {
@@ -112,13 +134,11 @@
 
 	function refuseHopeless(): void {
 		const nowMillis = clock.monotonicMillis();
-		sortWaiting(nowMillis);
-		const drainRate = limit.readDrainRate();
 		const kept: Waiter[] = [];
 		const hopeless: Waiter[] = [];
-		for (const waiter of waiting) {
-			const waitMillis = (kept.length + 1) / drainRate;
-			const isLate = nowMillis + waitMillis + firstByte.read() > waiter.dueMillis;
+		for (const {waiter, rank} of rankWaiting(nowMillis)) {
+			const waitMillis = estimateWaitMillis(rank, kept.length, nowMillis);
+			const isLate = nowMillis + waitMillis + readFirstByte(waiter.req.workClass.name).read(nowMillis) > waiter.dueMillis;
 			(isLate || kept.length >= MAX_WAITING ? hopeless : kept).push(waiter);
 		}
 
@@ -136,7 +156,8 @@
 				req, arrivedAtMillis: nowMillis, dueMillis, decide,
 			};
 			calendar.noteArrival(nowMillis);
-			shares.noteDemand(req.account, nowMillis);
+			shares.noteDemand(req.account, req.workClass.priority, nowMillis);
+			demand.note(readRank(req, nowMillis), nowMillis);
 			waiting = [...waiting, waiter];
 			dispatchNext();
 			refuseHopeless();
