--- /dev/null
+++ b/src/adapters/counted-stores.ts
@@ -0,0 +1,47 @@
+import type {Result} from '../core/result.js';
+import type {Metrics} from '../observability/metrics.js';
+import type {InstanceList} from '../ports/instance-list.js';
+import type {ObjectStore} from '../ports/object-store.js';
+import type {TableStore} from '../ports/table-store.js';
+
+/** The counter of failed calls to the platform. */
+export type PlatformErrorCounter = Pick<Metrics, 'platformErrors'>;
+
+type Tagged = Readonly<{tag: string}>;
+
+/** Counts the failure of a call, if it is one, by store and tag; gives the result on. */
+async function count<T, E extends Tagged>(
+	store: string,
+	{platformErrors}: PlatformErrorCounter,
+	call: Promise<Result<T, E>>,
+): Promise<Result<T, E>> {
+	const result = await call;
+	if (!result.ok) {
+		platformErrors.inc({store, error: result.error.tag});
+	}
+
+	return result;
+}
+
+/** Counts the failed calls to a table service. A conflict counts too, under its own tag. */
+export function countTableErrors(table: TableStore, metrics: PlatformErrorCounter): TableStore {
+	return {
+		read: async (name, key) => count('table', metrics, table.read(name, key)),
+		list: async (name, prefix) => count('table', metrics, table.list(name, prefix)),
+		transact: async tx => count('table', metrics, table.transact(tx)),
+	};
+}
+
+/** Counts the failed calls to an object store. */
+export function countObjectErrors(objects: ObjectStore, metrics: PlatformErrorCounter): ObjectStore {
+	return {
+		create: async (key, bytes) => count('objects', metrics, objects.create(key, bytes)),
+		read: async key => count('objects', metrics, objects.read(key)),
+		list: async prefix => count('objects', metrics, objects.list(prefix)),
+	};
+}
+
+/** Counts the failed reads of an instance list. */
+export function countInstanceListErrors(instances: InstanceList, metrics: PlatformErrorCounter): InstanceList {
+	return {list: async () => count('instance_list', metrics, instances.list())};
+}
--- a/src/configuration/configuration-sync.ts
+++ b/src/configuration/configuration-sync.ts
@@ -9,6 +9,7 @@
 
 /** What the polling of the configuration needs. */
 export type ConfigurationSyncDeps = Readonly<{
+	/** Counts its own failures. */
 	table: TableStore;
 	holder: ConfigurationHolder;
 	clock: Clock;
@@ -26,7 +27,10 @@
 	const stored = await readStoredConfiguration(table);
 	if (!stored.ok) {
 		const {tag, detail} = stored.error;
-		metrics.platformErrors.inc({store: 'table', error: tag});
+		if (tag === 'ill_formed') {
+			metrics.platformErrors.inc({store: 'table', error: tag});
+		}
+
 		log.warn('configuration not read', {error: tag, detail, version: holder.version()});
 		return false;
 	}
