Show the stand-ins as processes; name the address that cannot be bound

Cause: a taken or ill-formed address ended a stand-in with a stack trace. Change: one line and exit code 2.

--- a/fakes/commands/run-stand-in.ts
+++ b/fakes/commands/run-stand-in.ts
@@ -6,23 +6,34 @@
 /** Exit code for arguments that do not fit. */
 const USAGE_EXIT_CODE = 2;
 
+function refuse(name: string, detail: string): void {
+	process.stderr.write(`--${name}: ${detail}\n`);
+	process.exitCode = USAGE_EXIT_CODE;
+}
+
+function serve(standIn: StandIn): void {
+	process.stdout.write(`${JSON.stringify({ready: true, url: standIn.url})}\n`);
+	const stop = () => {
+		void standIn.close();
+	};
+
+	process.once('SIGTERM', stop);
+	process.once('SIGINT', stop);
+}
+
 /** Runs a stand-in until the process is told to end; says on standard output when it is ready. */
 export async function runStandIn<T>(
 	options: Result<T, ArgumentError>,
 	start: (options: T) => Promise<StandIn>,
 ): Promise<void> {
 	if (!options.ok) {
-		process.stderr.write(`--${options.error.name}: ${options.error.detail}\n`);
-		process.exitCode = USAGE_EXIT_CODE;
+		refuse(options.error.name, options.error.detail);
 		return;
 	}
 
-	const standIn = await start(options.value);
-	process.stdout.write(`${JSON.stringify({ready: true, url: standIn.url})}\n`);
-	const stop = () => {
-		void standIn.close();
-	};
-
-	process.once('SIGTERM', stop);
-	process.once('SIGINT', stop);
+	try {
+		serve(await start(options.value));
+	} catch (error) {
+		refuse('listen', error instanceof Error ? error.message : String(error));
+	}
 }
