--- a/src/cli/read-configuration.ts
+++ b/src/cli/read-configuration.ts
@@ -4,14 +4,8 @@
 import type {AccessArguments} from './access-arguments.js';
 import type {OperatorError} from './operator-client.js';
 
-const NOT_FOUND = 404;
-
 /** The configuration in force at the entry that is asked; undefined when it knows none yet. */
 export async function readConfiguration(args: AccessArguments): Promise<Result<Configuration | undefined, OperatorError>> {
-	const answer = await askEntry(args, {method: 'GET', path: '/v1/configuration'}, configurationSchema);
-	if (!answer.ok && answer.error.tag === 'refused' && answer.error.status === NOT_FOUND) {
-		return succeed(undefined);
-	}
-
-	return answer;
+	const answer = await askEntry(args, {method: 'GET', path: '/v1/configuration'}, configurationSchema.nullable());
+	return answer.ok ? succeed(answer.value ?? undefined) : answer;
 }
