Draw the two callers of a key from one client account

The trace of one key showed two attempts by callers of two different accounts; a key belongs to its account, so both runs are right. Ruled out: a second run inside one account: each of the two attempts had another account's claim. Change: both callers of a key use one credential; a duplicate now shows its runs and what callers were told.

--- a/bench/faults/run-faults.ts
+++ b/bench/faults/run-faults.ts
@@ -24,6 +24,10 @@
 /** Shortest and longest time a fault lasts, in milliseconds. */
 const FAULT_MIN_MILLIS = 400;
 const FAULT_MAX_MILLIS = 1600;
+/** Popularity that changes fast, so that maps are proposed while faults last. */
+const DRIFT_STEPS = 60;
+const PLAN_INTERVAL_MILLIS = 300;
+const WEIGHT_LOADS_PER_SECOND = 200;
 const MODEL_CALLS_PER_ROUND = 8;
 const PLAIN_CALLS_PER_ROUND = 12;
 const TOKENS_PER_ANSWER = 40;
@@ -49,10 +53,14 @@
 	dir: string;
 }>;
 
-function createWorker(system: LocalSystem, random: RandomSource): CallWorker {
+function drawCredential(random: RandomSource): string {
+	return CREDENTIALS[Math.floor(random() * CREDENTIALS.length)] ?? CREDENTIALS[0];
+}
+
+function createWorker(system: LocalSystem, random: RandomSource, credential: string = drawCredential(random)): CallWorker {
 	return createCallWorker({
 		entryUrls: system.entries.map(entry => entry.instance.callerUrl),
-		credential: CREDENTIALS[Math.floor(random() * CREDENTIALS.length)] ?? CREDENTIALS[0],
+		credential,
 		modelService: system.options.modelService,
 		modelClass: 'diagnosis',
 		plainService: system.options.plainService,
@@ -83,13 +91,14 @@
 		return worker.ask(`round ${round}: fault ${i}`, TOKENS_PER_ANSWER);
 	});
 	const postings = Array.from({length: PLAIN_CALLS_PER_ROUND}, async (_, i) => {
-		const worker = createWorker(system, random);
+		const credential = drawCredential(random);
+		const worker = createWorker(system, random, credential);
 		const isBound = random() < BOUND_SHARE;
 		await pause();
 		// A caller that grew impatient sends the same key through another connection at the same time.
 		const [first, second] = await Promise.all([
 			worker.postOnce(`round-${round}-${i}`, `reserve ${i}`, isBound),
-			isBound ? undefined : createWorker(system, random).postOnce(`round-${round}-${i}`, `reserve ${i}`, false),
+			isBound ? undefined : createWorker(system, random, credential).postOnce(`round-${round}-${i}`, `reserve ${i}`, false),
 		]);
 		return second ? {...first, tries: [...first.tries, ...second.tries]} : first;
 	});
@@ -103,7 +112,6 @@
 	const kinds = drawFaults(random);
 	const calls = sendCalls(system, round, callRandom);
 	const lastsMillis = FAULT_MIN_MILLIS + (random() * (FAULT_MAX_MILLIS - FAULT_MIN_MILLIS));
-	const begunMillis = systemClock.monotonicMillis();
 	const active = [];
 	for (const kind of kinds) {
 		// The second fault comes while the first is there.
@@ -111,6 +119,7 @@
 		active.push(await kind.inject(ctx));
 	}
 
+	const begunMillis = systemClock.monotonicMillis();
 	const recovered = probe.waitUntilAnswered();
 	await systemClock.sleep(lastsMillis);
 	for (const fault of active) {
@@ -141,7 +150,7 @@
 export async function runFaults(seed: number, roundCount: number, say: (line: string) => void): Promise<FaultSummary> {
 	const random = createSeededRandom(seed);
 	const system = await startLocalSystem({
-		...DEFAULT_SYSTEM, entries: 3, plains: 2, seed, withRelays: true,
+		...DEFAULT_SYSTEM, entries: 3, plains: 2, seed, withRelays: true, driftSteps: DRIFT_STEPS, planIntervalMillis: PLAN_INTERVAL_MILLIS, weightLoadsPerSecond: WEIGHT_LOADS_PER_SECOND,
 	});
 	await applyFirstTargets(system);
 	const watch = watchVersions([...system.entries, ...system.engineAgents, ...system.plainAgents]);
--- a/bench/system/evidence.ts
+++ b/bench/system/evidence.ts
@@ -103,6 +103,17 @@
 	};
 }
 
+/** The runs of a key and what its callers were told. */
+function describeDuplicate(key: string | undefined, calls: readonly LoggedCall[], executions: readonly Execution[]): string {
+	if (key === undefined) {
+		return '';
+	}
+
+	const runs = executions.filter(({idempotencyKey}) => idempotencyKey === key);
+	const told = calls.filter(call => call.kind === 'plain' && call.key === key);
+	return `, the first: ${JSON.stringify({runs, told})}`;
+}
+
 /** No key ran twice, and an answered one ran. */
 export function judgeAtMostOnce(calls: readonly LoggedCall[], executions: readonly Execution[]): Evidence {
 	const counts = countByKey(executions);
@@ -112,6 +123,6 @@
 	return {
 		name: 'at_most_once',
 		held: duplicates.length === 0 && invented.length === 0,
-		detail: `${counts.size} keys ran, ${duplicates.length} of them twice, ${invented.length} answered without a run${describeFirst(duplicates)}`,
+		detail: `${counts.size} keys ran, ${duplicates.length} of them twice, ${invented.length} answered without a run${describeDuplicate(duplicates[0], calls, executions)}`,
 	};
 }
--- a/bench/system/local-system.ts
+++ b/bench/system/local-system.ts
@@ -77,6 +77,7 @@
 		layers: options.layers,
 		experts: options.experts,
 		'slots-per-rank': options.slotsPerRank,
+		'drift-steps': options.driftSteps,
 		seed: options.seed,
 	}));
 	return {
--- a/bench/system/system-options.ts
+++ b/bench/system/system-options.ts
@@ -16,6 +16,8 @@
 	layers: number;
 	experts: number;
 	slotsPerRank: number;
+	/** Steps until the popularity of the experts changes. */
+	driftSteps: number;
 	/** Expert copies that the weight store serves a second. */
 	weightLoadsPerSecond: number;
 	/** Time that one call of the plain service works, in milliseconds. */
@@ -45,6 +47,7 @@
 	layers: 2,
 	experts: 16,
 	slotsPerRank: 5,
+	driftSteps: 500,
 	weightLoadsPerSecond: 40,
 	plainWorkMillis: 20,
 	listLagMillis: 500,
