--- a/fakes/__tests__/main.test.ts
+++ b/fakes/__tests__/main.test.ts
@@ -30,8 +30,8 @@
 for (const args of commands) {
 	test(`stand-in as a process: ${args.join(' ')} says when it is ready, answers and ends on SIGTERM`, async ctx => {
 		const child = run(ctx, [...args, '--listen', '127.0.0.1:0']);
-		const [line]: readonly unknown[] = await once(createInterface({input: child.stdout}), 'line');
-		const {url} = readySchema.parse(JSON.parse(String(line)));
+		const lines = await once(createInterface({input: child.stdout}), 'line');
+		const {url} = readySchema.parse(JSON.parse(String(lines[0])));
 		const records = await request(`${url}/control/records`);
 		assert.equal(records.statusCode, 200);
 		await records.body.dump();
