Run the engine's steps in a module of their own and follow group restarts in one place

Cause: an arrival answered with an older restart after a newer one was known would have set the engine back one incarnation and ended a hold that was already voted on. Change: only the watch of the incarnations restarts the engine; a step that meets a restart waits for it. The tests run three engines and a group: a committed map is taken by all at its step, a split one shows as mixed, a hold stops the group, a restart ends a hold for good.

--- /dev/null
+++ b/fakes/__tests__/rank-group.test.ts
@@ -0,0 +1,143 @@
+import assert from 'node:assert/strict';
+import {test, type TestContext} from 'node:test';
+import {request} from 'undici';
+import {z} from 'zod';
+import {createHttpModelEngine} from '../../src/adapters/http-model-engine.js';
+import {createLifeCycle, type LifeCycle} from '../../src/core/life-cycle.js';
+import {systemClock} from '../../src/core/system-clock.js';
+import type {EngineOrder, EngineState, ModelEngine} from '../../src/ports/model-engine.js';
+import {DEFAULT_ENGINE_OPTIONS, type EngineOptions} from '../engine/engine-options.js';
+import {createInitialMap} from '../engine/expert-shape.js';
+import type {StandIn} from '../http/stand-in.js';
+import {createModelEngine} from '../model-engine.js';
+import {createRankGroup} from '../rank-group.js';
+import {readRecords} from '../read-records.js';
+import {PATIENT_TIMEOUT_MILLIS} from '../test-timeouts.js';
+
+const RANKS = 3;
+/** Steps between the order to hold and the step it names; more than can be under way when the group is frozen. */
+const AHEAD_STEPS = 20;
+const POLL_MILLIS = 5;
+const EPOCH = 7;
+const shape = {
+	ranks: RANKS, layers: 1, experts: 6, slotsPerRank: 3,
+};
+const map = createInitialMap(shape);
+const recordsSchema = z.object({
+	groupIncarnation: z.string(),
+	mixedSteps: z.array(z.object({step: z.number(), epochs: z.array(z.number())})),
+	switches: z.array(z.object({epoch: z.number(), firstStep: z.number()})),
+	restarts: z.number(),
+});
+
+async function startEngine(lifeCycle: LifeCycle, options: Partial<EngineOptions>) {
+	const standIn = await createModelEngine({
+		...DEFAULT_ENGINE_OPTIONS, ...options, shape, loadLagMillis: 0,
+	});
+	lifeCycle.own('engine', standIn.close);
+	const engine = createHttpModelEngine({
+		baseUrl: standIn.url, timeoutMillis: PATIENT_TIMEOUT_MILLIS, loadTimeoutMillis: PATIENT_TIMEOUT_MILLIS, lifeCycle,
+	});
+	return {standIn, engine};
+}
+
+async function start(ctx: TestContext) {
+	const lifeCycle = createLifeCycle();
+	ctx.after(async () => lifeCycle.shutdown());
+	const group = await createRankGroup({listen: '127.0.0.1:0', ranks: RANKS, baseStepMillis: 1});
+	lifeCycle.own('rank group', group.close);
+	const running = await Promise.all(Array.from({length: RANKS}, async (_, rank) =>
+		startEngine(lifeCycle, {rank, groupUrl: group.url})));
+	return {
+		lifeCycle, group, running, engines: running.map(({engine}) => engine),
+	};
+}
+
+async function untilState(engine: ModelEngine, holds: (state: EngineState) => boolean): Promise<EngineState> {
+	const state = await engine.readState();
+	if (state.ok && holds(state.value)) {
+		return state.value;
+	}
+
+	await systemClock.sleep(POLL_MILLIS);
+	return untilState(engine, holds);
+}
+
+async function orderAll(engines: readonly ModelEngine[], order: EngineOrder): Promise<void> {
+	const results = await Promise.all(engines.map(async engine => engine.order(order, 1)));
+	assert.ok(results.every(result => result.ok), JSON.stringify(results));
+}
+
+/** Freezes the group, so that no order comes too late, and holds `EPOCH` in all engines; gives the step it names. */
+async function holdAll(group: StandIn, engines: readonly ModelEngine[]): Promise<number> {
+	await untilState(engines[0]!, state => state.groupIncarnation !== '');
+	group.faults.set({freeze: true});
+	const {step} = await untilState(engines[0]!, () => true);
+	const fromStep = step + AHEAD_STEPS;
+	await orderAll(engines, {tag: 'load_experts', epoch: EPOCH, map});
+	await orderAll(engines, {tag: 'hold', epoch: EPOCH, fromStep});
+	return fromStep;
+}
+
+test('rank group with engines: a committed map is used by all ranks from its step on', async ctx => {
+	const {group, engines} = await start(ctx);
+	const fromStep = await holdAll(group, engines);
+	await orderAll(engines, {
+		tag: 'take_map', epoch: EPOCH, map, fromStep,
+	});
+	group.faults.reset();
+	await Promise.all(engines.map(async engine => untilState(engine, state => state.mapEpoch === EPOCH)));
+	const {mixedSteps, switches} = await readRecords(group.url, recordsSchema);
+	assert.deepEqual(mixedSteps, []);
+	assert.deepEqual(switches.map(({epoch, firstStep}) => [epoch, firstStep]), [[0, 0], [EPOCH, fromStep]]);
+});
+
+test('rank group with engines: a map that one rank does not take shows as mixed steps', async ctx => {
+	const {group, engines} = await start(ctx);
+	const fromStep = await holdAll(group, engines);
+	const [first, ...others] = engines;
+	await orderAll(others, {
+		tag: 'take_map', epoch: EPOCH, map, fromStep,
+	});
+	await orderAll([first!], {tag: 'release', epoch: EPOCH});
+	group.faults.reset();
+	await untilState(first!, state => state.step > fromStep + 1);
+	const {mixedSteps} = await readRecords(group.url, recordsSchema);
+	assert.deepEqual(mixedSteps[0], {step: fromStep, epochs: [0, EPOCH, EPOCH]});
+});
+
+test('rank group with engines: while one rank holds, no rank goes beyond the step before', async ctx => {
+	const {group, engines} = await start(ctx);
+	const fromStep = await holdAll(group, engines);
+	const [first, ...others] = engines;
+	await orderAll(others, {tag: 'release', epoch: EPOCH});
+	group.faults.reset();
+	await Promise.all(others.map(async engine => untilState(engine, state => state.step === fromStep + 1)));
+	const held = await untilState(first!, state => state.step === fromStep);
+	assert.deepEqual(held.hold, {epoch: EPOCH, fromStep});
+	await orderAll([first!], {tag: 'release', epoch: EPOCH});
+	await untilState(first!, state => state.step > fromStep + 1);
+});
+
+test('rank group with engines: a restart ends a hold for good, and an engine in the place of another restarts the group', async ctx => {
+	const {
+		lifeCycle, group, running, engines,
+	} = await start(ctx);
+	const fromStep = await holdAll(group, engines);
+	group.faults.reset();
+	const {groupIncarnation} = await readRecords(group.url, recordsSchema);
+	const reply = await request(`${group.url}/control/restart-group`, {method: 'POST'});
+	await reply.body.dump();
+	const state = await untilState(engines[0]!, other => other.groupIncarnation !== groupIncarnation);
+	assert.deepEqual([state.hold, state.releasedEpochs], [undefined, [EPOCH]]);
+	const late = await engines[0]!.order({
+		tag: 'take_map', epoch: EPOCH, map, fromStep,
+	}, 1);
+	assert.equal(late.ok, false);
+
+	await running[0]!.standIn.close();
+	await startEngine(lifeCycle, {rank: 0, groupUrl: group.url});
+	await untilState(engines[1]!, other => other.groupIncarnation !== state.groupIncarnation && other.step > 2);
+	const {restarts, mixedSteps} = await readRecords(group.url, recordsSchema);
+	assert.deepEqual([restarts, mixedSteps], [2, []]);
+});
--- a/fakes/engine/engine.ts
+++ b/fakes/engine/engine.ts
@@ -1,21 +1,20 @@
 import {match} from 'ts-pattern';
 import type {Clock} from '../../src/core/clock.js';
-import type {Incarnation} from '../../src/core/ids.js';
 import {fail, succeed, type Result} from '../../src/core/result.js';
 import type {EngineOrder, EngineState, StreamRequest} from '../../src/ports/model-engine.js';
 import {digestPromptPrefix} from '../../src/ports/prompt-prefix.js';
-import type {ArrivalOutcome} from '../group/fabric.js';
 import {
 	createBatch, type Batch, type StreamRefusal, type StreamSink,
 } from './batch.js';
 import type {EngineOptions} from './engine-options.js';
 import {createExpertLoader, createWeightStoreFetch, type ExpertLoader} from './expert-loader.js';
 import {createExpertPopularity} from './expert-popularity.js';
-import {createInitialMap, tokensOfRank} from './expert-shape.js';
+import {createInitialMap} from './expert-shape.js';
 import {createHttpGroupLink, createStandaloneLink} from './group-link.js';
 import {createLoadMeter} from './load-meter.js';
 import {createMapAgreement, type MapAgreement, type MapRefusal} from './map-agreement.js';
 import {createPrefixCache, type PrefixCache} from './prefix-cache.js';
+import {runUntilAborted} from './step-runner.js';
 
 /** Why an order was refused. */
 export type OrderRefusal = MapRefusal | Readonly<{tag: 'refused'; reason: 'old_fencing_token'}>;
@@ -71,7 +70,6 @@
 		: createHttpGroupLink(options.groupUrl, rank, stopping.signal);
 	const agreement = createMapAgreement(createInitialMap(shape));
 	const loader = createLoader(options);
-	const popularity = createExpertPopularity(options);
 	const batch = createBatch(options.capacity, options.queueLimit);
 	const meter = createLoadMeter(shape, clock, options.loadLagMillis);
 	const cache = createPrefixCache({
@@ -85,12 +83,6 @@
 	const orders: OrderRecord[] = [];
 	let highestToken = 0;
 
-	function restartGroup(incarnation: Incarnation, step: number): void {
-		if (agreement.restartGroup(incarnation, step)) {
-			meter.restart();
-		}
-	}
-
 	function refuseOldToken(fencingToken: number): boolean {
 		if (options.checksFencing && fencingToken < highestToken) {
 			return true;
@@ -100,50 +92,6 @@
 		return false;
 	}
 
-	async function runStep(): Promise<void> {
-		await untilThawed();
-		const {
-			groupIncarnation, step, epoch, map,
-		} = await agreement.beginStep();
-		await loader.load(epoch, map);
-		const tokens = popularity(step);
-		const ownTokens = tokens.reduce((sum, layerTokens, layer) => sum + tokensOfRank(map, layer, rank, layerTokens), 0);
-		const load = ownTokens * options.slowFactor;
-		const outcome = await link.arrive({
-			groupIncarnation, step, epoch, load,
-		});
-		await untilThawed();
-		finishStep(outcome, tokens, load);
-	}
-
-	async function runSteps(): Promise<void> {
-		while (!stopping.signal.aborted) {
-			// eslint-disable-next-line no-await-in-loop
-			await runStep();
-		}
-	}
-
-	/** An engine that a hold keeps from its group learns of a restart here. */
-	async function watchRestarts(): Promise<void> {
-		while (!stopping.signal.aborted) {
-			// eslint-disable-next-line no-await-in-loop
-			const incarnation = await link.nextIncarnation(agreement.read().groupIncarnation);
-			restartGroup(incarnation, 0);
-		}
-	}
-
-	function finishStep(outcome: ArrivalOutcome, tokens: ReadonlyArray<readonly number[]>, load: number): void {
-		if (outcome.tag === 'restarted') {
-			restartGroup(outcome.groupIncarnation, 0);
-			return;
-		}
-
-		batch.advance();
-		meter.addStep({
-			...batch.counts(), tokens, rankMillis: outcome.millisPerLoad * load, stepMillis: outcome.stepMillis,
-		});
-	}
-
 	return {
 		batch,
 		cache,
@@ -176,11 +124,18 @@
 			};
 		},
 		records: () => ({orders, streams: batch.records(), fetchedExperts: loader.fetched()}),
-		async run() {
-			const joined = await link.joinGroup();
-			restartGroup(joined.groupIncarnation, joined.step);
-			await Promise.all([runSteps(), watchRestarts()]);
-		},
+		run: async () => runUntilAborted({
+			rank,
+			slowFactor: options.slowFactor,
+			link,
+			agreement,
+			loader,
+			popularity: createExpertPopularity(options),
+			batch,
+			meter,
+			untilThawed,
+			signal: stopping.signal,
+		}),
 		stop() {
 			stopping.abort();
 		},
--- a/fakes/engine/map-agreement.ts
+++ b/fakes/engine/map-agreement.ts
@@ -39,12 +39,14 @@
 	readonly takeMap: (map: PendingMap) => Result<void, MapRefusal>;
 	/** Waits while a hold forbids the next step, then begins it; gives its map and epoch. */
 	readonly beginStep: () => Promise<BegunStep>;
+	/** Waits until the engine is in another incarnation than this one. */
+	readonly untilIncarnationIsNot: (groupIncarnation: Incarnation) => Promise<void>;
 	/**
 	 * Begins again at `step` with the initial map; a hold or pending map ends as released.
 	 *
-	 * Nothing happens when the engine is in this incarnation already; says whether it changed.
+	 * Nothing happens when the engine is in this incarnation already.
 	 */
-	readonly restartGroup: (groupIncarnation: Incarnation, step: number) => boolean;
+	readonly restartGroup: (groupIncarnation: Incarnation, step: number) => void;
 };
 
 function refuse(reason: MapRefusal['reason']): {readonly ok: false; readonly error: MapRefusal} {
@@ -176,13 +178,16 @@
 				groupIncarnation, step, epoch, map,
 			};
 		},
-		restartGroup(groupIncarnation, step) {
-			if (store.read().groupIncarnation === groupIncarnation) {
-				return false;
+		async untilIncarnationIsNot(groupIncarnation) {
+			while (store.read().groupIncarnation === groupIncarnation) {
+				// eslint-disable-next-line no-await-in-loop
+				await untilChanged();
 			}
-
-			store.update(state => restartAt(state, initialMap, groupIncarnation, step));
-			return true;
+		},
+		restartGroup(groupIncarnation, step) {
+			store.update(state => state.groupIncarnation === groupIncarnation
+				? state
+				: restartAt(state, initialMap, groupIncarnation, step));
 		},
 	};
 }
--- /dev/null
+++ b/fakes/engine/step-runner.ts
@@ -0,0 +1,81 @@
+import type {Arrival} from '../group/fabric.js';
+import type {Batch} from './batch.js';
+import type {ExpertLoader} from './expert-loader.js';
+import type {ExpertPopularity} from './expert-popularity.js';
+import {tokensOfRank} from './expert-shape.js';
+import type {GroupLink} from './group-link.js';
+import type {LoadMeter} from './load-meter.js';
+import type {BegunStep, MapAgreement} from './map-agreement.js';
+
+/** What the steps of an engine work on. */
+export type StepRunnerDeps = Readonly<{
+	rank: number;
+	/** Factor on the load of this rank. */
+	slowFactor: number;
+	link: GroupLink;
+	agreement: MapAgreement;
+	loader: ExpertLoader;
+	popularity: ExpertPopularity;
+	batch: Batch;
+	meter: LoadMeter;
+	/** Waits while the engine is frozen. */
+	untilThawed: () => Promise<void>;
+	signal: AbortSignal;
+}>;
+
+type StepTokens = ReturnType<ExpertPopularity>;
+
+function sumOwnTokens({rank}: StepRunnerDeps, {map}: BegunStep, tokens: StepTokens): number {
+	return tokens.reduce((sum, layerTokens, layer) => sum + tokensOfRank(map, layer, rank, layerTokens), 0);
+}
+
+async function arrive(deps: StepRunnerDeps, step: BegunStep, load: number) {
+	const arrival: Omit<Arrival, 'rank'> = {
+		groupIncarnation: step.groupIncarnation, step: step.step, epoch: step.epoch, load,
+	};
+	return deps.link.arrive(arrival);
+}
+
+async function runStep(deps: StepRunnerDeps): Promise<void> {
+	const {agreement, loader, popularity, batch, meter} = deps;
+	await deps.untilThawed();
+	const step = await agreement.beginStep();
+	await loader.load(step.epoch, step.map);
+	const tokens = popularity(step.step);
+	const load = sumOwnTokens(deps, step, tokens) * deps.slowFactor;
+	const outcome = await arrive(deps, step, load);
+	await deps.untilThawed();
+	if (outcome.tag === 'restarted') {
+		await agreement.untilIncarnationIsNot(step.groupIncarnation);
+		return;
+	}
+
+	batch.advance();
+	meter.addStep({
+		...batch.counts(), tokens, rankMillis: outcome.millisPerLoad * load, stepMillis: outcome.stepMillis,
+	});
+}
+
+async function runSteps(deps: StepRunnerDeps): Promise<void> {
+	while (!deps.signal.aborted) {
+		// eslint-disable-next-line no-await-in-loop
+		await runStep(deps);
+	}
+}
+
+/** The only place where an engine learns of a restart, so that it meets the incarnations in their order. */
+async function followIncarnations({link, agreement, meter, signal}: StepRunnerDeps): Promise<void> {
+	while (!signal.aborted) {
+		// eslint-disable-next-line no-await-in-loop
+		const incarnation = await link.nextIncarnation(agreement.read().groupIncarnation);
+		agreement.restartGroup(incarnation, 0);
+		meter.restart();
+	}
+}
+
+/** Joins the group and runs step after step. Rejects when the signal aborts a call to the group. */
+export async function runUntilAborted(deps: StepRunnerDeps): Promise<void> {
+	const joined = await deps.link.joinGroup();
+	deps.agreement.restartGroup(joined.groupIncarnation, joined.step);
+	await Promise.all([runSteps(deps), followIncarnations(deps)]);
+}
