--- /dev/null
+++ b/bench/system/call-log.ts
@@ -0,0 +1,31 @@
+import type {CallerOutcome} from './caller.js';
+
+/** One try of a call at one entry. */
+export type CallTry = Readonly<{
+	url: string;
+	outcome: CallerOutcome;
+	/** Time from the start of the try to its outcome, in milliseconds. */
+	tookMillis: number;
+	/** ISO 8601. */
+	endedAt: string;
+}>;
+
+/** What a caller wanted, and each try. */
+export type LoggedCall
+	= | Readonly<{kind: 'plain'; key: string; body: string; isBound: boolean; tries: readonly CallTry[]}>
+		| Readonly<{kind: 'model'; prompt: string; maxTokens: number; tries: readonly CallTry[]}>;
+
+/** Tries of all calls. */
+export function allTries(calls: readonly LoggedCall[]): readonly CallTry[] {
+	return calls.flatMap(call => call.tries);
+}
+
+/** Counts tries by the tag of their outcome. */
+export function countOutcomes(calls: readonly LoggedCall[]): Readonly<Record<string, number>> {
+	const counts: Record<string, number> = {};
+	for (const {outcome} of allTries(calls)) {
+		counts[outcome.tag] = (counts[outcome.tag] ?? 0) + 1;
+	}
+
+	return counts;
+}
