--- a/bench/main.ts
+++ b/bench/main.ts
@@ -3,6 +3,7 @@
 import {defineCommand, runCommand} from 'citty';
 import {faultsCommand} from './faults-command.js';
 import {placementCommand} from './placement-command.js';
+import {admissionCommand} from './admission-command.js';
 import {routingCommand} from './routing-command.js';
 import {traceCommand} from './trace-command.js';
 
@@ -14,6 +15,7 @@
 	subCommands: {
 		faults: faultsCommand,
 		placement: placementCommand,
+		admission: admissionCommand,
 		routing: routingCommand,
 		trace: traceCommand,
 	},
