Keep a copy of each proposal, report token counts as deltas, hand over empty ledgers

If all agents of a group and the proposer died at once, the engines held an epoch whose members and map nobody knew, and the group stood still for good. Each rank now writes the proposal to the object store while it loads; a restarted agent that finds an unknown hold reads it there. The vote does not wait for the copy, so the case with the store away as well stays open.

The rank's report to the planner gave counts since the start of the group where the protocol says since the last report, which hides the drift of popularity.

A handed-over ledger without entries proves that no key ran; it is now written for every plain service.

--- a/src/agent/drain.ts
+++ b/src/agent/drain.ts
@@ -40,8 +40,9 @@
 	};
 }
 
-async function tryHandOver({ctx, settings, ledger}: AgentParts): Promise<boolean> {
-	if (ledger.size() === 0) {
+/** An empty ledger is handed over as well: it proves that no key ran here. */
+async function tryHandOver({ctx, settings, backend, ledger}: AgentParts): Promise<boolean> {
+	if (backend.kind === 'engine') {
 		return true;
 	}
 
--- a/src/agent/leaving-state.ts
+++ b/src/agent/leaving-state.ts
@@ -1,6 +1,5 @@
 /** Whether this agent's backend server is leaving, and why. */
 import type {AuditRecorder} from '../audit/audit-record.js';
-import type {Configuration} from '../configuration/configuration.js';
 import type {InstanceId} from '../core/ids.js';
 import {createSnapshotStore} from '../core/snapshot-store.js';
 import type {Teardown} from '../core/teardown.js';
@@ -41,8 +40,3 @@
 		}),
 	};
 }
-
-/** Whether a planned stop covers the instance. */
-export function hasPlannedStop(cfg: Configuration, instanceId: InstanceId, failureDomain: string): boolean {
-	return cfg.plannedStops.some(stop => stop.subject === (stop.scope === 'instance' ? instanceId : failureDomain));
-}
--- a/src/agent/start-agent.ts
+++ b/src/agent/start-agent.ts
@@ -4,9 +4,10 @@
 import {succeed, type Result} from '../core/result.js';
 import type {ProcessContext} from '../daemon/process-context.js';
 import {createFencingFloor} from '../expert-map/fencing-floor.js';
+import {createProposalArchive} from '../expert-map/proposal-archive.js';
 import {createGrpcVotePeers} from '../expert-map/grpc-vote-peers.js';
 import {createRankVoteService} from '../expert-map/rank-vote-server.js';
-import {createRankVote} from '../expert-map/rank-vote.js';
+import {createRankVote, type RankVote} from '../expert-map/rank-vote.js';
 import {createLedger, createLedgerLimits} from '../ledger/ledger.js';
 import type {AgentSettings} from '../settings/settings.js';
 import type {ModelEngine} from '../ports/model-engine.js';
@@ -30,6 +31,9 @@
 	drain: () => Promise<DrainReport>;
 }>;
 
+/** The rank's part in the votes and the service that it is reached by. */
+type ServedVote = Pick<RankVote, 'resume'> & Readonly<{service: LinkService}>;
+
 /** Starts the agent of `backend`. Binds the link port before it touches the backend server. */
 export async function startAgent(
 	ctx: ProcessContext,
@@ -38,7 +42,8 @@
 ): Promise<Result<RunningAgent, ListenError>> {
 	const slot: {parts?: AgentParts} = {};
 	const links = createLinkService(() => slot.parts);
-	const services = backend.kind === 'engine' ? [links, createVoteService(ctx, settings, backend.engine)] : [links];
+	const vote = backend.kind === 'engine' ? createVote(ctx, settings, backend.engine) : undefined;
+	const services = vote ? [links, vote.service] : [links];
 	const server = await openLinkServer(ctx.linkAccess, ctx.clock, settings.linkListen, services);
 	if (!server.ok) {
 		return server;
@@ -48,6 +53,7 @@
 	const parts = createParts(ctx, settings, backend);
 	slot.parts = parts;
 	watchLeaving(ctx, settings, parts.leaving);
+	void vote?.resume();
 	ctx.log.info('agent listens', {address: server.value.address});
 	return succeed(createRunningAgent(parts, server.value.address));
 }
@@ -86,7 +92,7 @@
 }
 
 /** The vote touches the engine only when a proposal or a report comes. */
-function createVoteService(ctx: ProcessContext, settings: AgentSettings, engine: ModelEngine): LinkService {
+function createVote(ctx: ProcessContext, settings: AgentSettings, engine: ModelEngine): ServedVote {
 	const peers = createGrpcVotePeers(ctx.linkAccess, ctx.clock);
 	ctx.lifeCycle.own('vote peers', peers.close);
 	const vote = createRankVote({
@@ -98,12 +104,16 @@
 		engine,
 		peers,
 		floor: createFencingFloor(ctx.table, settings.group),
+		archive: createProposalArchive(ctx.objects, settings.group),
 		clock: ctx.clock,
 		audit: ctx.audit,
 		metrics: ctx.metrics,
 		signal: ctx.lifeCycle.signal,
 	});
-	return {definition: RankVoteService, implementation: createRankVoteService(ctx, settings, engine, vote)};
+	return {
+		resume: vote.resume,
+		service: {definition: RankVoteService, implementation: createRankVoteService(ctx, settings, engine, vote)},
+	};
 }
 
 function createRunningAgent(parts: AgentParts, linkAddress: string): RunningAgent {
--- a/src/agent/watch-leaving.ts
+++ b/src/agent/watch-leaving.ts
@@ -1,13 +1,15 @@
 import type {ProcessContext} from '../daemon/process-context.js';
+import {isLeaving, type LeavingSubject} from '../leaving/leaving-cause.js';
 import type {AgentSettings} from '../settings/settings.js';
 import {INSTANCE_LIST_INTERVAL_MILLIS} from './agent-constants.js';
-import {hasPlannedStop, type LeavingState} from './leaving-state.js';
+import type {LeavingState} from './leaving-state.js';
 
 /** Follows the planned stops of the configuration and the instance list until the process ends. */
 export function watchLeaving(ctx: ProcessContext, settings: AgentSettings, leaving: LeavingState): void {
 	const followStops = () => {
 		const cfg = ctx.configuration.read();
-		leaving.setCause('planned_stop', cfg !== undefined && hasPlannedStop(cfg, settings.instanceId, settings.failureDomain));
+		const evidence = {instances: [], plannedStops: cfg?.plannedStops ?? []};
+		leaving.setCause('planned_stop', isLeaving(evidence, toSubject(settings)));
 	};
 
 	followStops();
@@ -34,8 +36,12 @@
 		return;
 	}
 
-	const own = listed.value.find(instance => instance.id === settings.instanceId);
-	if (own) {
-		leaving.setCause('instance_list', own.state === 'leaving');
+	if (listed.value.some(instance => instance.id === settings.instanceId)) {
+		const evidence = {instances: listed.value, plannedStops: []};
+		leaving.setCause('instance_list', isLeaving(evidence, toSubject(settings)));
 	}
 }
+
+function toSubject({instanceId, failureDomain}: AgentSettings): LeavingSubject {
+	return {id: instanceId, failureDomain};
+}
--- a/src/expert-map/__tests__/rank-group-rig.ts
+++ b/src/expert-map/__tests__/rank-group-rig.ts
@@ -48,6 +48,7 @@
 export function createRankGroupRig(size: number, network: Network, checksFencing = true): RankGroupRig {
 	const events: AuditEvent[] = [];
 	const table: {fencingToken: number | undefined} = {fencingToken: 0};
+	const archived = new Map<number, Proposal>();
 	const metrics = createMetrics();
 	const clock: Clock = {
 		now: () => new Date(0),
@@ -105,6 +106,12 @@
 			},
 			floor: createFencingFloor(store, GROUP),
 			clock,
+			archive: {
+				async keep(proposal) {
+					archived.set(proposal.epoch, proposal);
+				},
+				find: async epoch => archived.get(epoch),
+			},
 			metrics,
 			signal,
 			audit: {
@@ -165,6 +172,7 @@
 			const {engine, incarnation, stop} = ranks[rank]!;
 			stop.abort();
 			ranks[rank] = startRank(rank, engine, incarnation + 1);
+			void ranks[rank].vote.resume();
 		},
 		restartGroup(incarnation) {
 			groupIncarnation = incarnation;
--- a/src/expert-map/__tests__/rank-vote.test.ts
+++ b/src/expert-map/__tests__/rank-vote.test.ts
@@ -105,6 +105,20 @@
 	assert.equal(rig.events.filter(event => event.kind === 'vote_cast' && event.rank === 0 && event.vote === 'no').length, 0);
 });
 
+test('one expert map: all agents and the proposer killed after all held still commit', async () => {
+	const {held, rig} = createQuietGroup(2);
+	rig.killAgent(1);
+	rig.propose(0, rig.createProposal(EPOCH, FROM_STEP, 1));
+	await runUntil(rig, held, FROM_STEP);
+	rig.killAgent(0);
+	rig.ranks[1]!.engine.order({tag: 'hold', epoch: EPOCH, fromStep: FROM_STEP}, 1);
+	rig.restartAgent(0);
+	rig.restartAgent(1);
+	await runUntil(rig, held, FROM_STEP + 2);
+	rig.stop();
+	assert.deepEqual(readMaps(rig), [EPOCH, EPOCH]);
+});
+
 test('one expert map: an agent restarted before its vote makes no hold for a proposal to its former incarnation', async () => {
 	const {held, rig} = createQuietGroup(2);
 	const proposal = rig.createProposal(EPOCH, FROM_STEP, 1);
--- a/src/expert-map/engine-vote.ts
+++ b/src/expert-map/engine-vote.ts
@@ -40,6 +40,12 @@
 	return isHeld ? 'yes' : release(deps, proposal.epoch);
 }
 
+/** Epoch that the engine holds; undefined when there is none or the process ends. */
+export async function readHeldEpoch(deps: RankVoteDeps): Promise<number | undefined> {
+	const state = await readUntilAnswered(deps);
+	return state?.hold?.epoch;
+}
+
 /** Makes the vote of an epoch a no for good, unless its map was taken. */
 export async function release(deps: RankVoteDeps, epoch: number): Promise<'no' | 'taken' | 'ended'> {
 	const isFinal = (reason: string) => reason === DONE || reason === TAKEN_REASON;
--- a/src/expert-map/rank-state.ts
+++ b/src/expert-map/rank-state.ts
@@ -1,11 +1,12 @@
 import type {EngineState, ExpertMap as EngineMap} from '../ports/model-engine.js';
 import type {RankState} from '../wire/generated/vote.js';
+import type {TokenCounter} from './token-counter.js';
 
 /** What the planner is told of the agent itself. */
 export type RankIdentity = Pick<RankState, 'group' | 'rank' | 'agentId' | 'agentIncarnation' | 'checksFencing' | 'pending'>;
 
-/** State of a rank for the planner. Tokens are counted from the start of the group. */
-export function createRankState(identity: RankIdentity, state: EngineState): RankState {
+/** State of a rank for the planner. Tokens are counted from the report before. */
+export function createRankState(identity: RankIdentity, state: EngineState, counter: TokenCounter): RankState {
 	return {
 		...identity,
 		groupIncarnation: state.groupIncarnation,
@@ -13,7 +14,7 @@
 		mapEpoch: state.mapEpoch,
 		stepMillis: state.stepMillis,
 		reportAgeMillis: Math.round(state.ageMillis),
-		layers: state.tokensPerExpert.map(tokens => ({tokens})),
+		layers: counter.take(state).map(tokens => ({tokens})),
 		map: copyMap(state.map),
 		pending: identity.pending || state.hold !== undefined,
 	};
--- a/src/expert-map/rank-vote-server.ts
+++ b/src/expert-map/rank-vote-server.ts
@@ -12,6 +12,7 @@
 import {createRankState} from './rank-state.js';
 import type {RankVoteDeps, VoteRefusal} from './rank-vote-types.js';
 import type {RankVote} from './rank-vote.js';
+import {createTokenCounter} from './token-counter.js';
 
 /** Creates the implementation of the vote's service. A caller without the token is refused and counted. */
 export function createRankVoteService(
@@ -20,6 +21,8 @@
 	engine: ModelEngine,
 	vote: RankVote,
 ): UntypedServiceImplementation {
+	const counter = createTokenCounter();
+
 	function isAuthorised(call: Pick<ServerUnaryCall<unknown, unknown>, 'metadata'>): boolean {
 		const isKnown = ctx.linkAccess.isAuthorised(call.metadata);
 		if (!isKnown) {
@@ -60,7 +63,7 @@
 			agentIncarnation: ctx.incarnation,
 			checksFencing: settings.backend.checksFencing,
 			pending: vote.isPending(),
-		}, state.value));
+		}, state.value, counter));
 	}
 }
 
--- a/src/expert-map/rank-vote-types.ts
+++ b/src/expert-map/rank-vote-types.ts
@@ -4,6 +4,7 @@
 import type {Metrics} from '../observability/metrics.js';
 import type {ModelEngine} from '../ports/model-engine.js';
 import type {FencingFloor} from './fencing-floor.js';
+import type {ProposalArchive} from './proposal-archive.js';
 import type {VotePeers} from './vote-peers.js';
 
 /** What a rank's part in the votes needs. */
@@ -17,6 +18,7 @@
 	engine: ModelEngine;
 	peers: VotePeers;
 	floor: FencingFloor;
+	archive: ProposalArchive;
 	clock: Clock;
 	audit: AuditRecorder;
 	metrics: Pick<Metrics, 'votes' | 'mapOutcomes'>;
--- a/src/expert-map/rank-vote.ts
+++ b/src/expert-map/rank-vote.ts
@@ -10,7 +10,7 @@
 import {createSnapshotStore} from '../core/snapshot-store.js';
 import type {Member, Proposal, VoteReport} from '../wire/generated/vote.js';
 import {
-	concludeVote, isSameGroup, release, takeMap, tryHold, type HeldVote,
+	concludeVote, isSameGroup, readHeldEpoch, release, takeMap, tryHold, type HeldVote,
 } from './engine-vote.js';
 import type {RankVoteDeps, VoteRefusal} from './rank-vote-types.js';
 import {EXCHANGE_INTERVAL_MILLIS, GROUP_LOOK_MILLIS, KEPT_VOTES} from './vote-constants.js';
@@ -24,6 +24,12 @@
 	readonly propose: (proposal: Proposal) => Result<VoteReport, VoteRefusal>;
 	/** Takes a peer's report and gives this rank's. */
 	readonly exchange: (report: VoteReport) => Result<VoteReport, VoteRefusal>;
+	/**
+	 * Takes up a vote that a former incarnation left in the engine, when nobody else tells of it.
+	 *
+	 * Returns once the engine holds nothing that is not known.
+	 */
+	readonly resume: () => Promise<void>;
 	/** Whether a vote is not settled at this rank. */
 	readonly isPending: () => boolean;
 };
@@ -80,6 +86,8 @@
 	async function vote(proposal: Proposal, mayHold: boolean): Promise<void> {
 		const {epoch} = proposal;
 		if (mayHold) {
+			// The hold does not wait for the copy.
+			void deps.archive.keep(proposal);
 			await tryHold(deps, proposal, () => read(epoch)?.outcome === 'unknown');
 		}
 
@@ -151,6 +159,25 @@
 		}
 	}
 
+	async function resume(): Promise<void> {
+		while (!deps.signal.aborted) {
+			// eslint-disable-next-line no-await-in-loop
+			const epoch = await readHeldEpoch(deps);
+			if (epoch === undefined || read(epoch)) {
+				return;
+			}
+
+			// eslint-disable-next-line no-await-in-loop
+			const proposal = await deps.archive.find(epoch);
+			if (proposal) {
+				propose(proposal);
+			}
+
+			// eslint-disable-next-line no-await-in-loop
+			await deps.clock.sleep(GROUP_LOOK_MILLIS, deps.signal);
+		}
+	}
+
 	function learn(report: VoteReport): void {
 		deps.floor.learnFromPeer(report.fencingFloor);
 		update(report.epoch, record => learnReport(record, report));
@@ -193,6 +220,7 @@
 
 	return {
 		propose,
+		resume,
 		isPending: hasPending,
 		exchange(report) {
 			if (report.group !== deps.group) {
