--- a/src/agent/__tests__/fake-context.ts
+++ b/src/agent/__tests__/fake-context.ts
@@ -3,6 +3,7 @@
 import type {AuditEvent} from '../../audit/audit-record.js';
 import type {Configuration} from '../../configuration/configuration.js';
 import {createConfigurationHolder} from '../../configuration/configuration-holder.js';
+import type {Clock} from '../../core/clock.js';
 import {createLifeCycle} from '../../core/life-cycle.js';
 import {fail, succeed} from '../../core/result.js';
 import {systemClock} from '../../core/system-clock.js';
@@ -23,13 +24,16 @@
 	hasAuditRoom: boolean;
 };
 
-export function createFakeContext(incarnation: string, token?: string): Readonly<{ctx: ProcessContext; platform: FakePlatform}> {
+export function createFakeContext(
+	incarnation: string,
+	{token, clock = systemClock}: Readonly<{token?: string; clock?: Clock}> = {},
+): Readonly<{ctx: ProcessContext; platform: FakePlatform}> {
 	const platform: FakePlatform = {
 		events: [], objects: new Map(), instances: [], rows: [], isTableDown: false, hasAuditRoom: true,
 	};
 	const ctx: ProcessContext = {
 		incarnation,
-		clock: systemClock,
+		clock,
 		log: silentLog,
 		metrics: createMetrics(),
 		lifeCycle: createLifeCycle(),
--- a/src/agent/__tests__/start-agent.test.ts
+++ b/src/agent/__tests__/start-agent.test.ts
@@ -10,7 +10,7 @@
 
 async function startPlainAgent(t: TestContext, token?: string) {
 	const plain = createFakePlainService();
-	const {ctx, platform} = createFakeContext('run-1', token);
+	const {ctx, platform} = createFakeContext('run-1', {token});
 	const started = await startAgent(ctx, createSettings(), {kind: 'plain', plain});
 	assert.ok(started.ok);
 	t.after(async () => ctx.lifeCycle.shutdown());
@@ -35,7 +35,7 @@
 
 test('link: an entry without the token is refused and counted', async t => {
 	const {agent, ctx} = await startPlainAgent(t, 'secret');
-	const probe = openLinkProbe(agent.linkAddress, createFakeContext('entry', 'wrong').ctx.linkAccess);
+	const probe = openLinkProbe(agent.linkAddress, createFakeContext('entry', {token: 'wrong'}).ctx.linkAccess);
 	t.after(probe.close);
 	assert.match(await probe.ended, /unauthorised/v);
 	const counted = await ctx.metrics.rejectedConnections.get();
