--- a/src/decisions/placement/load-tracker.ts
+++ b/src/decisions/placement/load-tracker.ts
@@ -1,5 +1,5 @@
 /** Steps over which a load that does not change is averaged. */
-const LONG_WINDOW_STEPS = 128;
+const LONG_WINDOW_STEPS = 64;
 /** Steps over which a changed load is averaged. */
 const SHORT_WINDOW_STEPS = 6;
 /** Standard errors that the short average must lie off the long one for the load to count as changed. */
--- a/src/decisions/placement/plan-terms.ts
+++ b/src/decisions/placement/plan-terms.ts
@@ -2,7 +2,7 @@
 import type {Favour, PlanTerms} from './placement-types.js';
 
 /** Skew that one load must save where even steps weigh more. */
-const SKEW_PER_LOAD_EVEN = 0.001;
+const SKEW_PER_LOAD_EVEN = 0.002;
 /** Skew that a plan must save where even steps weigh more. */
 const LEAST_SAVING_EVEN = 0.01;
 /** Skew that one load must save where few moves weigh more. */
