--- a/bench/system/system-options.ts
+++ b/bench/system/system-options.ts
@@ -16,6 +16,8 @@
 	layers: number;
 	experts: number;
 	slotsPerRank: number;
+	/** Steps until the popularity of the experts changes. */
+	driftSteps: number;
 	/** Expert copies that the weight store serves a second. */
 	weightLoadsPerSecond: number;
 	/** Time that one call of the plain service works, in milliseconds. */
@@ -27,6 +29,8 @@
 	addressLifetimeMillis: number;
 	auditIntervalMillis: number;
 	seed: number;
+	/** Puts a relay before each agent, which can cut or silence its links. */
+	withRelays: boolean;
 }>;
 
 /** Two entries, one group of four ranks, one plain service, after the targets in `examples/workshops.toml`. */
@@ -43,6 +47,7 @@
 	layers: 2,
 	experts: 16,
 	slotsPerRank: 5,
+	driftSteps: 500,
 	weightLoadsPerSecond: 40,
 	plainWorkMillis: 20,
 	listLagMillis: 500,
@@ -51,4 +56,5 @@
 	addressLifetimeMillis: 1500,
 	auditIntervalMillis: 500,
 	seed: 1,
+	withRelays: false,
 };
--- a/src/agent/start-agent.ts
+++ b/src/agent/start-agent.ts
@@ -3,9 +3,16 @@
 import {createInFlight} from '../attempts/in-flight.js';
 import {succeed, type Result} from '../core/result.js';
 import type {ProcessContext} from '../daemon/process-context.js';
+import {createFencingFloor} from '../expert-map/fencing-floor.js';
+import {createProposalArchive} from '../expert-map/proposal-archive.js';
+import {createGrpcVotePeers} from '../expert-map/grpc-vote-peers.js';
+import {createRankVoteService} from '../expert-map/rank-vote-server.js';
+import {createRankVote, type RankVote} from '../expert-map/rank-vote.js';
 import {createLedger, createLedgerLimits} from '../ledger/ledger.js';
 import type {AgentSettings} from '../settings/settings.js';
+import type {ModelEngine} from '../ports/model-engine.js';
 import {AgentLinkService} from '../wire/generated/link.js';
+import {RankVoteService} from '../wire/generated/vote.js';
 import type {AgentParts} from './agent-parts.js';
 import {watchBackendLoad} from './backend-load.js';
 import type {Backend} from './backend.js';
@@ -24,6 +31,9 @@
 	drain: () => Promise<DrainReport>;
 }>;
 
+/** The rank's part in the votes and the service that it is reached by. */
+type ServedVote = Pick<RankVote, 'resume'> & Readonly<{service: LinkService}>;
+
 /** Starts the agent of `backend`. Binds the link port before it touches the backend server. */
 export async function startAgent(
 	ctx: ProcessContext,
@@ -32,7 +42,9 @@
 ): Promise<Result<RunningAgent, ListenError>> {
 	const slot: {parts?: AgentParts} = {};
 	const links = createLinkService(() => slot.parts);
-	const server = await openLinkServer(ctx.linkAccess, ctx.clock, settings.linkListen, [links]);
+	const vote = backend.kind === 'engine' ? createVote(ctx, settings, backend.engine) : undefined;
+	const services = vote ? [links, vote.service] : [links];
+	const server = await openLinkServer(ctx.linkAccess, ctx.clock, settings.linkListen, services);
 	if (!server.ok) {
 		return server;
 	}
@@ -41,6 +53,7 @@
 	const parts = createParts(ctx, settings, backend);
 	slot.parts = parts;
 	watchLeaving(ctx, settings, parts.leaving);
+	void vote?.resume();
 	ctx.log.info('agent listens', {address: server.value.address});
 	return succeed(createRunningAgent(parts, server.value.address));
 }
@@ -78,6 +91,31 @@
 	};
 }
 
+/** The vote touches the engine only when a proposal or a report comes. */
+function createVote(ctx: ProcessContext, settings: AgentSettings, engine: ModelEngine): ServedVote {
+	const peers = createGrpcVotePeers(ctx.linkAccess, ctx.clock);
+	ctx.lifeCycle.own('vote peers', peers.close);
+	const vote = createRankVote({
+		group: settings.group,
+		rank: settings.rank,
+		agentId: settings.instanceId,
+		incarnation: ctx.incarnation,
+		checksFencing: settings.backend.checksFencing,
+		engine,
+		peers,
+		floor: createFencingFloor(ctx.table, settings.group),
+		archive: createProposalArchive(ctx.objects, settings.group),
+		clock: ctx.clock,
+		audit: ctx.audit,
+		metrics: ctx.metrics,
+		signal: ctx.lifeCycle.signal,
+	});
+	return {
+		resume: vote.resume,
+		service: {definition: RankVoteService, implementation: createRankVoteService(ctx, settings, engine, vote)},
+	};
+}
+
 function createRunningAgent(parts: AgentParts, linkAddress: string): RunningAgent {
 	let draining: Promise<DrainReport> | undefined;
 	return {
