Give each link a task of its own module, TLS to the listeners, and a sharper test of a kept claim

Change: link-peer.ts; the daemon hands the TLS material on, operators need a certificate of the authority, callers are served over TLS when callerUrl says https. TLS has no test yet.

--- a/src/daemon/start-role.ts
+++ b/src/daemon/start-role.ts
@@ -48,7 +48,7 @@
 }
 
 async function startEntryRole(ctx: ProcessContext, settings: EntrySettings, secrets: Secrets): Promise<Result<RunningRole, ListenError>> {
-	const entry = await startEntry(ctx, settings, {operatorToken: secrets.operatorToken});
+	const entry = await startEntry(ctx, settings, {operatorToken: secrets.operatorToken, tls: secrets.tls});
 	if (!entry.ok) {
 		return entry;
 	}
--- a/src/entry/__tests__/at-most-once.test.ts
+++ b/src/entry/__tests__/at-most-once.test.ts
@@ -148,6 +148,10 @@
 	}
 
 	const res = await postCall(entries[0], 'van', {...headers, 'Pollenport-Deadline-Ms': '300'});
+	for (const agent of agents) {
+		agent.swallowStarts = 0;
+	}
+
 	const repeat = await postCall(entries[1], 'van', {...headers, 'Pollenport-Deadline-Ms': '800'});
 
 	assert.deepEqual(await readOutcome(res), {outcome: 'unknown', reason: 'deadline'});
--- a/src/entry/entry-peers.ts
+++ b/src/entry/entry-peers.ts
@@ -4,10 +4,12 @@
  * An entry that is about to end tells the others to look at it. The hint itself is not believed: each asks the entry at
  * its listed address.
  */
-import {request} from 'undici';
+import {Buffer} from 'node:buffer';
+import {Agent, request} from 'undici';
 import {z} from 'zod';
 import type {Clock} from '../core/clock.js';
 import type {ConfigVersion, Incarnation, InstanceId} from '../core/ids.js';
+import type {LifeCycle} from '../core/life-cycle.js';
 import type {Instance} from '../ports/instance-list.js';
 import {LEAVING_MEMORY_MILLIS, PEER_TIMEOUT_MILLIS} from './entry-constants.js';
 
@@ -47,13 +49,14 @@
 	clock: Clock;
 	ownState: () => EntryState;
 	instances: () => readonly Instance[];
+	/** Authority of the entries' certificates, PEM; undefined for plain HTTP. */
+	authority: Uint8Array | undefined;
+	lifeCycle: LifeCycle;
 }>;
 
-const TIMEOUTS = {headersTimeout: PEER_TIMEOUT_MILLIS, bodyTimeout: PEER_TIMEOUT_MILLIS} as const;
-
-async function readState(callerUrl: string): Promise<EntryState | undefined> {
+async function readState(dispatcher: Agent, callerUrl: string): Promise<EntryState | undefined> {
 	try {
-		const res = await request(new URL('/v1/entry-state', callerUrl), {...TIMEOUTS, signal: AbortSignal.timeout(PEER_TIMEOUT_MILLIS)});
+		const res = await request(new URL('/v1/entry-state', callerUrl), {dispatcher, signal: AbortSignal.timeout(PEER_TIMEOUT_MILLIS)});
 		const parsed = entryStateSchema.safeParse(await res.body.json());
 		return parsed.success ? parsed.data : undefined;
 	} catch {
@@ -61,10 +64,10 @@
 	}
 }
 
-async function sendHint(callerUrl: string, instanceId: InstanceId): Promise<void> {
+async function sendHint(dispatcher: Agent, callerUrl: string, instanceId: InstanceId): Promise<void> {
 	try {
 		const url = new URL(`/v1/entry-state/${encodeURIComponent(instanceId)}/check`, callerUrl);
-		const res = await request(url, {method: 'POST', ...TIMEOUTS, signal: AbortSignal.timeout(PEER_TIMEOUT_MILLIS)});
+		const res = await request(url, {method: 'POST', dispatcher, signal: AbortSignal.timeout(PEER_TIMEOUT_MILLIS)});
 		await res.body.dump();
 	} catch {
 		// The instance list will tell that entry later.
@@ -72,7 +75,13 @@
 }
 
 /** Creates the view of the other entries. */
-export function createEntryPeers({clock, ownState, instances}: EntryPeersDeps): EntryPeers {
+export function createEntryPeers({clock, ownState, instances, authority, lifeCycle}: EntryPeersDeps): EntryPeers {
+	const dispatcher = new Agent({
+		headersTimeout: PEER_TIMEOUT_MILLIS,
+		bodyTimeout: PEER_TIMEOUT_MILLIS,
+		connect: {timeout: PEER_TIMEOUT_MILLIS, ca: authority && Buffer.from(authority)},
+	});
+	lifeCycle.own('connections to entries', async () => dispatcher.destroy());
 	const leavingSince = new Map<InstanceId, number>();
 	const checking = new Set<InstanceId>();
 
@@ -82,7 +91,7 @@
 
 	async function check(instance: Instance): Promise<void> {
 		checking.add(instance.id);
-		const state = await readState(instance.callerUrl);
+		const state = await readState(dispatcher, instance.callerUrl);
 		checking.delete(instance.id);
 		if (state?.instanceId === instance.id && state.leaving) {
 			leavingSince.set(instance.id, clock.monotonicMillis());
@@ -102,8 +111,8 @@
 			return since !== undefined && clock.monotonicMillis() - since < LEAVING_MEMORY_MILLIS;
 		},
 		async announceLeaving() {
-			await Promise.all(findOthers().map(async other => sendHint(other.callerUrl, ownState().instanceId)));
+			await Promise.all(findOthers().map(async other => sendHint(dispatcher, other.callerUrl, ownState().instanceId)));
 		},
-		readStates: async () => Promise.all(findOthers().map(async instance => ({instance, state: await readState(instance.callerUrl)}))),
+		readStates: async () => Promise.all(findOthers().map(async instance => ({instance, state: await readState(dispatcher, instance.callerUrl)}))),
 	};
 }
--- a/src/entry/http-listener.ts
+++ b/src/entry/http-listener.ts
@@ -16,6 +16,13 @@
 /** What answers requests. */
 export type FetchHandler = (req: Request) => Response | Promise<Response>;
 
+/** Certificate of a listener. */
+export type ListenerTls = Readonly<{
+	material: TlsMaterial;
+	/** Serves only clients with a certificate of the authority. */
+	asksForCertificate: boolean;
+}>;
+
 /** Where and how to listen. */
 export type ListenOptions = Readonly<{
 	name: string;
@@ -23,8 +30,7 @@
 	address: string;
 	clock: Clock;
 	lifeCycle: LifeCycle;
-	/** With it, only clients with a certificate of the authority are served. */
-	mutualTls?: TlsMaterial;
+	tls?: ListenerTls;
 }>;
 
 const LIMITS = {
@@ -33,7 +39,7 @@
 	connectionsCheckingInterval: CONNECTION_CHECK_MILLIS,
 } as const;
 
-function createHttpServer(handler: FetchHandler, tls: TlsMaterial | undefined): Server {
+function createHttpServer(handler: FetchHandler, tls: ListenerTls | undefined): Server {
 	const listener = getRequestListener(handler);
 	const answer = (...args: Parameters<typeof listener>) => {
 		void listener(...args);
@@ -45,17 +51,17 @@
 
 	return createTlsServer({
 		...LIMITS,
-		cert: Buffer.from(tls.certificate),
-		key: Buffer.from(tls.key),
-		ca: Buffer.from(tls.authority),
-		requestCert: true,
-		rejectUnauthorized: true,
+		cert: Buffer.from(tls.material.certificate),
+		key: Buffer.from(tls.material.key),
+		ca: Buffer.from(tls.material.authority),
+		requestCert: tls.asksForCertificate,
+		rejectUnauthorized: tls.asksForCertificate,
 	}, answer);
 }
 
 /** Listens until the life cycle ends; the clean-up lets responses under way finish. The value is the port. */
 export async function listenHttp(handler: FetchHandler, options: ListenOptions): Promise<Result<number, ListenError>> {
-	const server = createHttpServer(handler, options.mutualTls);
+	const server = createHttpServer(handler, options.tls);
 	const separator = options.address.lastIndexOf(':');
 	server.listen(Number(options.address.slice(separator + 1)), options.address.slice(0, separator));
 	try {
--- a/src/entry/link-set.ts
+++ b/src/entry/link-set.ts
@@ -12,7 +12,8 @@
 import {
 	openAgentLink, type AgentLink, type LinkContext, type LinkError,
 } from './agent-link.js';
-import {INSTANCE_POLL_MILLIS, REDIAL_MAX_MILLIS, REDIAL_MIN_MILLIS} from './link-constants.js';
+import {INSTANCE_POLL_MILLIS} from './link-constants.js';
+import {startLinkPeer, type LinkOutcome, type LinkPeer} from './link-peer.js';
 
 /** Where an agent is reached. */
 export type AgentAddress = Readonly<{
@@ -25,7 +26,7 @@
 export type LinkSet = {
 	readonly links: () => readonly AgentLink[];
 	/** An open link to the agent, or else the outcome of the next try to open one, waited for at most `millis`. */
-	readonly connect: (agent: AgentAddress, millis: number) => Promise<Outcome>;
+	readonly connect: (agent: AgentAddress, millis: number) => Promise<LinkOutcome>;
 	/** The instance list as last read; empty until then. */
 	readonly instances: () => readonly Instance[];
 };
@@ -38,13 +39,6 @@
 	random: () => number;
 }>;
 
-type Outcome = Result<AgentLink, LinkError>;
-
-type Peer = {
-	/** Settles with the outcome of the next try to open a link, which begins at once. */
-	readonly nextOutcome: () => Promise<Outcome>;
-};
-
 /** Spreads a mean time over 50 % to 150 % of it. */
 function jitter(millis: number, random: () => number): number {
 	return millis * (0.5 + random());
@@ -55,7 +49,7 @@
 	const {clock} = ctx;
 	const listed = createSnapshotStore<readonly Instance[]>([]);
 	const open = createSnapshotStore<ReadonlyMap<InstanceId, AgentLink>>(new Map());
-	const peers = new Map<InstanceId, Peer>();
+	const peers = new Map<InstanceId, LinkPeer>();
 
 	function publish(agentId: InstanceId, link: AgentLink | undefined): void {
 		open.update(links => {
@@ -70,69 +64,31 @@
 		return listed.read().find(instance => instance.id === agent.agentId)?.linkAddress ?? agent.linkAddress;
 	}
 
-	function isWanted(agentId: InstanceId): boolean {
-		return policy.chooseSubset(listed.read()).some(agent => agent.id === agentId);
-	}
-
-	function ensurePeer(agent: AgentAddress): Peer {
-		const present = peers.get(agent.agentId);
+	function ensurePeer(agent: AgentAddress): LinkPeer {
+		const {agentId} = agent;
+		const present = peers.get(agentId);
 		if (present) {
 			return present;
 		}
 
-		const waiting = createSnapshotStore<ReadonlyArray<(outcome: Outcome) => void>>([]);
-		let wakeUp = new AbortController();
-		const peer: Peer = {
-			nextOutcome: async () => new Promise(resolve => {
-				waiting.update(others => [...others, resolve]);
-				wakeUp.abort();
-			}),
-		};
-
-		function report(outcome: Outcome): void {
-			const settled = waiting.read();
-			waiting.update(() => []);
-			for (const resolve of settled) {
-				resolve(outcome);
-			}
-		}
-
-		async function rest(millis: number): Promise<void> {
-			wakeUp = new AbortController();
-			await clock.sleep(millis, AbortSignal.any([wakeUp.signal, lifeCycle.signal]));
-		}
-
-		peers.set(agent.agentId, peer);
-		void runPeer(agent, report, rest);
+		const peer = startLinkPeer({
+			ctx,
+			agentId,
+			signal: lifeCycle.signal,
+			random: policy.random,
+			findAddress: () => addressOf(agent),
+			isWanted: () => policy.chooseSubset(listed.read()).some(wanted => wanted.id === agentId),
+			publish(link) {
+				publish(agentId, link);
+			},
+			onEnd() {
+				peers.delete(agentId);
+			},
+		});
+		peers.set(agentId, peer);
 		return peer;
 	}
 
-	async function runPeer(agent: AgentAddress, report: (outcome: Outcome) => void, rest: (millis: number) => Promise<void>): Promise<void> {
-		let restMillis = REDIAL_MIN_MILLIS;
-		do {
-			/* eslint-disable no-await-in-loop -- One link after the other. */
-			const opened = await openAgentLink(ctx, addressOf(agent));
-			if (opened.ok) {
-				restMillis = REDIAL_MIN_MILLIS;
-				publish(agent.agentId, opened.value);
-				ctx.observer.onOpen(opened.value.hello);
-				report(opened);
-				await opened.value.closed;
-				publish(agent.agentId, undefined);
-				ctx.observer.onClosed(opened.value.hello);
-			} else {
-				report(opened);
-				restMillis = Math.min(REDIAL_MAX_MILLIS, restMillis * 2);
-			}
-
-			await rest(jitter(restMillis, policy.random));
-			/* eslint-enable no-await-in-loop */
-		} while (!lifeCycle.signal.aborted && isWanted(agent.agentId));
-
-		peers.delete(agent.agentId);
-		report(fail({tag: 'unreachable', detail: `${agent.agentId} is not listed`}));
-	}
-
 	async function pollInstances(): Promise<void> {
 		while (!lifeCycle.signal.aborted) {
 			/* eslint-disable no-await-in-loop -- A poll begins after the one before. */
@@ -177,7 +133,7 @@
 	};
 }
 
-async function withTimeout(clock: Clock, outcome: Promise<Outcome>, millis: number): Promise<Outcome> {
+async function withTimeout(clock: Clock, outcome: Promise<LinkOutcome>, millis: number): Promise<LinkOutcome> {
 	const stop = new AbortController();
 	const timeout = clock.sleep(Math.max(0, millis), stop.signal)
 		.then(() => fail<LinkError>({tag: 'unreachable', detail: 'no link in time'}));
--- a/src/entry/start-entry.ts
+++ b/src/entry/start-entry.ts
@@ -1,5 +1,7 @@
 /** Wiring of the entry role. */
+import type {Configuration} from '../configuration/configuration.js';
 import type {ProcessContext} from '../daemon/process-context.js';
+import type {TlsMaterial} from '../access/link-access.js';
 import {createInFlight} from '../attempts/in-flight.js';
 import {succeed, type Result} from '../core/result.js';
 import {chooseLinkedAgents} from '../decisions/caller-routing/subset.js';
@@ -14,7 +16,7 @@
 import {createClassStatistics} from './class-statistics.js';
 import {createDrain, type DrainReport} from './drain.js';
 import {createEntryPeers} from './entry-peers.js';
-import {listenHttp, type ListenError} from './http-listener.js';
+import {listenHttp, type ListenError, type ListenerTls} from './http-listener.js';
 import {startLinkSet} from './link-set.js';
 import {createOperatorApp} from './operator-app.js';
 
@@ -29,7 +31,7 @@
 }>;
 
 /** Secrets of an entry, read from files by the daemon. */
-export type EntrySecrets = Readonly<{operatorToken: string | undefined}>;
+export type EntrySecrets = Readonly<{operatorToken: string | undefined; tls?: TlsMaterial | undefined}>;
 
 /** Starts the entry; everything it owns ends with the life cycle. */
 export async function startEntry(ctx: ProcessContext, settings: EntrySettings, secrets: EntrySecrets): Promise<Result<RunningEntry, ListenError>> {
@@ -49,7 +51,9 @@
 	});
 	const peers = createEntryPeers({
 		clock,
+		lifeCycle,
 		instances: links.instances,
+		authority: secrets.tls?.authority,
 		ownState: () => ({
 			instanceId, incarnation: ctx.incarnation, configVersion: ctx.configuration.version(), leaving: drain.isLeaving(), inFlight: inFlight.size(),
 		}),
@@ -65,9 +69,7 @@
 	const drain = createDrain({
 		clock, audit: ctx.audit, instanceId, book, peers, inFlight, addressLifetimeMillis: settings.addressLifetimeMillis, drainMillis: settings.drainMillis,
 	});
-	lifeCycle.own('configuration record', ctx.configuration.registerListener(({version, changeId}) => {
-		ctx.audit.append({kind: 'config_in_force', version, changeId}, 'may_drop');
-	}));
+	recordConfigurations(ctx);
 
 	const callers = createCallerApp({
 		dispatch, book, peers, inFlight, maxBodyBytes: settings.maxBodyBytes, isRefusing: drain.isRefusing, isLeaving: drain.isLeaving,
@@ -76,7 +78,7 @@
 		ctx, view: {links, peers, failureDomain}, statistics, operatorToken: secrets.operatorToken,
 	});
 	const listening = await listenHttp(callers.fetch, {
-		name: 'caller listener', address: settings.callerListen, clock, lifeCycle,
+		name: 'caller listener', address: settings.callerListen, clock, lifeCycle, tls: settings.callerUrl.startsWith('https:') ? describeTls(secrets, false) : undefined,
 	});
 	if (!listening.ok) {
 		return listening;
@@ -86,7 +88,7 @@
 		instanceId, weightLoadsPerSecond: settings.weightLoadsPerSecond, planIntervalMillis: settings.planIntervalMillis,
 	});
 	const operating = await listenHttp(operators.fetch, {
-		name: 'operator listener', address: settings.operatorListen, clock, lifeCycle,
+		name: 'operator listener', address: settings.operatorListen, clock, lifeCycle, tls: describeTls(secrets, true),
 	});
 	if (!operating.ok) {
 		return operating;
@@ -106,6 +108,24 @@
 	return agents.filter(agent => linked.has(agent.id));
 }
 
+/** Records each version that is in force here. */
+function recordConfigurations({audit, configuration, lifeCycle}: ProcessContext): void {
+	const record = ({version, changeId}: Configuration) => {
+		audit.append({kind: 'config_in_force', version, changeId}, 'may_drop');
+	};
+
+	const current = configuration.read();
+	if (current) {
+		record(current);
+	}
+
+	lifeCycle.own('configuration record', configuration.registerListener(record));
+}
+
+function describeTls({tls}: EntrySecrets, asksForCertificate: boolean): ListenerTls | undefined {
+	return tls && {material: tls, asksForCertificate};
+}
+
 function describeSelf(settings: EntrySettings): Instance {
 	const {instanceId, region, failureDomain, callerUrl} = settings;
 	return {
