--- a/src/dispatch/dispatch-bound.ts
+++ b/src/dispatch/dispatch-bound.ts
@@ -24,6 +24,7 @@
 import {
 	settleAnswered, settleNotRun, settleUnknown, type Settled,
 } from './settled.js';
+import {takeRetry} from './take-retry.js';
 
 /** The use of a bound key. */
 export type BoundKey = Extract<KeyUse, {tag: 'bound'}>;
@@ -121,15 +122,9 @@
 
 		case 'lost': {
 			progress.lost = [...progress.lost, attemptId];
-			const verdict = ctx.deciders.decideRetry(req, progress.retries);
-			if (verdict.tag === 'give_up') {
-				return settleByProof(ctx, req, {agent, attemptIds: progress.lost}, 'connection_lost');
-			}
-
+			const isAllowed = await takeRetry(ctx, req, {operation: 'bound_attempt', reason: 'connection_lost', retries: progress.retries});
 			progress.retries++;
-			ctx.metrics.retries.inc({operation: 'bound_attempt', reason: 'connection_lost'});
-			await ctx.clock.sleep(verdict.delayMillis);
-			return undefined;
+			return isAllowed ? undefined : settleByProof(ctx, req, {agent, attemptIds: progress.lost}, 'connection_lost');
 		}
 
 		case 'late': {
--- a/src/dispatch/dispatch-repeatable.ts
+++ b/src/dispatch/dispatch-repeatable.ts
@@ -16,6 +16,7 @@
 import {
 	settleAnswered, settleNotRun, settleUnknown, type Settled,
 } from './settled.js';
+import {takeRetry} from './take-retry.js';
 
 /** State of one request over its attempts. */
 type Progress = {
@@ -161,18 +162,10 @@
 	return step === 'retry' && await mayRetry(ctx, req, progress, reason) ? undefined : progress.last;
 }
 
-/** Takes a retry from the budget and waits its backoff out; false when there is none. */
 async function mayRetry(ctx: DispatchContext, req: CallRequest, progress: Progress, reason: string): Promise<boolean> {
-	const verdict = ctx.deciders.decideRetry(req, progress.retries);
-	if (verdict.tag === 'give_up') {
-		ctx.metrics.refusals.inc({reason: `retry_${verdict.reason}`});
-		return false;
-	}
-
+	const isAllowed = await takeRetry(ctx, req, {operation: 'attempt', reason, retries: progress.retries});
 	progress.retries++;
-	ctx.metrics.retries.inc({operation: 'attempt', reason});
-	await ctx.clock.sleep(verdict.delayMillis);
-	return true;
+	return isAllowed;
 }
 
 async function settleLate(ctx: DispatchContext, req: CallRequest, {link, attemptId, progress}: Finished): Promise<Settled> {
--- a/src/entry/__tests__/graceful.test.ts
+++ b/src/entry/__tests__/graceful.test.ts
@@ -2,7 +2,7 @@
 import {test} from 'node:test';
 import {systemClock} from '../../core/system-clock.js';
 import {
-	createWorld, postPrompt, readAddresses, startAgents, startTestEntry, waitFor, type TestEntry,
+	createWorld, postCall, postPrompt, readAddresses, readOutcome, startAgents, startTestEntry, waitFor, type TestEntry,
 } from './entry-harness.js';
 import {answerTokens, type Script} from './fake-agent.js';
 
@@ -34,6 +34,10 @@
 	const cached = postPrompt(entry);
 	await waitFor(() => agent?.starts.length === 2);
 	const second = entry.running.drain();
+	await waitFor(async () => {
+		const refused = await readOutcome(await postCall(entry, 'refresh', {'Pollenport-Class': 'look'}));
+		return refused.reason === 'leaving';
+	});
 	release();
 
 	for (const {events} of await Promise.all([long, cached])) {
