--- a/scripts/run-tests.ts
+++ b/scripts/run-tests.ts
@@ -10,7 +10,7 @@
 import {spec as SpecReporter} from 'node:test/reporters';
 
 /** Longest time one test file may take, in milliseconds. */
-const FILE_TIMEOUT_MILLIS = 300_000;
+const FILE_TIMEOUT_MILLIS = 120_000;
 /** Test files run at once. */
 const CONCURRENCY = 4;
 
