Count failed calls to the platform in one place

Change: the context wraps the stores, the modules no longer count. Ruled out: counting in the adapters, which would bind them to the metrics. A conflict and an object that exists are answers and not counted.

--- a/src/adapters/counted-stores.ts
+++ b/src/adapters/counted-stores.ts
@@ -9,6 +9,9 @@
 
 type Tagged = Readonly<{tag: string}>;
 
+/** Tags of answers that are no fault of the platform. */
+const ANSWER_TAGS: ReadonlySet<string> = new Set(['conflict', 'exists']);
+
 /** Counts the failure of a call, if it is one, by store and tag; gives the result on. */
 async function count<T, E extends Tagged>(
 	store: string,
@@ -16,14 +19,14 @@
 	call: Promise<Result<T, E>>,
 ): Promise<Result<T, E>> {
 	const result = await call;
-	if (!result.ok) {
+	if (!result.ok && !ANSWER_TAGS.has(result.error.tag)) {
 		platformErrors.inc({store, error: result.error.tag});
 	}
 
 	return result;
 }
 
-/** Counts the failed calls to a table service. A conflict counts too, under its own tag. */
+/** Counts the failed calls to a table service; a conflict is none. */
 export function countTableErrors(table: TableStore, metrics: PlatformErrorCounter): TableStore {
 	return {
 		read: async (name, key) => count('table', metrics, table.read(name, key)),
@@ -32,12 +35,12 @@
 	};
 }
 
-/** Counts the failed calls to an object store. */
+/** Counts the failed calls to an object store; an object that exists is none. */
 export function countObjectErrors(objects: ObjectStore, metrics: PlatformErrorCounter): ObjectStore {
 	return {
-		create: async (key, bytes) => count('objects', metrics, objects.create(key, bytes)),
-		read: async key => count('objects', metrics, objects.read(key)),
-		list: async prefix => count('objects', metrics, objects.list(prefix)),
+		create: async (key, bytes) => count('object', metrics, objects.create(key, bytes)),
+		read: async key => count('object', metrics, objects.read(key)),
+		list: async prefix => count('object', metrics, objects.list(prefix)),
 	};
 }
 
--- a/src/agent/watch-leaving.ts
+++ b/src/agent/watch-leaving.ts
@@ -31,12 +31,7 @@
 /** An unreachable list, or one that lacks this instance, changes nothing. */
 async function lookAtInstanceList(ctx: ProcessContext, settings: AgentSettings, leaving: LeavingState): Promise<void> {
 	const listed = await ctx.instances.list();
-	if (!listed.ok) {
-		ctx.metrics.platformErrors.inc({store: 'instance_list', error: listed.error.tag});
-		return;
-	}
-
-	if (listed.value.some(instance => instance.id === settings.instanceId)) {
+	if (listed.ok && listed.value.some(instance => instance.id === settings.instanceId)) {
 		const evidence = {instances: listed.value, plannedStops: []};
 		leaving.setCause('instance_list', isLeaving(evidence, toSubject(settings)));
 	}
--- a/src/audit/audit-writer.ts
+++ b/src/audit/audit-writer.ts
@@ -40,7 +40,6 @@
 		return true;
 	}
 
-	deps.metrics.platformErrors.inc({store: 'object', error: created.error.tag});
 	deps.log.warn('audit records could not be written', {reason: created.error.tag, detail: created.error.detail});
 	return false;
 }
--- a/src/daemon/create-context.ts
+++ b/src/daemon/create-context.ts
@@ -1,3 +1,4 @@
+import {countInstanceListErrors, countObjectErrors, countTableErrors} from '../adapters/counted-stores.js';
 import {createHttpInstanceList} from '../adapters/http-instance-list.js';
 import {createHttpObjectStore} from '../adapters/http-object-store.js';
 import {createHttpTableStore} from '../adapters/http-table-store.js';
@@ -26,7 +27,7 @@
 	const log = createProcessLog({instanceId, incarnation, failureDomain});
 	const metrics = createMetrics();
 	const connect = (baseUrl: string) => ({baseUrl, timeoutMillis: PLATFORM_TIMEOUT_MILLIS, lifeCycle});
-	const objects = createHttpObjectStore(connect(platform.objectUrl));
+	const objects = countObjectErrors(createHttpObjectStore(connect(platform.objectUrl)), metrics);
 	const auditLog = createAuditLog(clock, {instanceId, incarnation, pendingRecords: settings.auditPendingRecords});
 	startAuditWriter({
 		clock, log, metrics, lifeCycle, objects, auditLog, intervalMillis: settings.auditIntervalMillis,
@@ -38,9 +39,9 @@
 		metrics,
 		lifeCycle,
 		audit: auditLog,
-		table: createHttpTableStore(connect(platform.tableUrl)),
+		table: countTableErrors(createHttpTableStore(connect(platform.tableUrl)), metrics),
 		objects,
-		instances: createHttpInstanceList(connect(platform.instanceListUrl)),
+		instances: countInstanceListErrors(createHttpInstanceList(connect(platform.instanceListUrl)), metrics),
 		configuration: createConfigurationHolder(),
 		linkAccess: createLinkAccess(secrets.linkToken, secrets.tls),
 	};
--- a/src/dispatch/dispatch-claimed.ts
+++ b/src/dispatch/dispatch-claimed.ts
@@ -117,7 +117,7 @@
 		.returnType<Step>()
 		.with({tag: 'held'}, ({row}) => ({tag: 'run', row, link}))
 		.with({tag: 'taken'}, ({row}) => ({tag: 'inspect', row}))
-		.with({tag: 'unavailable'}, ({detail}) => done(settleTableUnavailable(ctx, key, detail)))
+		.with({tag: 'unavailable'}, ({detail}) => done(settleTableUnavailable(key, detail)))
 		.exhaustive();
 }
 
@@ -132,7 +132,7 @@
 		.returnType<Step>()
 		.with({tag: 'absent'}, () => done(refusal))
 		.with({tag: 'present'}, ({row}) => ({tag: 'inspect', row}))
-		.with({tag: 'unavailable'}, ({detail}) => done(settleTableUnavailable(ctx, key, detail)))
+		.with({tag: 'unavailable'}, ({detail}) => done(settleTableUnavailable(key, detail)))
 		.exhaustive();
 }
 
@@ -149,8 +149,7 @@
 }
 
 /** Nothing was sent for this claim; whether the key ran before cannot be told without the table. */
-function settleTableUnavailable(ctx: DispatchContext, key: OwnKey, detail: string): Settled {
-	ctx.metrics.platformErrors.inc({store: 'table', error: 'claim'});
+function settleTableUnavailable(key: OwnKey, detail: string): Settled {
 	return key.isFirstUse
 		? settleNotRun('never_sent', '', notRun('table_unavailable', detail, NO_BACKEND_SERVER_RETRY_MILLIS))
 		: settleUnknown('', 'table_unavailable', detail);
--- a/src/entry/link-set.ts
+++ b/src/entry/link-set.ts
@@ -142,8 +142,6 @@
 				for (const agent of policy.chooseSubset(read.value)) {
 					ensurePeer({agentId: agent.id, linkAddress: agent.linkAddress});
 				}
-			} else {
-				ctx.metrics.platformErrors.inc({store: 'instance_list', error: read.error.tag});
 			}
 
 			await clock.sleep(jitter(INSTANCE_POLL_MILLIS, policy.random), lifeCycle.signal);
--- a/src/planner/group-planner.ts
+++ b/src/planner/group-planner.ts
@@ -188,9 +188,6 @@
 			const tokenBefore = lease.currentToken();
 			// eslint-disable-next-line no-await-in-loop
 			const kept = await lease.keep();
-			if (!kept.ok && kept.error.tag !== 'held') {
-				ctx.metrics.platformErrors.inc({store: 'table', error: `lease_${kept.error.tag}`});
-			}
 
 			if (kept.ok && kept.value.fencingToken !== tokenBefore) {
 				log.info('Acquired the lease of the group', {fencingToken: kept.value.fencingToken});
