--- a/src/configuration/__tests__/configuration-sync.test.ts
+++ b/src/configuration/__tests__/configuration-sync.test.ts
@@ -89,6 +89,27 @@
 	teardown();
 });
 
+test('configuration: a new instance while the table is down takes the version of a peer and keeps it when the table is back', async () => {
+	const table = createInMemoryTableStore(hastyClock);
+	const [peer, stalePeer, fresh] = [createConfigurationHolder(), createConfigurationHolder(), createConfigurationHolder()];
+	stalePeer.offer((await accept(table, 'c1'))!);
+	peer.offer((await accept(table, 'c2'))!);
+	table.faults.set({outage: true});
+	const {clock, teardown} = startSync(table, fresh);
+	await settle();
+	assert.equal(fresh.read(), undefined);
+
+	fresh.offer(stalePeer.read()!);
+	fresh.offer(peer.read()!);
+	fresh.offer(stalePeer.read()!);
+	assert.equal(fresh.version(), 2);
+	table.faults.reset();
+	clock.advance(60_000);
+	await settle();
+	assert.deepEqual([fresh.version(), fresh.read()?.changeId], [2, 'c2']);
+	teardown();
+});
+
 test('configuration: the pause doubles with each failure up to its limit and is spread around its mean', () => {
 	const timing = {intervalMillis: 100, maxIntervalMillis: 400};
 	assert.deepEqual([0, 1, 2, 3, 9].map(failures => pollPauseMillis(timing, failures, 0.5)), [100, 200, 400, 400, 400]);
