Close faulty links with a status, and read the floor from the lease's own row

Cause: bytes that are no frame left their stream open for good, since the library drops the status of a stream that it cannot decode; and a link closed while frames were pending lost its status, since the stream's iterator destroys it first. Frames are now decoded with a catch, and read by events.

Cause: the floor was looked up under another key than the planner's lease, and a missing row counted as a known floor of 0. The name is now shared, and a missing row says nothing.

--- a/src/agent/__tests__/start-agent.test.ts
+++ b/src/agent/__tests__/start-agent.test.ts
@@ -1,6 +1,9 @@
 import {Buffer} from 'node:buffer';
 import assert from 'node:assert/strict';
+import {once} from 'node:events';
 import {test, type TestContext} from 'node:test';
+import {Client} from '@grpc/grpc-js';
+import {AgentLinkService} from '../../wire/generated/link.js';
 import {readHandedOverLedger} from '../../ledger/ledger-hand-over.js';
 import {digestKey} from '../../ledger/key-digest.js';
 import {startAgent, type RunningAgent} from '../start-agent.js';
@@ -8,6 +11,9 @@
 import {answerWith, createFakePlainService} from './fake-plain-service.js';
 import {createStart, openLinkProbe} from './link-probe.js';
 
+/** A field number that never ends. */
+const NO_FRAME = Buffer.from([0xFF, 0xFF, 0xFF]);
+
 async function startPlainAgent(t: TestContext, token?: string) {
 	const plain = createFakePlainService();
 	const {ctx, platform} = createFakeContext('run-1', {token});
@@ -190,3 +196,22 @@
 	await plain.end(answerWith('booked'));
 	await good.take('end');
 });
+
+test('link: bytes that are no frame close only the link of their sender', async t => {
+	const {agent, ctx, plain, connect} = await startPlainAgent(t);
+	const good = connect();
+	const client = new Client(agent.linkAddress, ctx.linkAccess.channel, {'grpc.use_local_subchannel_pool': 1});
+	t.after(() => {
+		client.close();
+	});
+	const call = client.makeBidiStreamRequest(AgentLinkService.connect.path, (bytes: typeof NO_FRAME) => bytes, bytes => bytes, ctx.linkAccess.createMetadata());
+	call.on('data', () => undefined);
+	const ended = once(call, 'error');
+	call.write(NO_FRAME);
+	await ended;
+	const counted = await ctx.metrics.rejectedConnections.get();
+	assert.deepEqual(counted.values.map(value => value.labels.reason), ['bad_frame']);
+	good.send(0, {$case: 'start', start: createStart('a1')});
+	await plain.end(answerWith('booked'));
+	await good.take('end');
+});
--- a/src/agent/entry-link.ts
+++ b/src/agent/entry-link.ts
@@ -4,6 +4,7 @@
  * Frames of attempts are served each in a task of its own. When the link ends, streams are cancelled at the engine,
  * while calls to a plain service run on.
  */
+import {on} from 'node:events';
 import {status as grpcStatus} from '@grpc/grpc-js';
 import {match, P} from 'ts-pattern';
 import {createConfigDocument, parseConfigDocument} from '../configuration/configuration-document.js';
@@ -136,7 +137,9 @@
 /** Reads frames until the stream ends, fails or is closed. */
 async function readFrames(link: LinkState): Promise<void> {
 	try {
-		for await (const frame of link.call as AsyncIterable<EntryFrame>) {
+		// The stream's own iterator would destroy it on a failure, before the status behind pending frames is sent.
+		const frames: AsyncIterable<readonly EntryFrame[]> = on(link.call, 'data', {close: ['end', 'close']});
+		for await (const frame of flatten(frames)) {
 			link.noteFrame();
 			compareVersions(link, frame.configVersion);
 			receive(link, frame);
@@ -150,6 +153,12 @@
 	}
 }
 
+async function * flatten(events: AsyncIterable<readonly EntryFrame[]>): AsyncGenerator<EntryFrame, void> {
+	for await (const frames of events) {
+		yield * frames;
+	}
+}
+
 /** Sends the configuration to an entry that is behind, and asks one that is ahead. */
 function compareVersions({parts, channel}: LinkState, entryVersion: ConfigVersion): void {
 	const {configuration} = parts.ctx;
--- a/src/agent/start-agent.ts
+++ b/src/agent/start-agent.ts
@@ -11,7 +11,6 @@
 import {createLedger, createLedgerLimits} from '../ledger/ledger.js';
 import type {AgentSettings} from '../settings/settings.js';
 import type {ModelEngine} from '../ports/model-engine.js';
-import {AgentLinkService} from '../wire/generated/link.js';
 import {RankVoteService} from '../wire/generated/vote.js';
 import type {AgentParts} from './agent-parts.js';
 import {watchBackendLoad} from './backend-load.js';
@@ -20,6 +19,7 @@
 import type {EntryCall} from './entry-channel.js';
 import {serveEntry} from './entry-link.js';
 import {createLeavingState} from './leaving-state.js';
+import {agentLinkDefinition} from './link-definition.js';
 import {openLinkServer, type LinkService, type ListenError} from './link-server.js';
 import {watchLeaving} from './watch-leaving.js';
 
@@ -76,7 +76,7 @@
 /** A call that comes before the parts are there is ended; the entry connects again. */
 function createLinkService(readParts: () => AgentParts | undefined): LinkService {
 	return {
-		definition: AgentLinkService,
+		definition: agentLinkDefinition,
 		implementation: {
 			connect(call: EntryCall) {
 				const parts = readParts();
--- a/src/expert-map/__tests__/rank-group-rig.ts
+++ b/src/expert-map/__tests__/rank-group-rig.ts
@@ -4,6 +4,7 @@
 import type {AuditEvent} from '../../audit/audit-record.js';
 import type {Clock} from '../../core/clock.js';
 import {fail, succeed} from '../../core/result.js';
+import {createGroupLeaseName, LEASE_TABLE} from '../../lease/group-lease-name.js';
 import {createMetrics} from '../../observability/metrics.js';
 import type {TableStore} from '../../ports/table-store.js';
 import type {Proposal} from '../../wire/generated/vote.js';
@@ -79,11 +80,16 @@
 	const store: TableStore = {
 		async read(name, key) {
 			const {fencingToken} = table;
-			return fencingToken === undefined
-				? fail({tag: 'unavailable', detail: 'down'})
-				: succeed({
+			if (fencingToken === undefined) {
+				return fail({tag: 'unavailable', detail: 'down'});
+			}
+
+			const isLease = name === LEASE_TABLE && key === createGroupLeaseName(GROUP);
+			return succeed(isLease
+				? {
 					table: name, key, version: 1, value: {holder: 'entry', fencingToken, writeId: 'w'},
-				});
+				}
+				: undefined);
 		},
 		list: async () => succeed([]),
 		transact: async () => fail({tag: 'unavailable', detail: 'not used'}),
--- a/src/expert-map/fencing-floor.ts
+++ b/src/expert-map/fencing-floor.ts
@@ -4,11 +4,10 @@
  * An agent that has just started knows no floor. It learns it from the row of the group's lease, or from a peer: the
  * vote is unanimous, so every peer has seen the token of every committed proposal.
  */
+import {createGroupLeaseName, LEASE_TABLE} from '../lease/group-lease-name.js';
 import {parseLeaseRow} from '../lease/lease-row.js';
 import type {TableStore} from '../ports/table-store.js';
 
-const LEASE_TABLE = 'leases';
-
 /** The floor of one group. */
 export type FencingFloor = {
 	/** The floor; undefined while it is not known. */
@@ -19,7 +18,7 @@
 	readonly note: (token: number) => void;
 	/** Takes over the floor of a peer; 0 means that it knows none. */
 	readonly learnFromPeer: (floor: number) => void;
-	/** Looks at the row of the lease; an unreachable table changes nothing. */
+	/** Looks at the row of the lease. An unreachable table changes nothing, and neither does a row that is not there. */
 	readonly learnFromTable: () => Promise<void>;
 };
 
@@ -43,14 +42,16 @@
 			}
 		},
 		async learnFromTable() {
-			const row = await table.read(LEASE_TABLE, group);
+			const row = await table.read(LEASE_TABLE, createGroupLeaseName(group));
 			if (!row.ok) {
 				return;
 			}
 
 			const lease = row.value && parseLeaseRow(row.value.value);
-			raise(lease?.fencingToken ?? 0);
-			isKnown = lease !== undefined || row.value === undefined;
+			if (lease) {
+				raise(lease.fencingToken);
+				isKnown = true;
+			}
 		},
 	};
 }
--- a/src/lease/lease.ts
+++ b/src/lease/lease.ts
@@ -3,14 +3,12 @@
 import {createId} from '../core/ids.js';
 import {fail, succeed, type Result} from '../core/result.js';
 import type {Row, TableError, TableStore} from '../ports/table-store.js';
+import {LEASE_TABLE} from './group-lease-name.js';
 import {parseLeaseRow, VACANT_ROW} from './lease-row.js';
 import type {
 	LeaseError, LeaseGrant, LeaseRow, LeaseTiming,
 } from './lease-types.js';
 
-/** Table that holds the rows of leases. */
-const LEASE_TABLE = 'leases';
-
 /**
  * A lease in the table service, as one contender sees it. One task drives it: its calls do not overlap.
  *
--- a/src/planner/group-planner.ts
+++ b/src/planner/group-planner.ts
@@ -3,6 +3,7 @@
 import type {ProcessContext} from '../daemon/process-context.js';
 import {createInitialMap, EMPTY_SLOT} from '../decisions/placement/initial-map.js';
 import type {GroupShape, PlacementPlan} from '../decisions/placement/placement-types.js';
+import {createGroupLeaseName} from '../lease/group-lease-name.js';
 import {createLease, type Lease} from '../lease/lease.js';
 import type {LeaseTiming} from '../lease/lease-types.js';
 import type {InstanceListError} from '../ports/instance-list.js';
@@ -49,7 +50,7 @@
 	const lease = createLease({
 		table: ctx.table,
 		clock,
-		name: `group/${group}`,
+		name: createGroupLeaseName(group),
 		holder: `${options.instanceId}/${createId()}`,
 		timing: deps.leaseTiming ?? GROUP_LEASE_TIMING,
 	});
