--- a/src/expert-map/__tests__/fake-rank-engine.ts
+++ b/src/expert-map/__tests__/fake-rank-engine.ts
@@ -1,8 +1,10 @@
-/** The part of an engine that the vote needs, with steps run by the test. */
+/** The part of an engine that the vote needs, on the agreement of the stand-in, with steps run by the test. */
+import assert from 'node:assert/strict';
 import {match} from 'ts-pattern';
+import {createMapAgreement} from '../../../fakes/engine/map-agreement.js';
 import {fail, succeed, type Result} from '../../core/result.js';
 import type {
-	EngineError, EngineOrder, EngineState, Hold, ModelEngine,
+	EngineError, EngineOrder, EngineState, ModelEngine,
 } from '../../ports/model-engine.js';
 
 const EMPTY_MAP = {layers: []};
@@ -20,76 +22,35 @@
 	done: ReadonlyArray<Readonly<{order: EngineOrder; fencingToken: number}>>;
 }>;
 
-function refuse(reason: string): Result<void, EngineError> {
-	return fail({tag: 'refused', reason});
-}
+const IDLE = {
+	running: 0, queued: 0, ageMillis: 0, stepMillis: 1, tokensPerSecond: 0, tokensPerExpert: [],
+};
 
 export function createFakeRankEngine(checksFencing: boolean): FakeRankEngine {
 	const done: Array<Readonly<{order: EngineOrder; fencingToken: number}>> = [];
-	const released = new Set<number>();
-	const taken = new Set<number>();
-	let groupIncarnation = 'g1';
-	let step = 0;
-	let mapEpoch = 0;
-	let hold: Hold | undefined;
-	let pending: Hold | undefined;
+	const agreement = createMapAgreement(EMPTY_MAP);
+	agreement.restartGroup('g1', 0);
 	let highestToken = 0;
 
-	function placeHold(epoch: number, fromStep: number): Result<void, EngineError> {
-		if (released.has(epoch) || taken.has(epoch)) {
-			return refuse('released');
-		}
-
-		if (fromStep < step) {
-			return refuse('step_past');
-		}
-
-		if (pending ?? (hold && hold.epoch !== epoch)) {
-			return refuse('other_hold');
-		}
-
-		hold = {epoch, fromStep};
-		return succeed(undefined);
-	}
-
-	function placeRelease(epoch: number): Result<void, EngineError> {
-		if (taken.has(epoch)) {
-			return refuse('taken');
-		}
-
-		released.add(epoch);
-		hold = hold?.epoch === epoch ? undefined : hold;
-		return succeed(undefined);
-	}
-
-	function takeMap(epoch: number): Result<void, EngineError> {
-		if (taken.has(epoch)) {
-			return succeed(undefined);
-		}
-
-		if (hold?.epoch !== epoch) {
-			return refuse('no_hold');
-		}
-
-		taken.add(epoch);
-		pending = hold;
-		hold = undefined;
-		return succeed(undefined);
-	}
-
 	function carryOut(order: EngineOrder): Result<void, EngineError> {
 		return match(order)
-			.with({tag: 'hold'}, ({epoch, fromStep}) => placeHold(epoch, fromStep))
-			.with({tag: 'release'}, ({epoch}) => placeRelease(epoch))
-			.with({tag: 'take_map'}, ({epoch}) => takeMap(epoch))
+			.with({tag: 'hold'}, ({epoch, fromStep}) => agreement.hold({epoch, fromStep}))
+			.with({tag: 'release'}, ({epoch}) => agreement.release(epoch))
+			.with({tag: 'take_map'}, ({epoch, map, fromStep}) => agreement.takeMap({epoch, map, fromStep}))
 			.otherwise(() => succeed(undefined));
 	}
 
+	function isBlocked(): boolean {
+		const {hold, nextStep} = agreement.read();
+		return hold !== undefined && hold.fromStep <= nextStep;
+	}
+
 	return {
 		done,
+		isBlocked,
 		order(order, fencingToken) {
 			if (checksFencing && fencingToken < highestToken) {
-				return refuse('old_fencing_token');
+				return fail({tag: 'refused', reason: 'old_fencing_token'});
 			}
 
 			highestToken = Math.max(highestToken, fencingToken);
@@ -100,40 +61,21 @@
 
 			return result;
 		},
-		isBlocked: () => hold !== undefined && hold.fromStep <= step,
 		runStep() {
-			if (pending && pending.fromStep <= step) {
-				mapEpoch = pending.epoch;
-				pending = undefined;
-			}
-
-			step += 1;
-			return mapEpoch;
+			assert.ok(!isBlocked());
+			// A step that nothing forbids begins at once.
+			void agreement.beginStep();
+			return agreement.read().epoch;
 		},
 		restartGroup(incarnation) {
-			groupIncarnation = incarnation;
-			for (const open of [hold, pending]) {
-				if (open) {
-					released.add(open.epoch);
-				}
-			}
-
-			[hold, pending, step, mapEpoch] = [undefined, undefined, 0, 0];
+			agreement.restartGroup(incarnation, 0);
+		},
+		readState() {
+			const {groupIncarnation, nextStep, epoch, map, hold, released} = agreement.read();
+			return {
+				...IDLE, groupIncarnation, step: nextStep, mapEpoch: epoch, map, hold, releasedEpochs: [...released],
+			};
 		},
-		readState: () => ({
-			groupIncarnation,
-			step,
-			mapEpoch,
-			map: EMPTY_MAP,
-			hold,
-			releasedEpochs: [...released],
-			running: 0,
-			queued: 0,
-			ageMillis: 0,
-			stepMillis: 1,
-			tokensPerSecond: 0,
-			tokensPerExpert: [],
-		}),
 	};
 }
 
