Price moves by the favour and by what was loaded lately

A load now has to save a share of the skew that grows with the loads of the last 100 steps (favour skew), or of the excess of the unplanned layout (favour cost); a search that found nothing is not repeated until the skew has grown. Ruled out by trials: a fixed price per load and one in proportion to the unplanned excess for favour skew, both of which failed groups of 4 ranks.

--- a/bench/placement/compare-policies.ts
+++ b/bench/placement/compare-policies.ts
@@ -1,4 +1,5 @@
 import {createInitialMap} from '../../src/decisions/placement/initial-map.js';
+import {createPlacementDecider} from '../../src/decisions/placement/placement-decider.js';
 import type {Favour, PlacementError} from '../../src/decisions/placement/placement-types.js';
 import {succeed, type Result} from '../../src/core/result.js';
 import type {LoadTrace} from '../trace/trace-line.js';
@@ -32,11 +33,16 @@
 		return initialMap;
 	}
 
+	const decider = createPlacementDecider(shape);
+	if (!decider.ok) {
+		return decider;
+	}
+
 	const slowFactors = Array.from({length: ranks}, (_, rank) => rank === slowRank?.rank ? slowRank.factor : 1);
 	const policies = [
 		staticPolicy,
 		createFullRebalancePolicy(options.interval, ranks),
-		createPollenportPolicy(shape, options.favour),
+		createPollenportPolicy(decider.value, options.favour),
 	];
 	return succeed(policies.map(policy => replay(trace, initialMap.value, slowFactors, policy)));
 }
--- a/bench/placement/pollenport-policy.ts
+++ b/bench/placement/pollenport-policy.ts
@@ -1,11 +1,9 @@
-import {createPlacementDecider} from '../../src/decisions/placement/placement-decider.js';
-import type {Favour, GroupShape} from '../../src/decisions/placement/placement-types.js';
+import type {PlacementDecider} from '../../src/decisions/placement/placement-decider.js';
+import type {Favour} from '../../src/decisions/placement/placement-types.js';
 import type {PlacementPolicy} from './placement-policy.js';
 
 /** The project's decider, asked after every step. */
-export function createPollenportPolicy(shape: GroupShape, favour: Favour): PlacementPolicy {
-	const decider = createPlacementDecider(shape);
-
+export function createPollenportPolicy(decider: PlacementDecider, favour: Favour): PlacementPolicy {
 	return {
 		name: 'pollenport',
 		afterStep({layer, tokens, rankTokens, rankTimes, map}) {
--- a/bench/trace-command.ts
+++ b/bench/trace-command.ts
@@ -15,6 +15,7 @@
 	steps: count,
 	'tokens-per-step': count,
 	exponent: z.coerce.number().nonnegative(),
+	'season-steps': count,
 	out: z.string().min(1),
 });
 
@@ -29,11 +30,12 @@
 		steps: {type: 'string', default: '1200'},
 		'tokens-per-step': {type: 'string', default: '65536'},
 		exponent: {type: 'string', default: '1'},
+		'season-steps': {type: 'string', default: '2000'},
 		out: {type: 'string', required: true, description: 'File to write'},
 	},
 	run({args}) {
-		const {out, 'tokens-per-step': tokensPerStep, ...shape} = readOptions(schema, args);
-		const trace = generateTrace({...shape, tokensPerStep});
+		const {out, 'tokens-per-step': tokensPerStep, 'season-steps': seasonSteps, ...shape} = readOptions(schema, args);
+		const trace = generateTrace({...shape, tokensPerStep, seasonSteps});
 		writeFileSync(out, trace.lines.map(line => `${JSON.stringify(line)}\n`).join(''));
 		console.log(JSON.stringify({out, lines: trace.lines.length, experts: trace.experts}));
 	},
--- a/bench/trace/generate-trace.ts
+++ b/bench/trace/generate-trace.ts
@@ -4,8 +4,6 @@
 import type {LoadTrace, TraceLine} from './trace-line.js';
 import type {TraceShape} from './trace-shape.js';
 
-/** Steps of one full season. */
-const SEASON_STEPS = 2000;
 /** Swing of an expert's logarithmic popularity over a season. */
 const SEASON_SWING = 1;
 /** Steps between two sudden changes. */
@@ -45,10 +43,10 @@
 	return shuffle(weights, draw);
 }
 
-function createSeason(base: readonly number[], draw: Draw): Popularity {
+function createSeason(base: readonly number[], seasonSteps: number, draw: Draw): Popularity {
 	const phases = base.map(() => draw() * 2 * Math.PI);
 	return step => base.map((weight, expert) => {
-		const angle = (2 * Math.PI * step / SEASON_STEPS) + (phases[expert] ?? 0);
+		const angle = (2 * Math.PI * step / seasonSteps) + (phases[expert] ?? 0);
 		return weight * Math.exp(SEASON_SWING * Math.sin(angle));
 	});
 }
@@ -83,7 +81,7 @@
 	const base = createZipf(shape, draw);
 	return match(shape.kind)
 		.with('zipf', (): Popularity => () => base)
-		.with('season', () => createSeason(base, draw))
+		.with('season', () => createSeason(base, shape.seasonSteps, draw))
 		.with('step', () => createChanges(base, shape.steps, draw))
 		.with('burst', () => createBurst(base, shape.steps, draw))
 		.exhaustive();
--- a/bench/trace/trace-shape.ts
+++ b/bench/trace/trace-shape.ts
@@ -15,4 +15,6 @@
 	tokensPerStep: number;
 	/** Exponent of the Zipf distribution of popularity. */
 	exponent: number;
+	/** Steps of one full season. */
+	seasonSteps: number;
 }>;
--- /dev/null
+++ b/src/decisions/placement/layer-decider.ts
@@ -0,0 +1,86 @@
+import type {LayerMap} from '../../ports/model-engine.js';
+import {measureRankTimes, measureSkew} from './layer-skew.js';
+import {createLoadTracker} from './load-tracker.js';
+import {planLayer} from './plan-layer.js';
+import {choosePlanTerms} from './plan-terms.js';
+import type {Favour, LayerPlan, LayerState} from './placement-types.js';
+
+/** Steps after which a load counts half as much towards the recent ones. */
+const RECENT_HALF_LIFE_STEPS = 100;
+/** Share of the least saving by which the skew must have grown before a search that found nothing is made again. */
+const RETRY_GROWTH = 0.5;
+/** Observations after which it is made again at the latest. */
+const RETRY_OBSERVATIONS = 64;
+
+/** Decides about one layer. */
+export type LayerDecider = {
+	/** Takes the tokens of each expert over `steps` steps. */
+	readonly observe: (tokens: readonly number[], steps: number) => void;
+	/** A change that pays; undefined when none does. */
+	readonly plan: (req: LayerPlanRequest) => LayerPlan | undefined;
+	readonly readLoads: () => readonly number[];
+};
+
+/** What a layer is planned from besides its load. */
+export type LayerPlanRequest = Readonly<{
+	map: LayerMap;
+	slowFactors: readonly number[];
+	favour: Favour;
+	maxLoads: number;
+}>;
+
+/** A search that found nothing. */
+type Fruitless = Readonly<{skew: number; observations: number}>;
+
+function measureExcess({map, loads, slowFactors}: LayerState): number {
+	return measureSkew(measureRankTimes(map, loads, slowFactors)) - 1;
+}
+
+/** Creates the decider of a layer; `unplanned` is the layout of a group without any plan. */
+export function createLayerDecider(experts: number, unplanned: LayerMap): LayerDecider {
+	const tracker = createLoadTracker(experts);
+	let recentLoads = 0;
+	let observations = 0;
+	let fruitless: Fruitless | undefined;
+
+	function isWorthASearch(excess: number, leastSaving: number): boolean {
+		if (excess < leastSaving) {
+			return false;
+		}
+
+		return !fruitless
+			|| excess > fruitless.skew + (RETRY_GROWTH * leastSaving)
+			|| observations >= fruitless.observations + RETRY_OBSERVATIONS;
+	}
+
+	return {
+		observe(tokens, steps) {
+			tracker.observe(tokens, steps);
+			observations++;
+			recentLoads *= 0.5 ** (steps / RECENT_HALF_LIFE_STEPS);
+		},
+		plan({map, slowFactors, favour, maxLoads}) {
+			if (tracker.isEmpty() || maxLoads < 1) {
+				return undefined;
+			}
+
+			const state = {map, loads: tracker.readLoads(), slowFactors};
+			const terms = choosePlanTerms(favour, {
+				slots: map.slots.length,
+				unplannedExcess: measureExcess({...state, map: unplanned}),
+				recentLoads,
+				maxLoads,
+			});
+			const excess = measureExcess(state);
+			if (!isWorthASearch(excess, terms.leastSaving + terms.skewPerLoad)) {
+				return undefined;
+			}
+
+			const plan = planLayer(state, terms);
+			recentLoads += plan?.loads ?? 0;
+			fruitless = plan ? undefined : {skew: excess, observations};
+			return plan;
+		},
+		readLoads: tracker.readLoads,
+	};
+}
--- a/src/decisions/placement/placement-decider.ts
+++ b/src/decisions/placement/placement-decider.ts
@@ -1,10 +1,9 @@
-import type {Result} from '../../core/result.js';
+import {succeed, type Result} from '../../core/result.js';
 import type {ExpertMap, LayerMap} from '../../ports/model-engine.js';
 import {checkCounts} from './check-counts.js';
-import {createLoadTracker} from './load-tracker.js';
+import {createInitialMap} from './initial-map.js';
+import {createLayerDecider} from './layer-decider.js';
 import {createPaceTracker, type RankPace} from './pace-tracker.js';
-import {planLayer} from './plan-layer.js';
-import {choosePlanTerms} from './plan-terms.js';
 import type {
 	Favour, GroupShape, LayerPlan, PlacementError, PlacementPlan,
 } from './placement-types.js';
@@ -23,47 +22,45 @@
 	readonly readSlowFactors: () => readonly number[];
 };
 
-/** Creates the decider of a group. */
-export function createPlacementDecider(shape: GroupShape): PlacementDecider {
-	const trackers = Array.from({length: shape.layers}, () => createLoadTracker(shape.experts));
-	const paces = createPaceTracker(shape.ranks);
+/** Creates the decider of a group; fails for a group that cannot hold its experts. */
+export function createPlacementDecider(shape: GroupShape): Result<PlacementDecider, PlacementError> {
+	const unplanned = createInitialMap(shape);
+	if (!unplanned.ok) {
+		return unplanned;
+	}
 
-	function decideLayer(layer: number, map: LayerMap, favour: Favour, maxLoads: number): LayerPlan | undefined {
-		const tracker = trackers[layer];
-		if (!tracker || tracker.isEmpty() || maxLoads < 1) {
-			return undefined;
-		}
+	const layers = unplanned.value.layers.map(map => createLayerDecider(shape.experts, map));
+	const paces = createPaceTracker(shape.ranks);
 
-		const state = {map, loads: tracker.readLoads(), slowFactors: paces.readSlowFactors()};
-		return planLayer(state, choosePlanTerms(favour, maxLoads));
+	function planLayer(layer: number, map: LayerMap, favour: Favour, maxLoads: number): LayerPlan | undefined {
+		return layers[layer]?.plan({
+			map, slowFactors: paces.readSlowFactors(), favour, maxLoads,
+		});
 	}
 
-	return {
+	return succeed({
 		observeLoad(layer, tokens, steps) {
 			const checked = checkCounts(layer, tokens, shape.experts);
 			if (checked.ok) {
-				trackers[layer]?.observe(tokens, steps);
+				layers[layer]?.observe(tokens, steps);
 			}
 
 			return checked;
 		},
 		observePaces: paces.observe,
-		planLayer: decideLayer,
+		planLayer,
 		plan(map, favour, maxLoads) {
-			let loadsLeft = maxLoads;
-			const plans = map.layers.map((layerMap, layer) => {
-				const plan = decideLayer(layer, layerMap, favour, loadsLeft);
-				loadsLeft -= plan?.loads ?? 0;
-				return plan;
+			let loads = 0;
+			let isChanged = false;
+			const planned = map.layers.map((layerMap, layer) => {
+				const plan = planLayer(layer, layerMap, favour, maxLoads - loads);
+				loads += plan?.loads ?? 0;
+				isChanged ||= plan !== undefined;
+				return plan?.map ?? layerMap;
 			});
-			if (plans.every(plan => plan === undefined)) {
-				return undefined;
-			}
-
-			const layers = map.layers.map((layerMap, layer) => plans[layer]?.map ?? layerMap);
-			return {map: {layers}, loads: maxLoads - loadsLeft};
+			return isChanged ? {map: {layers: planned}, loads} : undefined;
 		},
-		readLoads: layer => trackers[layer]?.readLoads() ?? [],
+		readLoads: layer => layers[layer]?.readLoads() ?? [],
 		readSlowFactors: paces.readSlowFactors,
-	};
+	});
 }
--- a/src/decisions/placement/plan-terms.ts
+++ b/src/decisions/placement/plan-terms.ts
@@ -1,19 +1,41 @@
 import {match} from 'ts-pattern';
 import type {Favour, PlanTerms} from './placement-types.js';
 
-/** Skew that one load must save where even steps weigh more. */
-const SKEW_PER_LOAD_EVEN = 0.002;
+/** Skew that loading every slot of a layer anew must save where even steps weigh more. */
+const EVEN_SKEW_PER_REFILL = 0.5;
 /** Skew that a plan must save where even steps weigh more. */
-const LEAST_SAVING_EVEN = 0.01;
-/** Skew that one load must save where few moves weigh more. */
-const SKEW_PER_LOAD_CHEAP = 0.01;
-/** Skew that a plan must save where few moves weigh more. */
-const LEAST_SAVING_CHEAP = 0.05;
+const EVEN_LEAST_SAVING = 0.025;
+/** Share of the slots loaded lately at which a further load costs twice as much, where even steps weigh more. */
+const EVEN_BUSY_SHARE = 0.15;
+/** Share of the unplanned layout's excess that loading every slot anew must save where few moves weigh more. */
+const CHEAP_EXCESS_PER_REFILL = 8;
+/** Share of the unplanned layout's excess that a plan must save where few moves weigh more. */
+const CHEAP_LEAST_SAVING = 0.3;
+/** Least excess that the unplanned layout is taken to have. */
+const LEAST_EXCESS = 0.1;
 
-/** When a change pays for a group with this favour. `maxLoads` is what the weight store allows now. */
-export function choosePlanTerms(favour: Favour, maxLoads: number): PlanTerms {
+/** What the terms of a layer depend on. */
+export type TermsInput = Readonly<{
+	slots: number;
+	/** Skew beyond 1 that the layout of a group without any plan would have under the present load. */
+	unplannedExcess: number;
+	/** Loads of the recent past, older ones counting less. */
+	recentLoads: number;
+	/** Largest number of loads that the weight store allows now. */
+	maxLoads: number;
+}>;
+
+/** When a change pays for a group with this favour. */
+export function choosePlanTerms(favour: Favour, input: TermsInput): PlanTerms {
+	const {slots, maxLoads} = input;
 	return match(favour)
-		.with('skew', () => ({skewPerLoad: SKEW_PER_LOAD_EVEN, leastSaving: LEAST_SAVING_EVEN, maxLoads}))
-		.with('cost', () => ({skewPerLoad: SKEW_PER_LOAD_CHEAP, leastSaving: LEAST_SAVING_CHEAP, maxLoads}))
+		.with('skew', () => {
+			const surcharge = (input.recentLoads / (slots * EVEN_BUSY_SHARE)) ** 2;
+			return {skewPerLoad: EVEN_SKEW_PER_REFILL * (1 + surcharge) / slots, leastSaving: EVEN_LEAST_SAVING, maxLoads};
+		})
+		.with('cost', () => {
+			const excess = Math.max(LEAST_EXCESS, input.unplannedExcess);
+			return {skewPerLoad: CHEAP_EXCESS_PER_REFILL * excess / slots, leastSaving: CHEAP_LEAST_SAVING * excess, maxLoads};
+		})
 		.exhaustive();
 }
--- a/src/planner/group-observer.ts
+++ b/src/planner/group-observer.ts
@@ -1,3 +1,4 @@
+import {succeed, type Result} from '../core/result.js';
 import {measureRankTimes, measureRankTokens} from '../decisions/placement/layer-skew.js';
 import {createPlacementDecider, type PlacementDecider} from '../decisions/placement/placement-decider.js';
 import type {GroupShape, PlacementError} from '../decisions/placement/placement-types.js';
@@ -8,7 +9,7 @@
 /** Shows the reports of a group to its decider. */
 export type GroupObserver = {
 	/** Takes the reports of one look and returns the decider that has seen them. */
-	readonly observe: (view: GroupView, shape: GroupShape) => PlacementDecider;
+	readonly observe: (view: GroupView, shape: GroupShape) => Result<PlacementDecider, PlacementError>;
 	/** Largest rank time over the mean, over all layers together. */
 	readonly measureStepSkew: (view: GroupView) => number;
 };
@@ -76,7 +77,12 @@
 	return {
 		observe(view, shape) {
 			const known = memory?.groupIncarnation === view.groupIncarnation && isSameShape(memory.shape, shape) ? memory : undefined;
-			const decider = known?.decider ?? createPlacementDecider(shape);
+			const created = known ? succeed(known.decider) : createPlacementDecider(shape);
+			if (!created.ok) {
+				return created;
+			}
+
+			const decider = created.value;
 			memory = {
 				groupIncarnation: view.groupIncarnation, shape, decider, step: view.step,
 			};
@@ -86,7 +92,7 @@
 				observePaces(decider, view);
 			}
 
-			return decider;
+			return created;
 		},
 		measureStepSkew(view) {
 			const decider = memory?.decider;
--- a/src/planner/group-planner.ts
+++ b/src/planner/group-planner.ts
@@ -114,8 +114,13 @@
 		}
 
 		const decider = observer.observe(view, shape);
+		if (!decider.ok) {
+			log.error('The group cannot be planned', {reason: decider.error.tag});
+			return undefined;
+		}
+
 		metrics.stepSkew.set({group}, observer.measureStepSkew(view));
-		return view.isFresh ? planFirstMap(view, shape) : decider.plan(view.map, favour, pacer.available());
+		return view.isFresh ? planFirstMap(view, shape) : decider.value.plan(view.map, favour, pacer.available());
 	}
 
 	async function propose(view: GroupView, {map, loads}: PlacementPlan, fencingToken: number): Promise<void> {
