--- a/src/decisions/placement/find-change.ts
+++ b/src/decisions/placement/find-change.ts
@@ -6,6 +6,9 @@
 /** Least fall of the potential's root that counts as progress. */
 const LEAST_PROGRESS = 1e-6;
 
+/** Ranks with the shortest times that a change may put load on. */
+const TARGET_RANKS = 32;
+
 /** What the search for a change needs to know besides the layout. */
 export type ChangeRules = Readonly<{
 	/** How many loads more a slot needs when it gets an expert; may be negative. */
@@ -33,12 +36,21 @@
 	return hottest;
 }
 
+/** Ranks that may take load, those with the shortest times. */
+function listTargetRanks(layout: LayerLayout, hottest: number): readonly number[] {
+	return Array.from({length: layout.ranks}, (_, rank) => rank)
+		.filter(rank => rank !== hottest)
+		.toSorted((left, right) => layout.relativeTime(left) - layout.relativeTime(right))
+		.slice(0, TARGET_RANKS);
+}
+
 /**
  * Finds the change that takes most from the hottest rank per load: drops a copy, copies one of its experts into a free
  * or redundant slot of another rank, moves it there, or swaps it.
  */
 export function findChange(layout: LayerLayout, rules: ChangeRules): FoundChange | undefined {
 	const hottest = findHottestRank(layout);
+	const targetRanks = listTargetRanks(layout, hottest);
 	const potentialBefore = layout.potential();
 	const rootBefore = potentialBefore ** (1 / POTENTIAL_EXPONENT);
 	let best: SlotChange | undefined;
@@ -94,7 +106,7 @@
 	}
 
 	function considerRank(slot: number, expert: number, rank: number): void {
-		if (rank === hottest || layout.isHeld(rank, expert)) {
+		if (layout.isHeld(rank, expert)) {
 			return;
 		}
 
@@ -114,7 +126,7 @@
 			consider(slot, EMPTY_SLOT, -1, EMPTY_SLOT);
 		}
 
-		for (let rank = 0; rank < layout.ranks; rank++) {
+		for (const rank of targetRanks) {
 			considerRank(slot, expert, rank);
 		}
 	}
--- a/src/decisions/placement/placement-decider.ts
+++ b/src/decisions/placement/placement-decider.ts
@@ -2,10 +2,11 @@
 import type {ExpertMap, LayerMap} from '../../ports/model-engine.js';
 import {checkCounts} from './check-counts.js';
 import {createInitialMap} from './initial-map.js';
+import {measureRankTimes, measureSkew} from './layer-skew.js';
 import {createLayerDecider} from './layer-decider.js';
 import {createPaceTracker, type RankPace} from './pace-tracker.js';
 import type {
-	Favour, GroupShape, LayerPlan, PlacementError, PlacementPlan,
+	Favour, GroupShape, LayerPlan, PlacementError,
 } from './placement-types.js';
 
 /** Decides when and how the expert map of one group changes. Keeps the load it was shown; has no other effect. */
@@ -15,8 +16,8 @@
 	readonly observePaces: (paces: readonly RankPace[]) => void;
 	/** Change of one layer that pays; undefined when none does. */
 	readonly planLayer: (layer: number, map: LayerMap, favour: Favour, maxLoads: number) => LayerPlan | undefined;
-	/** Change of all layers that pays, with at most `maxLoads` loads in all; undefined when none does. */
-	readonly plan: (map: ExpertMap, favour: Favour, maxLoads: number) => PlacementPlan | undefined;
+	/** Layers from the most to the least uneven one. */
+	readonly orderLayers: (map: ExpertMap) => readonly number[];
 	/** Expected tokens of each expert of a layer in a step. */
 	readonly readLoads: (layer: number) => readonly number[];
 	readonly readSlowFactors: () => readonly number[];
@@ -38,6 +39,10 @@
 		});
 	}
 
+	function measureExcess(layer: number, map: LayerMap): number {
+		return measureSkew(measureRankTimes(map, layers[layer]?.readLoads() ?? [], paces.readSlowFactors()));
+	}
+
 	return succeed({
 		observeLoad(layer, tokens, steps) {
 			const checked = checkCounts(layer, tokens, shape.experts);
@@ -49,17 +54,10 @@
 		},
 		observePaces: paces.observe,
 		planLayer,
-		plan(map, favour, maxLoads) {
-			let loads = 0;
-			let isChanged = false;
-			const planned = map.layers.map((layerMap, layer) => {
-				const plan = planLayer(layer, layerMap, favour, maxLoads - loads);
-				loads += plan?.loads ?? 0;
-				isChanged ||= plan !== undefined;
-				return plan?.map ?? layerMap;
-			});
-			return isChanged ? {map: {layers: planned}, loads} : undefined;
-		},
+		orderLayers: map => map.layers
+			.map((layerMap, layer) => ({layer, excess: measureExcess(layer, layerMap)}))
+			.toSorted((left, right) => right.excess - left.excess)
+			.map(({layer}) => layer),
 		readLoads: layer => layers[layer]?.readLoads() ?? [],
 		readSlowFactors: paces.readSlowFactors,
 	});
--- a/src/planner/group-planner.ts
+++ b/src/planner/group-planner.ts
@@ -20,6 +20,7 @@
 	FIRST_MAP_SIGHTINGS, GROUP_LEASE_TIMING, LEASE_RENEWAL_MILLIS, LOAD_BURST_INTERVALS, OUTCOME_TIMEOUT_MILLIS,
 	STALE_REPORT_INTERVALS,
 } from './planner-constants.js';
+import {planGroup} from './plan-group.js';
 import type {GroupPlannerOptions} from './planner-options.js';
 import type {RankPeers} from './rank-peers.js';
 
@@ -106,7 +107,7 @@
 		return {map: map.value, loads: countCopiesOfMap(map.value)};
 	}
 
-	function plan(view: GroupView): PlacementPlan | undefined {
+	async function plan(view: GroupView): Promise<PlacementPlan | undefined> {
 		const shape = findGroupShape(view);
 		const favour = ctx.configuration.read()?.targets.groups.find(({name}) => name === group)?.favour;
 		if (!shape || !favour) {
@@ -120,7 +121,7 @@
 		}
 
 		metrics.stepSkew.set({group}, observer.measureStepSkew(view));
-		return view.isFresh ? planFirstMap(view, shape) : decider.value.plan(view.map, favour, pacer.available());
+		return view.isFresh ? planFirstMap(view, shape) : planGroup(decider.value, view.map, favour, pacer.available());
 	}
 
 	async function propose(view: GroupView, {map, loads}: PlacementPlan, fencingToken: number): Promise<void> {
@@ -154,7 +155,7 @@
 			return;
 		}
 
-		const placementPlan = plan(view.value);
+		const placementPlan = await plan(view.value);
 		const token = lease.currentToken();
 		if (placementPlan && token !== undefined) {
 			await propose(view.value, placementPlan, token);
