Serve accounts within their share by due time and let entries' limits become equal

Change: admission orders and engines get one priority, requests within a share go by due time, the limit grows by its square root, the margin of a class follows its late answers.

--- a/bench/load/admission-run.ts
+++ b/bench/load/admission-run.ts
@@ -4,7 +4,16 @@
 import type {AdmissionPolicy} from './admission-policies.js';
 import {workClasses, type AdmissionScenario} from './admission-scenario.js';
 import {
-	computeClassFigures, computeFirstReturnShare, computeGoodput, computeRefusalWaitP99, computeRefusedShare, computeRetryAfterSeconds, computeReturnDispersion, type ClassFigures, type TryRecord,
+	computeClassFigures,
+	computeFirstReturnShare,
+	computeGoodput,
+	computeRefusalWaitP99,
+	computeRefusedOnArrivalShare,
+	computeRefusedShare,
+	computeRetryAfterSeconds,
+	computeReturnDispersion,
+	type ClassFigures,
+	type TryRecord,
 } from './admission-tally.js';
 import {drawExponential} from './distributions.js';
 import {drawOutputTokens, drawPromptTokens, ENGINES} from './measure-capacity.js';
@@ -31,6 +40,7 @@
 	returnDispersion: number;
 	/** 5th, 50th and 95th percentile. */
 	retryAfterSeconds: readonly number[];
+	refusedOnArrivalShare: number;
 	refusalWaitMillisP99: number;
 }>;
 
@@ -144,7 +154,8 @@
 		prefixTokens: 0,
 		promptTokens: caller.promptTokens,
 		outputTokens: caller.outputTokens,
-		priority: caller.workClass.priority,
+		// Admission has put the requests in order; the engines' own strict order would starve the lowest class.
+		priority: 0,
 		onFirstToken() {
 			const ttftMillis = loop.nowMillis() - arrivedAtMillis;
 			admitted.noteFirstByte();
@@ -216,6 +227,7 @@
 		firstReturnServedShare: computeFirstReturnShare(records),
 		returnDispersion: computeReturnDispersion(records, scenario.runMillis / 2, scenario.runMillis),
 		retryAfterSeconds: computeRetryAfterSeconds(records),
+		refusedOnArrivalShare: computeRefusedOnArrivalShare(records),
 		refusalWaitMillisP99: computeRefusalWaitP99(records),
 	};
 }
--- a/bench/load/admission-tally.ts
+++ b/bench/load/admission-tally.ts
@@ -80,7 +80,12 @@
 	return round(mean(squares) / 2 / Math.max(1e-9, mean(bins)), 2);
 }
 
-/** Longest time that a request waited before it was refused. */
+/** Share of the refusals that came without any wait. */
+export function computeRefusedOnArrivalShare(records: readonly TryRecord[]): number {
+	return round(shareOf(records.filter(record => isRefused(record)), record => record.result.tag === 'refused' && record.result.waitedMillis === 0), 3);
+}
+
+/** 99th percentile of the time that a request waited before it was refused, in milliseconds. */
 export function computeRefusalWaitP99(records: readonly TryRecord[]): number {
 	return round(quantile(records.flatMap(record => record.result.tag === 'refused' ? [record.result.waitedMillis] : []), 0.99), 0);
 }
--- a/src/decisions/admission/concurrency-limit.ts
+++ b/src/decisions/admission/concurrency-limit.ts
@@ -5,13 +5,13 @@
 /** Requests in flight that are always allowed. */
 const MIN_LIMIT = 4;
 /** Requests queued at the backend servers over those running, above which the limit goes down. */
-const MAX_QUEUED_SHARE = 0.01;
+const MAX_QUEUED_SHARE = 0.02;
 /** Part of the queued share by which the limit goes down. */
 const DECREASE_PART = 0.5;
 /** Smallest factor of one decrease. */
 const MIN_DECREASE_FACTOR = 0.6;
-/** Factor on the limit when it was reached and few queue. */
-const INCREASE_FACTOR = 1.05;
+/** Part of the limit's square root that is added when the limit was reached and few queue. */
+const INCREASE_PART = 0.4;
 /** The same as long as no backend server has ever reported a queue. */
 const START_INCREASE_FACTOR = 1.3;
 /** Shortest time between two changes of the limit. */
@@ -20,8 +20,8 @@
 const HOLD_WEIGHT = 0.02;
 
 /**
- * Requests of one service that this entry may have in flight, learnt from the backend servers' queues: additive changes in
- * proportion, so that entries which share the backend servers come to equal limits.
+ * Requests of one service that this entry may have in flight, learnt from the queues of the backend servers. It grows by less
+ * than in proportion and shrinks in proportion, so that entries which share the backend servers come to equal limits.
  */
 export type ConcurrencyLimit = Readonly<{
 	/** Whether one more request may be dispatched. */
@@ -45,27 +45,28 @@
 
 	const readLimit = () => limit ?? INITIAL_PER_BACKEND_SERVER;
 
-	function chooseFactor(load: ServiceLoad): number {
+	function increase(): number {
+		return hasSeenQueue ? readLimit() + (Math.sqrt(readLimit()) * INCREASE_PART) : readLimit() * START_INCREASE_FACTOR;
+	}
+
+	function decrease(queuedShare: number): number {
+		hasSeenQueue = true;
+		return readLimit() * Math.max(MIN_DECREASE_FACTOR, 1 - (queuedShare * DECREASE_PART));
+	}
+
+	function chooseLimit(load: ServiceLoad): number {
 		const queuedShare = load.queued / Math.max(1, load.running);
 		if (queuedShare > MAX_QUEUED_SHARE) {
-			hasSeenQueue = true;
-			return Math.max(MIN_DECREASE_FACTOR, 1 - (queuedShare * DECREASE_PART));
+			return decrease(queuedShare);
 		}
 
-		return wasReached ? chooseIncrease() : 1;
-	}
-
-	function chooseIncrease(): number {
-		return hasSeenQueue ? INCREASE_FACTOR : START_INCREASE_FACTOR;
+		return wasReached ? increase() : readLimit();
 	}
 
 	function change(load: ServiceLoad, nowMillis: number): void {
-		const factor = chooseFactor(load);
-		if (factor !== 1) {
-			limit = Math.max(MIN_LIMIT, readLimit() * factor);
-			changedAtMillis = nowMillis;
-		}
-
+		const before = readLimit();
+		limit = Math.max(MIN_LIMIT, chooseLimit(load));
+		changedAtMillis = limit === before ? changedAtMillis : nowMillis;
 		wasReached = false;
 	}
 
--- a/src/decisions/admission/fair-shares.ts
+++ b/src/decisions/admission/fair-shares.ts
@@ -30,6 +30,8 @@
 	noteAdmitted: (account: AccountName, nowMillis: number) => void;
 	/** Where a request stands against the fair share of its account. */
 	readStanding: (account: AccountName, priority: number, nowMillis: number) => ShareStanding;
+	/** Whether any other account has asked for anything lately. */
+	hasOthers: (account: AccountName) => boolean;
 	/** Requests admitted lately, a millisecond. */
 	readAdmittedRate: (account: AccountName, nowMillis: number) => number;
 }>;
@@ -138,6 +140,7 @@
 
 			return isCovered(usage, priority, limit, nowMillis) ? 1 : 2;
 		},
+		hasOthers: account => usages.size > (usages.has(account) ? 1 : 0),
 		readAdmittedRate: (account, nowMillis) => readRate(read(account).admitted, nowMillis, RATE_TIME_CONSTANT_MILLIS),
 	};
 }
--- a/src/decisions/admission/rank-demand.ts
+++ b/src/decisions/admission/rank-demand.ts
@@ -14,9 +14,13 @@
 	priority: number;
 }>;
 
-/** Compares ranks; negative when `left` is served first. */
+/**
+ * Compares ranks; negative when `left` is served first. Priorities do not count between accounts within their shares: their
+ * requests all fit, and which is due first decides.
+ */
 export function compareRanks(left: ServiceRank, right: ServiceRank): number {
-	return left.standing - right.standing || right.priority - left.priority;
+	const byStanding = left.standing - right.standing;
+	return byStanding === 0 && left.standing > 0 ? right.priority - left.priority : byStanding;
 }
 
 /** Arrivals lately by rank. */
--- a/src/decisions/admission/service-lane.ts
+++ b/src/decisions/admission/service-lane.ts
@@ -1,5 +1,6 @@
 import type {Clock} from '../../core/clock.js';
 import type {Teardown} from '../../core/teardown.js';
+import type {WorkClass} from '../../targets/targets.js';
 import type {RandomSource} from '../random.js';
 import type {
 	AdmissionDecision, AdmissionRequest, Admitted, RefusalReason, ServiceLoad,
@@ -32,11 +33,11 @@
 
 type RankedWaiter = Readonly<{waiter: Waiter; rank: ServiceRank; admittedRate: number}>;
 
-/** Order of service: by rank; beyond the share, the account that had least; then first come, first served. */
+/** Order of service: by rank; beyond the share, the account that had least; then whichever is due first. */
 function compareRanked(left: RankedWaiter, right: RankedWaiter): number {
 	return compareRanks(left.rank, right.rank)
 		|| (left.rank.standing === 2 ? left.admittedRate - right.admittedRate : 0)
-		|| left.waiter.arrivedAtMillis - right.waiter.arrivedAtMillis;
+		|| left.waiter.dueMillis - right.waiter.dueMillis;
 }
 
 /** Creates the lane of one service. */
@@ -49,14 +50,14 @@
 	let waiting: readonly Waiter[] = [];
 
 	/** Backend servers honour priorities, so each class has an estimate of its own. */
-	function readFirstByte(workClass: string): FirstByteEstimate {
-		const known = firstBytes.get(workClass);
+	function readFirstByte(workClass: WorkClass): FirstByteEstimate {
+		const known = firstBytes.get(workClass.name);
 		if (known) {
 			return known;
 		}
 
-		const estimate = createFirstByteEstimate();
-		firstBytes.set(workClass, estimate);
+		const estimate = createFirstByteEstimate(workClass.lateShare);
+		firstBytes.set(workClass.name, estimate);
 		return estimate;
 	}
 
@@ -80,7 +81,7 @@
 		return rate > 0 ? (ahead + 1) / rate : Infinity;
 	}
 
-	function createAdmitted(workClass: string, dispatchedAtMillis: number): Admitted {
+	function createAdmitted({req, dueMillis}: Waiter, dispatchedAtMillis: number): Admitted {
 		let hasFirstByte = false;
 		let isReleased = false;
 		return {
@@ -89,7 +90,7 @@
 				if (!hasFirstByte) {
 					hasFirstByte = true;
 					const nowMillis = clock.monotonicMillis();
-					readFirstByte(workClass).note(nowMillis - dispatchedAtMillis, nowMillis);
+					readFirstByte(req.workClass).note(nowMillis - dispatchedAtMillis, nowMillis > dueMillis, nowMillis);
 				}
 			},
 			release() {
@@ -105,7 +106,7 @@
 	function dispatch(waiter: Waiter, nowMillis: number): void {
 		limit.noteDispatched();
 		shares.noteAdmitted(waiter.req.account, nowMillis);
-		waiter.decide(createAdmitted(waiter.req.workClass.name, nowMillis));
+		waiter.decide(createAdmitted(waiter, nowMillis));
 	}
 
 	function dispatchNext(): void {
@@ -120,11 +121,12 @@
 	}
 
 	function chooseReason(waiter: Waiter, nowMillis: number): RefusalReason {
-		if (waiter.req.remainingMillis < readFirstByte(waiter.req.workClass.name).read(nowMillis)) {
+		if (waiter.req.remainingMillis < readFirstByte(waiter.req.workClass).read(nowMillis)) {
 			return 'deadline';
 		}
 
-		return readRank(waiter.req, nowMillis).standing === 0 ? 'overload' : 'fair_share';
+		const isOver = readRank(waiter.req, nowMillis).standing > 0;
+		return isOver && shares.hasOthers(waiter.req.account) ? 'fair_share' : 'overload';
 	}
 
 	function refuse(waiter: Waiter, nowMillis: number): void {
@@ -138,7 +140,7 @@
 		const hopeless: Waiter[] = [];
 		for (const {waiter, rank} of rankWaiting(nowMillis)) {
 			const waitMillis = estimateWaitMillis(rank, kept.length, nowMillis);
-			const isLate = nowMillis + waitMillis + readFirstByte(waiter.req.workClass.name).read(nowMillis) > waiter.dueMillis;
+			const isLate = nowMillis + waitMillis + readFirstByte(waiter.req.workClass).read(nowMillis) > waiter.dueMillis;
 			(isLate || kept.length >= MAX_WAITING ? hopeless : kept).push(waiter);
 		}
 
