--- a/src/decisions/placement/placement-decider.ts
+++ b/src/decisions/placement/placement-decider.ts
@@ -1,12 +1,12 @@
-import type {Result} from '../../core/result.js';
+import {succeed, type Result} from '../../core/result.js';
 import type {ExpertMap, LayerMap} from '../../ports/model-engine.js';
 import {checkCounts} from './check-counts.js';
-import {createLoadTracker} from './load-tracker.js';
+import {createInitialMap} from './initial-map.js';
+import {measureRankTimes, measureSkew} from './layer-skew.js';
+import {createLayerDecider} from './layer-decider.js';
 import {createPaceTracker, type RankPace} from './pace-tracker.js';
-import {planLayer} from './plan-layer.js';
-import {choosePlanTerms} from './plan-terms.js';
 import type {
-	Favour, GroupShape, LayerPlan, PlacementError, PlacementPlan,
+	Favour, GroupShape, LayerPlan, PlacementError,
 } from './placement-types.js';
 
 /** Decides when and how the expert map of one group changes. Keeps the load it was shown; has no other effect. */
@@ -16,54 +16,49 @@
 	readonly observePaces: (paces: readonly RankPace[]) => void;
 	/** Change of one layer that pays; undefined when none does. */
 	readonly planLayer: (layer: number, map: LayerMap, favour: Favour, maxLoads: number) => LayerPlan | undefined;
-	/** Change of all layers that pays, with at most `maxLoads` loads in all; undefined when none does. */
-	readonly plan: (map: ExpertMap, favour: Favour, maxLoads: number) => PlacementPlan | undefined;
+	/** Layers from the most to the least uneven one. */
+	readonly orderLayers: (map: ExpertMap) => readonly number[];
 	/** Expected tokens of each expert of a layer in a step. */
 	readonly readLoads: (layer: number) => readonly number[];
 	readonly readSlowFactors: () => readonly number[];
 };
 
-/** Creates the decider of a group. */
-export function createPlacementDecider(shape: GroupShape): PlacementDecider {
-	const trackers = Array.from({length: shape.layers}, () => createLoadTracker(shape.experts));
+/** Creates the decider of a group; fails for a group that cannot hold its experts. */
+export function createPlacementDecider(shape: GroupShape): Result<PlacementDecider, PlacementError> {
+	const unplanned = createInitialMap(shape);
+	if (!unplanned.ok) {
+		return unplanned;
+	}
+
+	const layers = unplanned.value.layers.map(map => createLayerDecider(shape.experts, map));
 	const paces = createPaceTracker(shape.ranks);
 
-	function decideLayer(layer: number, map: LayerMap, favour: Favour, maxLoads: number): LayerPlan | undefined {
-		const tracker = trackers[layer];
-		if (!tracker || tracker.isEmpty() || maxLoads < 1) {
-			return undefined;
-		}
+	function planLayer(layer: number, map: LayerMap, favour: Favour, maxLoads: number): LayerPlan | undefined {
+		return layers[layer]?.plan({
+			map, slowFactors: paces.readSlowFactors(), favour, maxLoads,
+		});
+	}
 
-		const state = {map, loads: tracker.readLoads(), slowFactors: paces.readSlowFactors()};
-		return planLayer(state, choosePlanTerms(favour, maxLoads));
+	function measureExcess(layer: number, map: LayerMap): number {
+		return measureSkew(measureRankTimes(map, layers[layer]?.readLoads() ?? [], paces.readSlowFactors()));
 	}
 
-	return {
+	return succeed({
 		observeLoad(layer, tokens, steps) {
 			const checked = checkCounts(layer, tokens, shape.experts);
 			if (checked.ok) {
-				trackers[layer]?.observe(tokens, steps);
+				layers[layer]?.observe(tokens, steps);
 			}
 
 			return checked;
 		},
 		observePaces: paces.observe,
-		planLayer: decideLayer,
-		plan(map, favour, maxLoads) {
-			let loadsLeft = maxLoads;
-			const plans = map.layers.map((layerMap, layer) => {
-				const plan = decideLayer(layer, layerMap, favour, loadsLeft);
-				loadsLeft -= plan?.loads ?? 0;
-				return plan;
-			});
-			if (plans.every(plan => plan === undefined)) {
-				return undefined;
-			}
-
-			const layers = map.layers.map((layerMap, layer) => plans[layer]?.map ?? layerMap);
-			return {map: {layers}, loads: maxLoads - loadsLeft};
-		},
-		readLoads: layer => trackers[layer]?.readLoads() ?? [],
+		planLayer,
+		orderLayers: map => map.layers
+			.map((layerMap, layer) => ({layer, excess: measureExcess(layer, layerMap)}))
+			.toSorted((left, right) => right.excess - left.excess)
+			.map(({layer}) => layer),
+		readLoads: layer => layers[layer]?.readLoads() ?? [],
 		readSlowFactors: paces.readSlowFactors,
-	};
+	});
 }
--- a/src/dispatch/dispatch-claimed.ts
+++ b/src/dispatch/dispatch-claimed.ts
@@ -71,7 +71,7 @@
 		.returnType<ClaimedStep>()
 		.with({tag: 'held'}, ({row}) => ({tag: 'run', row, link}))
 		.with({tag: 'taken'}, ({row}) => ({tag: 'inspect', row}))
-		.with({tag: 'unavailable'}, ({detail}) => done(settleTableUnavailable(ctx, key, detail)))
+		.with({tag: 'unavailable'}, ({detail}) => done(settleTableUnavailable(key, detail)))
 		.exhaustive();
 }
 
@@ -86,7 +86,7 @@
 		.returnType<ClaimedStep>()
 		.with({tag: 'absent'}, () => done(refusal))
 		.with({tag: 'present'}, ({row}) => ({tag: 'inspect', row}))
-		.with({tag: 'unavailable'}, ({detail}) => done(settleTableUnavailable(ctx, key, detail)))
+		.with({tag: 'unavailable'}, ({detail}) => done(settleTableUnavailable(key, detail)))
 		.exhaustive();
 }
 
@@ -103,8 +103,7 @@
 }
 
 /** Nothing was sent for this claim; whether the key ran before cannot be told without the table. */
-function settleTableUnavailable(ctx: DispatchContext, key: OwnKey, detail: string): Settled {
-	ctx.metrics.platformErrors.inc({store: 'table', error: 'claim'});
+function settleTableUnavailable(key: OwnKey, detail: string): Settled {
 	return key.isFirstUse
 		? settleNotRun('never_sent', '', notRun('table_unavailable', detail, NO_BACKEND_SERVER_RETRY_MILLIS))
 		: settleUnknown('', 'table_unavailable', detail);
--- a/src/planner/group-planner.ts
+++ b/src/planner/group-planner.ts
@@ -3,6 +3,7 @@
 import type {ProcessContext} from '../daemon/process-context.js';
 import {createInitialMap, EMPTY_SLOT} from '../decisions/placement/initial-map.js';
 import type {GroupShape, PlacementPlan} from '../decisions/placement/placement-types.js';
+import {createGroupLeaseName} from '../lease/group-lease-name.js';
 import {createLease, type Lease} from '../lease/lease.js';
 import type {LeaseTiming} from '../lease/lease-types.js';
 import type {InstanceListError} from '../ports/instance-list.js';
@@ -20,6 +21,7 @@
 	FIRST_MAP_SIGHTINGS, GROUP_LEASE_TIMING, LEASE_RENEWAL_MILLIS, LOAD_BURST_INTERVALS, OUTCOME_TIMEOUT_MILLIS,
 	STALE_REPORT_INTERVALS,
 } from './planner-constants.js';
+import {planGroup} from './plan-group.js';
 import type {GroupPlannerOptions} from './planner-options.js';
 import type {RankPeers} from './rank-peers.js';
 
@@ -49,7 +51,7 @@
 	const lease = createLease({
 		table: ctx.table,
 		clock,
-		name: `group/${group}`,
+		name: createGroupLeaseName(group),
 		holder: `${options.instanceId}/${createId()}`,
 		timing: deps.leaseTiming ?? GROUP_LEASE_TIMING,
 	});
@@ -106,7 +108,7 @@
 		return {map: map.value, loads: countCopiesOfMap(map.value)};
 	}
 
-	function plan(view: GroupView): PlacementPlan | undefined {
+	async function plan(view: GroupView): Promise<PlacementPlan | undefined> {
 		const shape = findGroupShape(view);
 		const favour = ctx.configuration.read()?.targets.groups.find(({name}) => name === group)?.favour;
 		if (!shape || !favour) {
@@ -114,8 +116,13 @@
 		}
 
 		const decider = observer.observe(view, shape);
+		if (!decider.ok) {
+			log.error('The group cannot be planned', {reason: decider.error.tag});
+			return undefined;
+		}
+
 		metrics.stepSkew.set({group}, observer.measureStepSkew(view));
-		return view.isFresh ? planFirstMap(view, shape) : decider.plan(view.map, favour, pacer.available());
+		return view.isFresh ? planFirstMap(view, shape) : planGroup(decider.value, view.map, favour, pacer.available());
 	}
 
 	async function propose(view: GroupView, {map, loads}: PlacementPlan, fencingToken: number): Promise<void> {
@@ -149,7 +156,7 @@
 			return;
 		}
 
-		const placementPlan = plan(view.value);
+		const placementPlan = await plan(view.value);
 		const token = lease.currentToken();
 		if (placementPlan && token !== undefined) {
 			await propose(view.value, placementPlan, token);
@@ -188,9 +195,6 @@
 			const tokenBefore = lease.currentToken();
 			// eslint-disable-next-line no-await-in-loop
 			const kept = await lease.keep();
-			if (!kept.ok && kept.error.tag !== 'held') {
-				ctx.metrics.platformErrors.inc({store: 'table', error: `lease_${kept.error.tag}`});
-			}
 
 			if (kept.ok && kept.value.fencingToken !== tokenBefore) {
 				log.info('Acquired the lease of the group', {fencingToken: kept.value.fencingToken});
