Repeat an engine's calls to its group when they get no answer

Cause: an engine waited without limit for its group, so one silent connection stopped the group for good, a restart included: the new case 'open connections gone silent' did not end within 100 s. Change: after 2 s without an answer the call is repeated on another connection; arrivals may be repeated. Shown by: npm test -- fakes/__tests__/rank, 6 passed (the case takes about 5 s); with every third reply lost each step still runs once.

--- a/fakes/__tests__/rank-group.test.ts
+++ b/fakes/__tests__/rank-group.test.ts
@@ -8,6 +8,7 @@
 import type {EngineOrder, EngineState, ModelEngine} from '../../src/ports/model-engine.js';
 import {DEFAULT_ENGINE_OPTIONS, type EngineOptions} from '../engine/engine-options.js';
 import {createInitialMap} from '../engine/expert-shape.js';
+import type {FaultChange} from '../faults/fault-switches.js';
 import type {StandIn} from '../http/stand-in.js';
 import {createModelEngine} from '../model-engine.js';
 import {createRankGroup} from '../rank-group.js';
@@ -28,6 +29,8 @@
 	mixedSteps: z.array(z.object({step: z.number(), epochs: z.array(z.number())})),
 	switches: z.array(z.object({epoch: z.number(), firstStep: z.number()})),
 	restarts: z.number(),
+	steps: z.number(),
+	step: z.number(),
 });
 
 async function startEngine(lifeCycle: LifeCycle, options: Partial<EngineOptions>) {
@@ -141,3 +144,19 @@
 	const {restarts, mixedSteps} = await readRecords(group.url, recordsSchema);
 	assert.deepEqual([restarts, mixedSteps], [2, []]);
 });
+
+const groupFaults: ReadonlyArray<Readonly<{name: string; faults: FaultChange}>> = [
+	{name: 'every third reply lost', faults: {replyLostShare: 1 / 3}},
+	{name: 'open connections gone silent', faults: {silenceOpenConnections: true}},
+];
+for (const {name, faults} of groupFaults) {
+	test(`rank group with engines, ${name}: the group goes on and each step runs once`, async ctx => {
+		const {group, engines} = await start(ctx);
+		const {step} = await untilState(engines[0]!, state => state.step > 2);
+		group.faults.set(faults);
+		await untilState(engines[0]!, state => state.step > step + AHEAD_STEPS);
+		const {steps, step: next, mixedSteps, restarts} = await readRecords(group.url, recordsSchema);
+		assert.ok(steps === next || steps === next + 1, 'the step that runs is counted already');
+		assert.deepEqual([mixedSteps, restarts], [[], 0]);
+	});
+}
--- a/fakes/engine/group-link.ts
+++ b/fakes/engine/group-link.ts
@@ -7,6 +7,8 @@
 
 /** Time until a call to the rank group is repeated, in milliseconds. */
 const RETRY_MILLIS = 50;
+/** Time until a call without an answer is repeated on another connection, in milliseconds; every call may be repeated. */
+const ANSWER_TIMEOUT_MILLIS = 2000;
 const OK_STATUS = 200;
 
 const joinedSchema = z.object({groupIncarnation: z.string(), step: z.number()});
@@ -37,7 +39,8 @@
 					headers: {'content-type': 'application/json'},
 					body: JSON.stringify(body),
 					signal,
-					headersTimeout: 0,
+					headersTimeout: ANSWER_TIMEOUT_MILLIS,
+					bodyTimeout: ANSWER_TIMEOUT_MILLIS,
 				});
 				// eslint-disable-next-line no-await-in-loop
 				const json = await reply.body.json();
