Bound the engine's wait for the weight store

Cause: a silent connection to the weight store stopped a load for the library's five minutes. Change: 2 s, then the fetch is repeated. Shown by: npm test -- fakes/, 53 passed.

--- a/fakes/engine/expert-loader.ts
+++ b/fakes/engine/expert-loader.ts
@@ -5,6 +5,8 @@
 
 /** Time until a failed fetch is repeated, in milliseconds. */
 const RETRY_MILLIS = 100;
+/** Time until a fetch without an answer counts as failed, in milliseconds. */
+const ANSWER_TIMEOUT_MILLIS = 2000;
 const OK_STATUS = 200;
 
 /** Fetches one expert copy; gives the time to wait before it may be asked for again, 0 when it came. */
@@ -34,7 +36,10 @@
 export function createWeightStoreFetch(baseUrl: string): FetchExpert {
 	return async (layer, expert) => {
 		try {
-			const reply = await request(`${baseUrl}/v1/layers/${layer}/experts/${expert}`);
+			const reply = await request(`${baseUrl}/v1/layers/${layer}/experts/${expert}`, {
+				headersTimeout: ANSWER_TIMEOUT_MILLIS,
+				bodyTimeout: ANSWER_TIMEOUT_MILLIS,
+			});
 			if (reply.statusCode === OK_STATUS) {
 				await reply.body.dump();
 				return 0;
