Make an engine fetch again what its map dropped

Cause: an engine kept every copy it ever fetched, so moving an expert back cost the weight store nothing and the cost of rebalancing came out too low. Found by reading. Change: with the first step on a map the rank keeps the copies of that map and of loads for later epochs.

--- a/fakes/engine/__tests__/expert-loader.test.ts
+++ b/fakes/engine/__tests__/expert-loader.test.ts
@@ -48,3 +48,15 @@
 	await loader.load(5, next);
 	assert.deepEqual([loader.fetched(), waits], [2, []]);
 });
+
+test('expert loader: a copy that the map dropped is fetched again, one loaded for a later epoch is kept', async () => {
+	const loader = createExpertLoader(0, initial, async () => 0);
+	await loader.load(5, next);
+	loader.enter(4, initial);
+	await loader.load(5, next);
+	assert.equal(loader.fetched(), 2);
+	loader.forget(5);
+	loader.enter(4, initial);
+	await loader.load(6, next);
+	assert.equal(loader.fetched(), 4);
+});
--- a/fakes/engine/expert-loader.ts
+++ b/fakes/engine/expert-loader.ts
@@ -16,8 +16,10 @@
 export type ExpertLoader = {
 	/** Resolves when the rank holds all its copies of `map`; loads of one epoch are joined. */
 	readonly load: (epoch: number, map: ExpertMap) => Promise<void>;
-	/** Drops the copies that `map` does not need at this rank. */
-	readonly keepOnly: (map: ExpertMap) => void;
+	/** Drops the copies that neither `map` nor a load for a later epoch needs. */
+	readonly enter: (epoch: number, map: ExpertMap) => void;
+	/** Copies that were loaded for this epoch only are dropped with the next map. */
+	readonly forget: (epoch: number) => void;
 	/** Copies fetched since the start. */
 	readonly fetched: () => number;
 };
@@ -56,6 +58,7 @@
 export function createExpertLoader(rank: number, initialMap: ExpertMap, fetchExpert: FetchExpert): ExpertLoader {
 	let held: ReadonlySet<string> = new Set(copiesOfRank(initialMap, rank));
 	const loads = new Map<number, Promise<void>>();
+	const awaited = new Map<number, readonly string[]>();
 	let fetched = 0;
 
 	async function fetchCopy(copy: string): Promise<void> {
@@ -85,15 +88,23 @@
 
 	return {
 		async load(epoch, map) {
+			awaited.set(epoch, copiesOfRank(map, rank));
 			const loading = loads.get(epoch) ?? loadAll(map);
 			loads.set(epoch, loading);
 			await loading;
 			loads.delete(epoch);
 		},
-		keepOnly(map) {
-			const needed = new Set(copiesOfRank(map, rank));
+		enter(epoch, map) {
+			for (const earlier of [...awaited.keys()].filter(other => other <= epoch)) {
+				awaited.delete(earlier);
+			}
+
+			const needed = new Set([...copiesOfRank(map, rank), ...[...awaited.values()].flat()]);
 			held = new Set([...held].filter(copy => needed.has(copy)));
 		},
+		forget(epoch) {
+			awaited.delete(epoch);
+		},
 		fetched: () => fetched,
 	};
 }
--- a/fakes/engine/step-runner.ts
+++ b/fakes/engine/step-runner.ts
@@ -41,6 +41,7 @@
 	await deps.untilThawed();
 	const step = await agreement.beginStep();
 	await loader.load(step.epoch, step.map);
+	loader.enter(step.epoch, step.map);
 	const tokens = popularity(step.step);
 	const load = sumOwnTokens(deps, step, tokens) * deps.slowFactor;
 	const outcome = await arrive(deps, step, load);
