Let a stream that has begun wait for a link outside the retry budget

Ruled out: the deadline (8 s, 5 s were left) and the frame assembly (the two tokens before the break were right). Change: a request that has begun waits for a link, up to 10 s within its deadline, and takes nothing from the budget, since nothing is sent meanwhile. A new request is still refused at once. Conclusion: waiting is not retrying.

--- a/src/dispatch/dispatch-constants.ts
+++ b/src/dispatch/dispatch-constants.ts
@@ -14,3 +14,7 @@
 export const CLAIM_POLL_MILLIS = 50;
 /** Looks at a claim whose attempt has not started before it is taken over. */
 export const UNSTARTED_CLAIM_POLLS = 5;
+/** Longest wait of a request that has begun for a link to any agent, in milliseconds. */
+export const LINK_WAIT_MILLIS = 10_000;
+/** Time between two looks for such a link, in milliseconds. */
+export const LINK_POLL_MILLIS = 25;
--- a/src/dispatch/dispatch-repeatable.ts
+++ b/src/dispatch/dispatch-repeatable.ts
@@ -17,6 +17,7 @@
 	settleAnswered, settleNotRun, settleUnknown, type Settled,
 } from './settled.js';
 import {takeRetry} from './take-retry.js';
+import {waitForLink} from './wait-for-link.js';
 
 /** State of one request over its attempts. */
 type Progress = {
@@ -58,12 +59,9 @@
 			return finish(progress, settleNotRun('never_sent', '', notRun('deadline', 'the deadline passed before an attempt')));
 		}
 
-		const link = chooseLink(ctx, req, progress);
+		const choose = () => chooseLink(ctx, req, progress);
+		const link = progress.mayHaveRun ? await waitForLink(ctx, req, choose, signal) : choose();
 		if (!link) {
-			if (progress.mayHaveRun && await mayRetry(ctx, req, progress, 'no_backend_server')) {
-				continue;
-			}
-
 			return finish(progress, progress.last);
 		}
 
--- a/src/entry/__tests__/fake-agent.ts
+++ b/src/entry/__tests__/fake-agent.ts
@@ -51,6 +51,8 @@
 	/** Replaced when a test lets the agent restart. */
 	ledger: Ledger;
 	readonly tombstones: Set<string>;
+	/** Ends this many coming links before their hello. */
+	refusedLinks: number;
 	readonly cutLinks: () => void;
 	/** Lets the present links go silent for good; new ones work. */
 	readonly silenceLinks: () => void;
@@ -123,6 +125,7 @@
 			}
 		},
 		swallowStarts: 0,
+		refusedLinks: 0,
 		configuration: undefined,
 		starts: [],
 		runs: [],
@@ -157,6 +160,12 @@
 	}
 
 	function connect(stream: Stream): void {
+		if (agent.refusedLinks > 0) {
+			agent.refusedLinks--;
+			stream.end();
+			return;
+		}
+
 		streams.add(stream);
 		const forget = () => {
 			streams.delete(stream);
--- a/src/entry/__tests__/whole-answer.test.ts
+++ b/src/entry/__tests__/whole-answer.test.ts
@@ -97,3 +97,19 @@
 		assert.equal(events.at(-1)?.digest, sha256Hex(TOKENS.join('')));
 	});
 }
+
+test('whole answer: a stream whose only agent takes no link for a while goes on when it does', async t => {
+	const world = createWorld(t);
+	const [agent] = await startAgents(world, 'model', [begin(({cutLink}) => {
+		if (agent) {
+			agent.refusedLinks = 3;
+		}
+
+		cutLink();
+	})]);
+	const entry = await startTestEntry(world, 'entry-1');
+	const {events} = await postPrompt(entry);
+
+	assert.equal(events.flatMap(event => event.tokens).join(''), TOKENS.join(''));
+	assert.equal(events.at(-1)?.name, 'end');
+});
