--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,6 +1,7 @@
 /** Entry point of the experiment tool: `npm run bench -- NAME ...`. One file per experiment beside this one. */
 import process from 'node:process';
 import {defineCommand, runCommand} from 'citty';
+import {placementSuiteCommand} from './placement-suite-command.js';
 import {placementCommand} from './placement-command.js';
 import {traceCommand} from './trace-command.js';
 
@@ -11,6 +12,7 @@
 	meta: {name: 'bench', description: 'Measures the deciders against baselines; the last line of each experiment is JSON'},
 	subCommands: {
 		placement: placementCommand,
+		'placement-suite': placementSuiteCommand,
 		trace: traceCommand,
 	},
 });
--- a/bench/placement-command.ts
+++ b/bench/placement-command.ts
@@ -5,6 +5,7 @@
 import type {PlacementError} from '../src/decisions/placement/placement-types.js';
 import {BadInputError, readOptions} from './options.js';
 import {comparePolicies, type SlowRank} from './placement/compare-policies.js';
+import type {PolicyReport} from './placement/replay.js';
 import {parseTrace} from './trace/parse-trace.js';
 import type {LoadTrace} from './trace/trace-line.js';
 
@@ -55,6 +56,14 @@
 	return `${file}: line 1: field tokens: ${detail}`;
 }
 
+function selectFields({
+	name, meanSkew, p95Skew, movedExperts, rebalances, planMillisP95,
+}: PolicyReport) {
+	return {
+		name, meanSkew, p95Skew, movedExperts, rebalances, planMillisP95,
+	};
+}
+
 /** Replays a load trace through both baselines and the decider. */
 export const placementCommand = defineCommand({
 	meta: {name: 'placement', description: 'Replays a load trace through the baselines and the decider'},
@@ -79,6 +88,6 @@
 			throw new BadInputError(describeError(options.trace, reports.error));
 		}
 
-		console.log(JSON.stringify({policies: reports.value}));
+		console.log(JSON.stringify({policies: reports.value.map(report => selectFields(report))}));
 	},
 });
--- a/bench/placement/replay.ts
+++ b/bench/placement/replay.ts
@@ -15,6 +15,9 @@
 	/** Steps after which at least one layer changed. */
 	rebalances: number;
 	planMillisP95: number;
+	planMillisMean: number;
+	/** Last step after which a layer changed; -1 when none did. */
+	lastChangeStep: number;
 }>;
 
 /** Share of the values that lies at or below the reported percentile. */
@@ -74,5 +77,7 @@
 		movedExperts,
 		rebalances: changedSteps.size,
 		planMillisP95: findPercentile(planMillis),
+		planMillisMean: findMean(planMillis),
+		lastChangeStep: Math.max(-1, ...changedSteps),
 	};
 }
