--- a/bench/main.ts
+++ b/bench/main.ts
@@ -2,6 +2,7 @@
 import process from 'node:process';
 import {defineCommand, runCommand} from 'citty';
 import {faultsCommand} from './faults-command.js';
+import {placementSuiteCommand} from './placement-suite-command.js';
 import {placementCommand} from './placement-command.js';
 import {admissionCommand} from './admission-command.js';
 import {routingCommand} from './routing-command.js';
@@ -17,6 +18,7 @@
 		placement: placementCommand,
 		admission: admissionCommand,
 		routing: routingCommand,
+		'placement-suite': placementSuiteCommand,
 		trace: traceCommand,
 	},
 });
