Place the no of a vote by an order that the engine refuses while it holds

Cause: a restarted agent read its engine, found no hold and ordered the release; the release was still on its way when the agent was restarted again and the former hold arrived. The next incarnation read the hold back, said yes, and the late release then ended it: the group ran a step on two maps. The model of the vote has reading and releasing as one step, so it cannot show this.

Change: the order forbid, which the engine checks and carries out in one and refuses with reason held. Release is left for votes whose outcome is no, and for holds in another incarnation of the group.

Ruled out: waiting out the former incarnation's orders, since nothing bounds how late an order arrives.

--- a/fakes/engine/engine.ts
+++ b/fakes/engine/engine.ts
@@ -55,6 +55,7 @@
 			return succeed(undefined);
 		})
 		.with({tag: 'hold'}, async ({epoch, fromStep}) => agreement.hold({epoch, fromStep}))
+		.with({tag: 'forbid'}, async ({epoch}) => agreement.forbid(epoch))
 		.with({tag: 'release'}, async ({epoch}) => agreement.release(epoch))
 		.with({tag: 'take_map'}, async ({epoch, map, fromStep}) => agreement.takeMap({epoch, map, fromStep}))
 		.with({tag: 'load_model'}, {tag: 'load_adapter'}, {tag: 'change_role'}, async () => succeed(undefined))
--- a/src/adapters/__tests__/model-engine-contract.test.ts
+++ b/src/adapters/__tests__/model-engine-contract.test.ts
@@ -157,6 +157,18 @@
 	assert.deepEqual(await orders(ignoring.engine), ['done', 'done']);
 });
 
+test('model engine: an epoch is forbidden unless it is held, and takes no hold after that', async ctx => {
+	const {engine} = await start(ctx);
+	const fromStep = 1_000_000;
+	const order = async (tag: 'hold' | 'forbid', epoch: number) => describeOrder(await engine.order(tag === 'hold' ? {tag, epoch, fromStep} : {tag, epoch}, 1));
+	assert.equal(await order('forbid', 4), 'done');
+	assert.equal(await order('hold', 4), 'released');
+	assert.equal(await order('hold', 5), 'done');
+	assert.equal(await order('forbid', 5), 'held');
+	const state = await engine.readState();
+	assert.deepEqual(state.ok && state.value.hold, {epoch: 5, fromStep});
+});
+
 test('model engine: a frozen engine gives no answer to an order and carries it out when it goes on', async ctx => {
 	const {standIn, engine} = await start(ctx, {}, MIXED_TIMEOUT_MILLIS);
 	standIn.faults.set({freeze: true});
--- a/src/expert-map/engine-vote.ts
+++ b/src/expert-map/engine-vote.ts
@@ -1,9 +1,10 @@
 /**
  * The vote as the engine holds it.
  *
- * A hold is a yes and a release is a no. The engine outlives its agent, so a restarted agent finds its vote here. Each
+ * A hold is a yes and a forbidden epoch is a no. The engine outlives its agent, so a restarted agent finds its vote here. Each
  * function returns only with a definite answer, or with `ended` when the process ends.
  */
+import {match} from 'ts-pattern';
 import type {Result} from '../core/result.js';
 import type {EngineError, EngineOrder, EngineState} from '../ports/model-engine.js';
 import type {Proposal} from '../wire/generated/vote.js';
@@ -13,7 +14,9 @@
 /** The vote that the engine holds; `taken` means that the map was committed and is in the engine. */
 export type HeldVote = 'yes' | 'no' | 'taken' | 'ended';
 
-/** Reason by which an engine refuses to release an epoch whose map it has taken. */
+/** Reason by which an engine refuses to forbid an epoch that it holds. */
+const HELD_REASON = 'held';
+/** Reason by which an engine refuses to forbid or release an epoch whose map it has taken. */
 const TAKEN_REASON = 'taken';
 /** Stands for the reason of an order that was done. */
 const DONE = '';
@@ -23,21 +26,47 @@
 /**
  * Reads the vote of an epoch back, and makes it a no unless the engine holds it.
  *
+ * The no is placed by an order that the engine refuses while it holds the epoch. An order of a former incarnation of
+ * this agent that arrives late therefore never ends a hold that was read back as a yes.
+ *
  * A hold in another incarnation of the group comes from an order that arrived late. No yes was sent for it, since a
  * yes is sent only after the incarnation was read behind the hold. It is released.
  */
 export async function concludeVote(deps: RankVoteDeps, proposal: Proposal): Promise<HeldVote> {
+	while (!deps.signal.aborted) {
+		// One look after the other.
+		// eslint-disable-next-line no-await-in-loop
+		const vote = await readOrForbid(deps, proposal);
+		if (vote !== 'held') {
+			return vote;
+		}
+	}
+
+	return 'ended';
+}
+
+/** The vote of an epoch; `held` when a hold has arrived since the engine was read. */
+async function readOrForbid(deps: RankVoteDeps, {epoch, groupIncarnation}: Proposal): Promise<HeldVote | 'held'> {
 	const state = await readUntilAnswered(deps);
 	if (!state) {
 		return 'ended';
 	}
 
-	if (state.mapEpoch === proposal.epoch) {
+	if (state.mapEpoch === epoch) {
 		return 'taken';
 	}
 
-	const isHeld = state.hold?.epoch === proposal.epoch && state.groupIncarnation === proposal.groupIncarnation;
-	return isHeld ? 'yes' : release(deps, proposal.epoch);
+	if (state.hold?.epoch === epoch) {
+		return state.groupIncarnation === groupIncarnation ? 'yes' : release(deps, epoch);
+	}
+
+	const isFinal = (reason: string) => reason === DONE || reason === TAKEN_REASON || reason === HELD_REASON;
+	return match(await orderUntil(deps, {tag: 'forbid', epoch}, isFinal))
+		.returnType<HeldVote | 'held'>()
+		.with(undefined, () => 'ended')
+		.with(TAKEN_REASON, () => 'taken')
+		.with(HELD_REASON, () => 'held')
+		.otherwise(() => 'no');
 }
 
 /** Epoch that the engine holds; undefined when there is none or the process ends. */
