--- /dev/null
+++ b/bench/capacity-command.ts
@@ -0,0 +1,26 @@
+import process from 'node:process';
+import {defineCommand} from 'citty';
+import {measureDeciders} from './load/capacity-deciders.js';
+import {measureWire} from './load/capacity-wire.js';
+
+const BYTES_PER_MEGABYTE = 1_048_576;
+
+/** Measures what a process spends against the number of peers, accounts, engines, changes and ranks. */
+export const capacityCommand = defineCommand({
+	meta: {name: 'capacity', description: 'Bytes, messages, processor time and memory at several sizes'},
+	run() {
+		const rssMegabytes = Math.round(process.memoryUsage().rss / BYTES_PER_MEGABYTE);
+		const policies = [
+			{
+				name: 'resident memory at start', per: 'processes', size: 1, value: rssMegabytes, unit: 'megabytes',
+			},
+			...measureDeciders(),
+			...measureWire(),
+		];
+		for (const figure of policies) {
+			console.log(JSON.stringify(figure));
+		}
+
+		console.log(JSON.stringify({policies}));
+	},
+});
--- /dev/null
+++ b/bench/load/capacity-deciders.ts
@@ -0,0 +1,131 @@
+import {createManualClock} from '../../src/core/manual-clock.js';
+import {createAdmission} from '../../src/decisions/admission/create-admission.js';
+import {createAccountSizes} from '../../src/decisions/caller-routing/account-size.js';
+import {chooseAddresses} from '../../src/decisions/caller-routing/choose-addresses.js';
+import {chooseLinkedAgents, type LinkableAgent} from '../../src/decisions/caller-routing/subset.js';
+import {createSeededRandom} from '../../src/decisions/random.js';
+import {chooseBackendServer} from '../../src/decisions/routing/choose-backend-server.js';
+import {createLoadView, type LoadView} from '../../src/decisions/routing/load-view.js';
+import {workClasses} from './admission-scenario.js';
+import {createEntries} from './caller-routing-model.js';
+import {measureBytesEach, measureMicros, measureMillis} from './capacity-probe.js';
+
+/** One measured figure; `size` is the number of whatever `per` names. */
+export type CapacityFigure = Readonly<{name: string; per: string; size: number; value: number; unit: string}>;
+
+const DOMAINS = 7;
+const MODELS = 8;
+const CALLS = 2000;
+/** Prefixes believed cached at each backend server. */
+const PREFIXES = 1024;
+
+function createView(agents: number, prefixes: number): LoadView {
+	const view = createLoadView(createManualClock());
+	const cacheNews = Array.from({length: prefixes}, (_, i) => ({tag: 'cached' as const, digest: `${'0'.repeat(56)}${i.toString().padStart(8, '0')}`}));
+	for (let i = 0; i < agents; i++) {
+		view.addBackendServer(`agent-${i}`, `domain-${i % DOMAINS}`);
+		view.noteReport(`agent-${i}`, {
+			running: 10, queued: 0, ageMillis: 1000, cacheNews,
+		});
+	}
+
+	return view;
+}
+
+function measureRouting(agents: number): readonly CapacityFigure[] {
+	const view = createView(agents, PREFIXES);
+	const random = createSeededRandom(1);
+	const ids = Array.from({length: agents}, (_, i) => `agent-${i}`);
+	const req = {
+		prefixes: [{digest: 'prefix', tokens: 400}], promptTokens: 500, failureDomain: 'domain-0', priority: 0, remainingMillis: 1000, nowMillis: 0,
+	};
+	const micros = measureMicros(CALLS, () => {
+		const chosen = chooseBackendServer(view.listCandidates(ids), req, random);
+		view.startAttempt(chosen?.agentId ?? '', {nominalMillis: 50, promptMillis: 50, prefixDigests: ['prefix']}).end();
+	});
+	const bytes = measureBytesEach(agents, () => createView(agents, PREFIXES));
+	return [
+		{
+			name: 'routing decision', per: 'candidates', size: agents, value: micros, unit: 'microseconds',
+		},
+		{
+			name: 'load view with full prefix beliefs', per: 'linked agents', size: agents, value: bytes, unit: 'bytes each',
+		},
+	];
+}
+
+function measureAdmission(accounts: number): CapacityFigure {
+	const clock = createManualClock();
+	const admission = createAdmission({clock, random: createSeededRandom(1)});
+	const workClass = workClasses[0]?.workClass;
+	const value = measureMicros(CALLS * 2, i => {
+		if (workClass) {
+			clock.advance(40);
+			admission.enqueue({account: `account-${i % accounts}`, workClass, remainingMillis: 1000}, decision => {
+				if (decision.tag === 'admitted') {
+					decision.noteFirstByte();
+					decision.release();
+				}
+			});
+		}
+	});
+	return {
+		name: 'admission and release', per: 'accounts', size: accounts, value, unit: 'microseconds',
+	};
+}
+
+function measureAccountSizes(accounts: number): CapacityFigure {
+	const value = measureBytesEach(accounts, () => {
+		const sizes = createAccountSizes(createManualClock());
+		for (let i = 0; i < accounts; i++) {
+			sizes.noteRequest(`account-${i}`);
+			sizes.chooseAddressCount(`account-${i}`, 350);
+		}
+
+		return sizes;
+	});
+	return {
+		name: 'account sizes', per: 'accounts', size: accounts, value, unit: 'bytes each',
+	};
+}
+
+function measureAddresses(entries: number): CapacityFigure {
+	const instances = createEntries({
+		name: '', entries, domains: DOMAINS, accounts: 0, largeAccounts: 0, largeShare: 0,
+	});
+	const random = createSeededRandom(1);
+	const value = measureMicros(100, i => {
+		chooseAddresses(`account-${i}`, instances, {count: 4, lifetimeMillis: 5000, random});
+	});
+	return {
+		name: 'address answer', per: 'entries', size: entries, value, unit: 'microseconds',
+	};
+}
+
+function measureSubset(entryCount: number, agentCount: number): readonly CapacityFigure[] {
+	const entries = Array.from({length: entryCount}, (_, i) => ({id: `entry-${i}`, failureDomain: `domain-${i % DOMAINS}`}));
+	const agents: readonly LinkableAgent[] = Array.from({length: agentCount}, (_, i) => ({id: `agent-${i}`, failureDomain: `domain-${i % DOMAINS}`, service: `model-${i % MODELS}`}));
+	let links = 0;
+	const millis = measureMillis(() => {
+		links = chooseLinkedAgents('entry-0', entries, agents).size;
+	});
+	return [
+		{
+			name: 'choice of linked agents', per: 'agents', size: agentCount, value: millis, unit: 'milliseconds',
+		},
+		{
+			name: 'links of an entry', per: 'agents', size: agentCount, value: links, unit: 'links',
+		},
+	];
+}
+
+/** Figures of the deciders at several sizes. */
+export function measureDeciders(): readonly CapacityFigure[] {
+	return [
+		...[4, 16, 64].flatMap(agents => measureRouting(agents)),
+		...[10, 300, 6000].map(accounts => measureAdmission(accounts)),
+		...[300, 6000].map(accounts => measureAccountSizes(accounts)),
+		...[6, 50, 350].map(entries => measureAddresses(entries)),
+		...[[6, 15], [50, 100], [350, 740]].flatMap(([entries = 0, agents = 0]) => measureSubset(entries, agents)),
+	];
+}
--- /dev/null
+++ b/bench/load/capacity-wire.ts
@@ -0,0 +1,118 @@
+import {Buffer} from 'node:buffer';
+import {configurationSchema} from '../../src/configuration/configuration.js';
+import {AgentFrame, EntryFrame} from '../../src/wire/generated/link.js';
+import {Proposal, RankState, VoteReport} from '../../src/wire/generated/vote.js';
+import {workClasses} from './admission-scenario.js';
+import type {CapacityFigure} from './capacity-deciders.js';
+import {measureBytesEach, measureMicros} from './capacity-probe.js';
+
+const CALLS = 5000;
+const ID = '0f8fad5b-d9cb-469f-a165-70867728950e';
+const DIGEST = '0'.repeat(64);
+const LAYERS = 60;
+const EXPERTS = 128;
+const SPARE_SLOTS_PER_RANK = 2;
+
+function figure(name: string, per: string, size: number, value: number, unit: string): CapacityFigure {
+	return {
+		name, per, size, value, unit,
+	};
+}
+
+function createLoadFrame(cacheEvents: number): AgentFrame {
+	return {
+		configVersion: 1200,
+		body: {
+			$case: 'heartbeat',
+			heartbeat: {
+				sequence: 100_000, inFlight: 30, queued: 2, ageMillis: 2500, stepMillis: 31.5, tokensPerSecond: 2400, cacheEvents: Array.from({length: cacheEvents}, () => ({prefixDigest: DIGEST, evicted: false})), cacheGap: false,
+			},
+		},
+	};
+}
+
+function measureLoadReport(cacheEvents: number): readonly CapacityFigure[] {
+	const frame = createLoadFrame(cacheEvents);
+	const encoded = AgentFrame.encode(frame).finish();
+	const micros = measureMicros(CALLS, () => {
+		AgentFrame.decode(AgentFrame.encode(frame).finish());
+	});
+	return [
+		figure('load report', 'cache events', cacheEvents, encoded.length, 'bytes'),
+		figure('load report, encode and decode', 'cache events', cacheEvents, micros, 'microseconds'),
+	];
+}
+
+function measureAttempt(bodyBytes: number): CapacityFigure {
+	const frame: EntryFrame = {
+		configVersion: 1200,
+		body: {
+			$case: 'start',
+			start: {
+				attemptId: ID, requestId: ID, account: 'account-1234', workClass: 'notices', service: 'model-1', remainingMillis: 5000, idempotent: true, idempotencyKey: '', requestDigest: DIGEST, boundIncarnation: '', offset: 0, priority: 50, body: Buffer.alloc(bodyBytes),
+			},
+		},
+	};
+	return figure('start of an attempt', 'body bytes', bodyBytes, EntryFrame.encode(frame).finish().length, 'bytes');
+}
+
+function createConfigurationJson(accounts: number): string {
+	return JSON.stringify({
+		version: 1,
+		changeId: ID,
+		changedBy: 'operator',
+		plannedStops: [],
+		targets: {
+			services: [{name: 'model', kind: 'model'}],
+			classes: workClasses.map(item => item.workClass),
+			groups: [],
+			accounts: Array.from({length: accounts}, (_, i) => ({name: `account-${i}`, credentialDigest: DIGEST})),
+		},
+	});
+}
+
+function measureConfiguration(accounts: number): readonly CapacityFigure[] {
+	const json = createConfigurationJson(accounts);
+	const micros = measureMicros(Math.max(5, Math.round(CALLS / accounts)), () => {
+		configurationSchema.parse(JSON.parse(json));
+	});
+	return [
+		figure('configuration document', 'accounts', accounts, json.length, 'bytes'),
+		figure('configuration, parse and check', 'accounts', accounts, micros, 'microseconds'),
+		figure('configuration in memory', 'accounts', accounts, measureBytesEach(accounts, () => configurationSchema.parse(JSON.parse(json))), 'bytes each'),
+	];
+}
+
+function measureVote(ranks: number): readonly CapacityFigure[] {
+	const slotsPerRank = Math.ceil(EXPERTS / ranks) + SPARE_SLOTS_PER_RANK;
+	const map = {layers: Array.from({length: LAYERS}, () => ({slotsPerRank, slots: Array.from({length: ranks * slotsPerRank}, (_, i) => i % EXPERTS)}))};
+	const proposal = Proposal.encode({
+		group: 'group-1', groupIncarnation: ID, epoch: 1_000_000, fencingToken: 1000, fromStep: 1_000_000, members: Array.from({length: ranks}, (_, rank) => ({
+			rank, agentId: `agent-${rank}`, agentIncarnation: ID, address: '10.0.0.100:4000',
+		})), map,
+	}).finish().length;
+	const report = VoteReport.encode({
+		group: 'group-1', epoch: 1_000_000, rank: ranks - 1, agentIncarnation: ID, vote: 'yes', outcome: 'unknown',
+	}).finish().length;
+	const state = RankState.encode({
+		group: 'group-1', groupIncarnation: ID, rank: ranks - 1, agentId: 'agent-1', agentIncarnation: ID, step: 1_000_000, mapEpoch: 1000, stepMillis: 31.5, reportAgeMillis: 2000, layers: Array.from({length: LAYERS}, () => ({tokens: Array.from({length: EXPERTS}, (_, i) => i * 1.5)})), map, checksFencing: true, pending: false,
+	}).finish().length;
+	return [
+		figure('proposal of a map', 'ranks', ranks, proposal, 'bytes'),
+		figure('vote report', 'ranks', ranks, report, 'bytes'),
+		figure('rank state', 'ranks', ranks, state, 'bytes'),
+		figure('proposal, over all ranks', 'ranks', ranks, proposal * ranks, 'bytes'),
+	];
+}
+
+/** Sizes and processor time of the messages at several sizes. */
+export function measureWire(): readonly CapacityFigure[] {
+	const heartbeat = EntryFrame.encode({configVersion: 1200, body: {$case: 'heartbeat', heartbeat: {sequence: 100_000}}}).finish().length;
+	return [
+		figure('heartbeat of an entry', 'links', 1, heartbeat, 'bytes'),
+		...[0, 10, 100].flatMap(events => measureLoadReport(events)),
+		...[0, 1000].map(bytes => measureAttempt(bytes)),
+		...[10, 600, 6000].flatMap(accounts => measureConfiguration(accounts)),
+		...[4, 32, 128].flatMap(ranks => measureVote(ranks)),
+	];
+}
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -2,6 +2,8 @@
 import process from 'node:process';
 import {defineCommand, runCommand} from 'citty';
 import {admissionCommand} from './admission-command.js';
+import {capacityCommand} from './capacity-command.js';
+import {callerRoutingCommand} from './caller-routing-command.js';
 import {routingCommand} from './routing-command.js';
 import {traceCommand} from './trace-command.js';
 
@@ -12,6 +14,8 @@
 	meta: {name: 'bench', description: 'Measures the deciders against baselines; the last line of each experiment is JSON'},
 	subCommands: {
 		admission: admissionCommand,
+		capacity: capacityCommand,
+		'caller-routing': callerRoutingCommand,
 		routing: routingCommand,
 		trace: traceCommand,
 	},
