--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,6 +1,8 @@
 /** Entry point of the experiment tool: `npm run bench -- NAME ...`. One file per experiment beside this one. */
 import process from 'node:process';
 import {defineCommand, runCommand} from 'citty';
+import {faultsCommand} from './faults-command.js';
+import {placementCommand} from './placement-command.js';
 import {admissionCommand} from './admission-command.js';
 import {capacityCommand} from './capacity-command.js';
 import {callerRoutingCommand} from './caller-routing-command.js';
@@ -13,6 +15,8 @@
 const main = defineCommand({
 	meta: {name: 'bench', description: 'Measures the deciders against baselines; the last line of each experiment is JSON'},
 	subCommands: {
+		faults: faultsCommand,
+		placement: placementCommand,
 		admission: admissionCommand,
 		capacity: capacityCommand,
 		'caller-routing': callerRoutingCommand,
--- /dev/null
+++ b/bench/placement/pollenport-policy.ts
@@ -0,0 +1,15 @@
+import type {PlacementDecider} from '../../src/decisions/placement/placement-decider.js';
+import type {Favour} from '../../src/decisions/placement/placement-types.js';
+import type {PlacementPolicy} from './placement-policy.js';
+
+/** The project's decider, asked after every step. */
+export function createPollenportPolicy(decider: PlacementDecider, favour: Favour): PlacementPolicy {
+	return {
+		name: 'pollenport',
+		afterStep({layer, tokens, rankTokens, rankTimes, map}) {
+			decider.observeLoad(layer, tokens, 1);
+			decider.observePaces(rankTokens.map((count, rank) => ({tokens: count, time: rankTimes[rank]})));
+			return decider.planLayer(layer, map, favour, Number.POSITIVE_INFINITY)?.map;
+		},
+	};
+}
--- /dev/null
+++ b/src/agent/start-agent.ts
@@ -0,0 +1,128 @@
+/** Wiring of the agent role. */
+import {createAttemptTable} from '../attempts/attempt-table.js';
+import {createInFlight} from '../attempts/in-flight.js';
+import {succeed, type Result} from '../core/result.js';
+import type {ProcessContext} from '../daemon/process-context.js';
+import {createFencingFloor} from '../expert-map/fencing-floor.js';
+import {createProposalArchive} from '../expert-map/proposal-archive.js';
+import {createGrpcVotePeers} from '../expert-map/grpc-vote-peers.js';
+import {createRankVoteService} from '../expert-map/rank-vote-server.js';
+import {createRankVote, type RankVote} from '../expert-map/rank-vote.js';
+import {createLedger, createLedgerLimits} from '../ledger/ledger.js';
+import type {AgentSettings} from '../settings/settings.js';
+import type {ModelEngine} from '../ports/model-engine.js';
+import {RankVoteService} from '../wire/generated/vote.js';
+import type {AgentParts} from './agent-parts.js';
+import {watchBackendLoad} from './backend-load.js';
+import type {Backend} from './backend.js';
+import {drainAgent, type DrainReport} from './drain.js';
+import type {EntryCall} from './entry-channel.js';
+import {serveEntry} from './entry-link.js';
+import {createLeavingState} from './leaving-state.js';
+import {agentLinkDefinition} from './link-definition.js';
+import {openLinkServer, type LinkService, type ListenError} from './link-server.js';
+import {watchLeaving} from './watch-leaving.js';
+
+/** An agent that serves its entries. */
+export type RunningAgent = Readonly<{
+	/** `host:port` of the link listener. */
+	linkAddress: string;
+	/** Refuses new work and waits for the rest. Further calls return the same promise. */
+	drain: () => Promise<DrainReport>;
+}>;
+
+/** The rank's part in the votes and the service that it is reached by. */
+type ServedVote = Pick<RankVote, 'resume'> & Readonly<{service: LinkService}>;
+
+/** Starts the agent of `backend`. Binds the link port before it touches the backend server. */
+export async function startAgent(
+	ctx: ProcessContext,
+	settings: AgentSettings,
+	backend: Backend,
+): Promise<Result<RunningAgent, ListenError>> {
+	const slot: {parts?: AgentParts} = {};
+	const links = createLinkService(() => slot.parts);
+	const vote = backend.kind === 'engine' ? createVote(ctx, settings, backend.engine) : undefined;
+	const services = vote ? [links, vote.service] : [links];
+	const server = await openLinkServer(ctx.linkAccess, ctx.clock, settings.linkListen, services);
+	if (!server.ok) {
+		return server;
+	}
+
+	ctx.lifeCycle.own('link listener', server.value.close);
+	const parts = createParts(ctx, settings, backend);
+	slot.parts = parts;
+	watchLeaving(ctx, settings, parts.leaving);
+	void vote?.resume();
+	ctx.log.info('agent listens', {address: server.value.address});
+	return succeed(createRunningAgent(parts, server.value.address));
+}
+
+function createParts(ctx: ProcessContext, settings: AgentSettings, backend: Backend): AgentParts {
+	return {
+		ctx,
+		settings,
+		backend,
+		attempts: createAttemptTable(ctx.clock),
+		inFlight: createInFlight(size => {
+			ctx.metrics.inFlight.set(size);
+		}),
+		ledger: createLedger(ctx.incarnation, createLedgerLimits(settings.ledgerEntries)),
+		leaving: createLeavingState(settings.instanceId, ctx.audit),
+		load: watchBackendLoad(ctx, backend),
+	};
+}
+
+/** A call that comes before the parts are there is ended; the entry connects again. */
+function createLinkService(readParts: () => AgentParts | undefined): LinkService {
+	return {
+		definition: agentLinkDefinition,
+		implementation: {
+			connect(call: EntryCall) {
+				const parts = readParts();
+				if (parts) {
+					void serveEntry(parts, call);
+					return;
+				}
+
+				call.end();
+			},
+		},
+	};
+}
+
+/** The vote touches the engine only when a proposal or a report comes. */
+function createVote(ctx: ProcessContext, settings: AgentSettings, engine: ModelEngine): ServedVote {
+	const peers = createGrpcVotePeers(ctx.linkAccess, ctx.clock);
+	ctx.lifeCycle.own('vote peers', peers.close);
+	const vote = createRankVote({
+		group: settings.group,
+		rank: settings.rank,
+		agentId: settings.instanceId,
+		incarnation: ctx.incarnation,
+		checksFencing: settings.backend.checksFencing,
+		engine,
+		peers,
+		floor: createFencingFloor(ctx.table, settings.group),
+		archive: createProposalArchive(ctx.objects, settings.group),
+		clock: ctx.clock,
+		audit: ctx.audit,
+		metrics: ctx.metrics,
+		signal: ctx.lifeCycle.signal,
+	});
+	return {
+		resume: vote.resume,
+		service: {definition: RankVoteService, implementation: createRankVoteService(ctx, settings, engine, vote)},
+	};
+}
+
+function createRunningAgent(parts: AgentParts, linkAddress: string): RunningAgent {
+	let draining: Promise<DrainReport> | undefined;
+	return {
+		linkAddress,
+		async drain() {
+			draining ??= drainAgent(parts);
+			return draining;
+		},
+	};
+}
--- /dev/null
+++ b/src/decisions/placement/plan-layer.ts
@@ -0,0 +1,76 @@
+import {findChange, findHottestRank, type ChangeRules} from './find-change.js';
+import {EMPTY_SLOT} from './initial-map.js';
+import {createLayerLayout, type SlotChange} from './layer-layout.js';
+import type {LayerPlan, LayerState, PlanTerms} from './placement-types.js';
+
+/** Changes made in a row without a better plan before the search ends. */
+const PATIENCE = 16;
+/** Changes for which a slot stays as it is once a change that made the layout worse was tried. */
+const LOCK_CHANGES = 8;
+/** Largest number of changes per slot that one search makes. */
+const CHANGES_PER_SLOT = 4;
+
+/** Slots that get a copy which they did not hold. */
+export function countLoads(before: readonly number[], after: readonly number[]): number {
+	return after.filter((expert, slot) => expert !== EMPTY_SLOT && expert !== before[slot]).length;
+}
+
+/** Remembers which slots were changed lately, from the first change on that made the layout worse. */
+function createSlotLocks() {
+	const lockedUntil = new Map<number, number>();
+	let made = 0;
+	let isActive = false;
+
+	return {
+		isLocked: (slot: number) => isActive && (lockedUntil.get(slot) ?? 0) > made,
+		note({slot, otherSlot}: SlotChange, isProgress: boolean) {
+			isActive ||= !isProgress;
+			made++;
+			lockedUntil.set(slot, made + LOCK_CHANGES);
+			lockedUntil.set(otherSlot, made + LOCK_CHANGES);
+		},
+	};
+}
+
+/**
+ * Plans a layer. Takes load off the hottest rank change by change, through worse layouts where no change is better, and
+ * keeps the plan that pays best; undefined when none does.
+ */
+export function planLayer(state: LayerState, terms: PlanTerms): LayerPlan | undefined {
+	const original = state.map.slots;
+	const layout = createLayerLayout(state);
+	const locks = createSlotLocks();
+	const isLoaded = (slot: number, expert: number) => expert !== EMPTY_SLOT && expert !== original[slot];
+	const rules: ChangeRules = {
+		priceSlot: (slot, expert) => Number(isLoaded(slot, expert)) - Number(isLoaded(slot, layout.expertAt(slot))),
+		isLocked: locks.isLocked,
+	};
+	const measureSkew = () => layout.relativeTime(findHottestRank(layout));
+	const skewBefore = measureSkew();
+	let bestPlan: LayerPlan | undefined;
+	let bestNet = 0;
+	let sinceBest = 0;
+	for (let i = 0; i < original.length * CHANGES_PER_SLOT && sinceBest < PATIENCE; i++) {
+		const found = findChange(layout, rules);
+		if (!found) {
+			break;
+		}
+
+		layout.makeChange(found.change);
+		locks.note(found.change, found.isProgress);
+		sinceBest++;
+		const slots = layout.copySlots();
+		const loads = countLoads(original, slots);
+		const skewAfter = measureSkew();
+		const net = skewBefore - skewAfter - (loads * terms.skewPerLoad);
+		if (net > bestNet && loads <= terms.maxLoads && skewBefore - skewAfter >= terms.leastSaving) {
+			bestNet = net;
+			sinceBest = 0;
+			bestPlan = {
+				map: {slotsPerRank: layout.slotsPerRank, slots}, loads, skewBefore, skewAfter,
+			};
+		}
+	}
+
+	return bestPlan;
+}
--- /dev/null
+++ b/src/entry/__tests__/fake-agent.ts
@@ -0,0 +1,342 @@
+/** An agent for tests: a link server whose answers a test scripts, with a ledger of the keys it ran. */
+import {Buffer} from 'node:buffer';
+import {Server, ServerCredentials, type ServerDuplexStream} from '@grpc/grpc-js';
+import {createAnswerSender, type AnswerSender} from '../../answer/answer-sender.js';
+import {encodeTokens} from '../../answer/payload-units.js';
+import {createConfigDocument} from '../../configuration/configuration-document.js';
+import type {Configuration} from '../../configuration/configuration.js';
+import type {LifeCycle} from '../../core/life-cycle.js';
+import {digestKey} from '../../ledger/key-digest.js';
+import type {JoinedEnd} from '../../ledger/ledger-types.js';
+import {createLedger, createLedgerLimits, type Ledger} from '../../ledger/ledger.js';
+import {
+	AgentLinkService, type AgentFrame, type EntryFrame, type StartAttempt,
+} from '../../wire/generated/link.js';
+
+/** One attempt as a script sees it. */
+export type FakeAttempt = Readonly<{
+	start: StartAttempt;
+	sender: AnswerSender;
+	send: (body: NonNullable<AgentFrame['body']>) => void;
+	/** Ends the stream without a word. */
+	cutLink: () => void;
+}>;
+
+/** What an agent does with an attempt. */
+export type Script = (attempt: FakeAttempt) => void | Promise<void>;
+
+/** A running fake. Its fields are what a test looks at and changes. */
+export type FakeAgent = {
+	readonly agentId: string;
+	readonly address: string;
+	incarnation: string;
+	script: Script;
+	/** Every attempt is refused for this reason while it is set. */
+	refuseAll: string | undefined;
+	/** Swallows this many start frames without a trace. */
+	swallowStarts: number;
+	/** Start frames are kept back, as if still on their way, while this is set. */
+	holdStarts: boolean;
+	readonly heldStarts: () => number;
+	/** Lets the start frames that were kept back arrive. */
+	readonly releaseStarts: () => void;
+	/** No tombstone is recorded while this is set. */
+	refusesTombstones: boolean;
+	/** In force at the agent; entries on an older version are refused. */
+	configuration: Configuration | undefined;
+	/** Start frames that were taken. */
+	readonly starts: StartAttempt[];
+	/** Idempotency keys of the calls that ran, one for each run. */
+	readonly runs: string[];
+	/** Replaced when a test lets the agent restart. */
+	ledger: Ledger;
+	readonly tombstones: Set<string>;
+	readonly cutLinks: () => void;
+	/** Lets the present links go silent for good; new ones work. */
+	readonly silenceLinks: () => void;
+	readonly say: (body: NonNullable<AgentFrame['body']>) => void;
+	/** Ends all links and comes back as another incarnation that remembers nothing. */
+	readonly restart: () => void;
+};
+
+type Stream = ServerDuplexStream<EntryFrame, AgentFrame>;
+
+/** Sends the tokens from the attempt's offset on and ends the answer. */
+export function answerTokens(tokens: readonly string[]): Script {
+	return ({start, sender, send}) => {
+		for (const token of tokens.slice(start.offset)) {
+			send({$case: 'data', data: sender.createData(encodeTokens([token]), 1)});
+		}
+
+		send({$case: 'end', end: sender.createEnd(200, false)});
+	};
+}
+
+/** Sends a plain answer. */
+export function answerBody(text: string): Script {
+	return ({sender, send}) => {
+		const bytes = Buffer.from(text);
+		send({$case: 'data', data: sender.createData(bytes, bytes.byteLength)});
+		send({$case: 'end', end: sender.createEnd(200, false)});
+	};
+}
+
+/** Refuses the attempt. */
+export function refuseWith(reason: string): Script {
+	return ({start, send}) => {
+		send({$case: 'refused', refused: {attemptId: start.attemptId, reason, retryAfterMillis: 0}});
+	};
+}
+
+/** Starts a fake agent on a free port. */
+export async function startFakeAgent(lifeCycle: LifeCycle, agentId: string, service: string, script: Script): Promise<FakeAgent> {
+	const streams = new Set<Stream>();
+	const silent = new WeakSet<Stream>();
+	const held: Array<() => void> = [];
+	const server = new Server();
+	server.addService(AgentLinkService, {connect});
+	const port = await new Promise<number>((resolve, reject) => {
+		server.bindAsync('127.0.0.1:0', ServerCredentials.createInsecure(), (err, bound) => {
+			if (err) {
+				reject(err);
+			} else {
+				resolve(bound);
+			}
+		});
+	});
+	lifeCycle.own(`fake agent ${agentId}`, () => {
+		server.forceShutdown();
+	});
+
+	const agent: FakeAgent = {
+		agentId,
+		address: `127.0.0.1:${port}`,
+		incarnation: `${agentId}-1`,
+		script,
+		refuseAll: undefined,
+		refusesTombstones: false,
+		holdStarts: false,
+		heldStarts: () => held.length,
+		releaseStarts() {
+			for (const deliver of held.splice(0)) {
+				deliver();
+			}
+		},
+		swallowStarts: 0,
+		configuration: undefined,
+		starts: [],
+		runs: [],
+		ledger: createLedger(`${agentId}-1`, createLedgerLimits(100)),
+		tombstones: new Set(),
+		silenceLinks() {
+			for (const stream of streams) {
+				silent.add(stream);
+			}
+		},
+		cutLinks() {
+			for (const stream of streams) {
+				stream.end();
+			}
+		},
+		restart() {
+			agent.incarnation = `${agentId}-2`;
+			agent.ledger = createLedger(agent.incarnation, createLedgerLimits(100));
+			agent.cutLinks();
+		},
+		say(body) {
+			for (const stream of streams) {
+				write(stream, body);
+			}
+		},
+	};
+
+	function write(stream: Stream, body: NonNullable<AgentFrame['body']>): void {
+		if (!silent.has(stream) && streams.has(stream)) {
+			stream.write({configVersion: agent.configuration?.version ?? 1, body});
+		}
+	}
+
+	function connect(stream: Stream): void {
+		streams.add(stream);
+		const forget = () => {
+			streams.delete(stream);
+		};
+
+		stream.on('data', (frame: EntryFrame) => {
+			if (!silent.has(stream) && frame.body) {
+				receive(stream, frame.body, frame.configVersion);
+			}
+		});
+		stream.on('end', () => {
+			forget();
+			stream.end();
+		});
+		stream.on('cancelled', forget);
+		stream.on('error', forget);
+	}
+
+	function receive(stream: Stream, body: NonNullable<EntryFrame['body']>, entryVersion: number): void {
+		switch (body.$case) {
+			case 'hello': {
+				write(stream, {
+					$case: 'hello', hello: {
+						instanceId: agentId, incarnation: agent.incarnation, failureDomain: 'a', service, group: '', rank: -1, leaving: false,
+					},
+				});
+				break;
+			}
+
+			case 'start': {
+				const {start} = body;
+				const deliver = () => {
+					takeStart(stream, start, entryVersion);
+				};
+
+				if (agent.holdStarts) {
+					held.push(deliver);
+				} else {
+					deliver();
+				}
+
+				break;
+			}
+
+			case 'tombstone': {
+				const {attemptId} = body.tombstone;
+				const recorded = !agent.refusesTombstones && !agent.starts.some(start => start.attemptId === attemptId);
+				if (recorded) {
+					agent.tombstones.add(attemptId);
+				}
+
+				write(stream, {$case: 'tombstoned', tombstoned: {attemptId, recorded}});
+				break;
+			}
+
+			case 'query': {
+				const {attemptId, account, idempotencyKey} = body.query;
+				const state = agent.ledger.readState(digestKey(account, idempotencyKey))?.tag ?? 'never_seen';
+				write(stream, {$case: 'status', status: {attemptId, idempotencyKey, state}});
+				break;
+			}
+
+			case 'configRequest': {
+				if (agent.configuration) {
+					write(stream, {$case: 'config', config: createConfigDocument(agent.configuration)});
+				}
+
+				break;
+			}
+
+			case 'cancel':
+			case 'config':
+			case 'heartbeat': {
+				break;
+			}
+		}
+	}
+
+	function takeStart(stream: Stream, start: StartAttempt, entryVersion: number): void {
+		if (agent.swallowStarts > 0) {
+			agent.swallowStarts--;
+			return;
+		}
+
+		if (agent.tombstones.has(start.attemptId)) {
+			refuse(stream, start, 'tombstone');
+			return;
+		}
+
+		const refusal = entryVersion < (agent.configuration?.version ?? 1) ? 'stale_configuration' : agent.refuseAll;
+		if (refusal !== undefined) {
+			refuse(stream, start, refusal);
+			return;
+		}
+
+		agent.starts.push(start);
+		if (start.idempotent) {
+			runScript(stream, start, body => {
+				write(stream, body);
+			});
+			return;
+		}
+
+		void runOnce(stream, start);
+	}
+
+	function refuse(stream: Stream, {attemptId}: StartAttempt, reason: string): void {
+		write(stream, {$case: 'refused', refused: {attemptId, reason, retryAfterMillis: 0}});
+	}
+
+	function runScript(stream: Stream, start: StartAttempt, send: FakeAttempt['send']): void {
+		void agent.script({
+			start,
+			sender: createAnswerSender(start.attemptId, start.offset),
+			send,
+			cutLink() {
+				streams.delete(stream);
+				stream.end();
+			},
+		});
+	}
+
+	/** Lets the ledger decide, as an agent does. */
+	async function runOnce(stream: Stream, start: StartAttempt): Promise<void> {
+		const keyDigest = digestKey(start.account, start.idempotencyKey);
+		const decision = agent.ledger.begin({...start, keyDigest});
+		switch (decision.tag) {
+			case 'run': {
+				runFirst(stream, start, keyDigest);
+				break;
+			}
+
+			case 'join': {
+				sendEnd(stream, start, await decision.end);
+				break;
+			}
+
+			case 'ended': {
+				sendEnd(stream, start, decision.end);
+				break;
+			}
+
+			case 'refused': {
+				refuse(stream, start, decision.reason);
+				break;
+			}
+		}
+	}
+
+	/** The call has run as soon as the script sends a piece of its answer. */
+	function runFirst(stream: Stream, start: StartAttempt, keyDigest: string): void {
+		let answer: Uint8Array | undefined;
+		runScript(stream, start, body => {
+			if (body.$case === 'data' && !answer) {
+				answer = body.data.payload;
+				agent.runs.push(start.idempotencyKey);
+			}
+
+			if (body.$case === 'refused') {
+				agent.ledger.release(keyDigest);
+			}
+
+			if (body.$case === 'end') {
+				agent.ledger.finish(keyDigest, {tag: 'answered', status: body.end.status, body: answer});
+			}
+
+			write(stream, body);
+		});
+	}
+
+	function sendEnd(stream: Stream, start: StartAttempt, end: JoinedEnd): void {
+		if (end.tag !== 'answered' || !end.body) {
+			write(stream, {$case: 'broken', broken: {attemptId: start.attemptId, reason: end.tag}});
+			return;
+		}
+
+		const sender = createAnswerSender(start.attemptId, 0);
+		write(stream, {$case: 'data', data: sender.createData(end.body, end.body.byteLength)});
+		write(stream, {$case: 'end', end: sender.createEnd(end.status, true)});
+	}
+
+	return agent;
+}
