--- a/bench/load/caller-routing-model.ts
+++ b/bench/load/caller-routing-model.ts
@@ -8,7 +8,7 @@
 /** Lifetime of an answer. */
 const LIFETIME_MILLIS = 5000;
 /** Rounds of asking after which the learnt sizes have settled. */
-const ROUNDS = 4;
+const ROUNDS = 6;
 /** Time between two rounds. */
 const ROUND_MILLIS = 20_000;
 /** Requests that the model sends in a round. */
--- a/bench/load/capacity-wire.ts
+++ b/bench/load/capacity-wire.ts
@@ -13,7 +13,8 @@
 const EXPERTS = 128;
 const SPARE_SLOTS_PER_RANK = 2;
 
-function figure(name: string, per: string, size: number, value: number, unit: string): CapacityFigure {
+/** `per` and `size` as in "cache events" and 10. */
+function figure(name: string, [per, size]: readonly [string, number], value: number, unit: string): CapacityFigure {
 	return {
 		name, per, size, value, unit,
 	};
@@ -25,7 +26,14 @@
 		body: {
 			$case: 'heartbeat',
 			heartbeat: {
-				sequence: 100_000, inFlight: 30, queued: 2, ageMillis: 2500, stepMillis: 31.5, tokensPerSecond: 2400, cacheEvents: Array.from({length: cacheEvents}, () => ({prefixDigest: DIGEST, evicted: false})), cacheGap: false,
+				sequence: 100_000,
+				inFlight: 30,
+				queued: 2,
+				ageMillis: 2500,
+				stepMillis: 31.5,
+				tokensPerSecond: 2400,
+				cacheEvents: Array.from({length: cacheEvents}, () => ({prefixDigest: DIGEST, evicted: false})),
+				cacheGap: false,
 			},
 		},
 	};
@@ -38,8 +46,8 @@
 		AgentFrame.decode(AgentFrame.encode(frame).finish());
 	});
 	return [
-		figure('load report', 'cache events', cacheEvents, encoded.length, 'bytes'),
-		figure('load report, encode and decode', 'cache events', cacheEvents, micros, 'microseconds'),
+		figure('load report', ['cache events', cacheEvents], encoded.length, 'bytes'),
+		figure('load report, encode and decode', ['cache events', cacheEvents], micros, 'microseconds'),
 	];
 }
 
@@ -49,11 +57,23 @@
 		body: {
 			$case: 'start',
 			start: {
-				attemptId: ID, requestId: ID, account: 'account-1234', workClass: 'notices', service: 'model-1', remainingMillis: 5000, idempotent: true, idempotencyKey: '', requestDigest: DIGEST, boundIncarnation: '', offset: 0, priority: 50, body: Buffer.alloc(bodyBytes),
+				attemptId: ID,
+				requestId: ID,
+				account: 'account-1234',
+				workClass: 'notices',
+				service: 'model-1',
+				remainingMillis: 5000,
+				idempotent: true,
+				idempotencyKey: '',
+				requestDigest: DIGEST,
+				boundIncarnation: '',
+				offset: 0,
+				priority: 50,
+				body: Buffer.alloc(bodyBytes),
 			},
 		},
 	};
-	return figure('start of an attempt', 'body bytes', bodyBytes, EntryFrame.encode(frame).finish().length, 'bytes');
+	return figure('start of an attempt', ['body bytes', bodyBytes], EntryFrame.encode(frame).finish().length, 'bytes');
 }
 
 function createConfigurationJson(accounts: number): string {
@@ -77,9 +97,9 @@
 		configurationSchema.parse(JSON.parse(json));
 	});
 	return [
-		figure('configuration document', 'accounts', accounts, json.length, 'bytes'),
-		figure('configuration, parse and check', 'accounts', accounts, micros, 'microseconds'),
-		figure('configuration in memory', 'accounts', accounts, measureBytesEach(accounts, () => configurationSchema.parse(JSON.parse(json))), 'bytes each'),
+		figure('configuration document', ['accounts', accounts], json.length, 'bytes'),
+		figure('configuration, parse and check', ['accounts', accounts], micros, 'microseconds'),
+		figure('configuration in memory', ['accounts', accounts], measureBytesEach(accounts, () => configurationSchema.parse(JSON.parse(json))), 'bytes each'),
 	];
 }
 
@@ -92,16 +112,28 @@
 		})), map,
 	}).finish().length;
 	const report = VoteReport.encode({
-		group: 'group-1', epoch: 1_000_000, rank: ranks - 1, agentIncarnation: ID, vote: 'yes', outcome: 'unknown',
+		group: 'group-1', epoch: 1_000_000, rank: ranks - 1, agentIncarnation: ID, vote: 'yes', outcome: 'unknown', proposal: undefined, fencingFloor: 1000,
 	}).finish().length;
 	const state = RankState.encode({
-		group: 'group-1', groupIncarnation: ID, rank: ranks - 1, agentId: 'agent-1', agentIncarnation: ID, step: 1_000_000, mapEpoch: 1000, stepMillis: 31.5, reportAgeMillis: 2000, layers: Array.from({length: LAYERS}, () => ({tokens: Array.from({length: EXPERTS}, (_, i) => i * 1.5)})), map, checksFencing: true, pending: false,
+		group: 'group-1',
+		groupIncarnation: ID,
+		rank: ranks - 1,
+		agentId: 'agent-1',
+		agentIncarnation: ID,
+		step: 1_000_000,
+		mapEpoch: 1000,
+		stepMillis: 31.5,
+		reportAgeMillis: 2000,
+		layers: Array.from({length: LAYERS}, () => ({tokens: Array.from({length: EXPERTS}, (_, i) => i * 1.5)})),
+		map,
+		checksFencing: true,
+		pending: false,
 	}).finish().length;
 	return [
-		figure('proposal of a map', 'ranks', ranks, proposal, 'bytes'),
-		figure('vote report', 'ranks', ranks, report, 'bytes'),
-		figure('rank state', 'ranks', ranks, state, 'bytes'),
-		figure('proposal, over all ranks', 'ranks', ranks, proposal * ranks, 'bytes'),
+		figure('proposal of a map', ['ranks', ranks], proposal, 'bytes'),
+		figure('vote report', ['ranks', ranks], report, 'bytes'),
+		figure('rank state', ['ranks', ranks], state, 'bytes'),
+		figure('proposal, over all ranks', ['ranks', ranks], proposal * ranks, 'bytes'),
 	];
 }
 
@@ -109,7 +141,7 @@
 export function measureWire(): readonly CapacityFigure[] {
 	const heartbeat = EntryFrame.encode({configVersion: 1200, body: {$case: 'heartbeat', heartbeat: {sequence: 100_000}}}).finish().length;
 	return [
-		figure('heartbeat of an entry', 'links', 1, heartbeat, 'bytes'),
+		figure('heartbeat of an entry', ['links', 1], heartbeat, 'bytes'),
 		...[0, 10, 100].flatMap(events => measureLoadReport(events)),
 		...[0, 1000].map(bytes => measureAttempt(bytes)),
 		...[10, 600, 6000].flatMap(accounts => measureConfiguration(accounts)),
--- a/src/decisions/caller-routing/rendezvous.ts
+++ b/src/decisions/caller-routing/rendezvous.ts
@@ -1,11 +1,11 @@
-import {createHash} from 'node:crypto';
+import {hash} from 'node:crypto';
 
-/** Bytes of the digest that make a score; 6 bytes are exact in a double. */
-const SCORE_BYTES = 6;
+/** Hex digits of the digest that make a score; 12 digits are exact in a double. */
+const SCORE_DIGITS = 12;
 
 /** Score of a node for a key: the same everywhere, uniform, and independent between nodes. */
 export function scoreNode(key: string, node: string): number {
-	return createHash('sha256').update(key).update('\0').update(node).digest().readUIntBE(0, SCORE_BYTES);
+	return Number.parseInt(hash('sha256', `${key}\0${node}`).slice(0, SCORE_DIGITS), 16);
 }
 
 /** Something with an id in a failure domain. */
@@ -20,13 +20,13 @@
 }
 
 /**
- * Reorders ranked nodes so that each run of as many nodes as there are failure domains names each domain once,
+ * Takes `count` of the ranked nodes such that each run of as many nodes as there are failure domains names each domain once,
  * for as long as each has nodes left. The first node stays first, and a longer list starts with the shorter one.
  */
-export function alternateDomains<T extends PlacedNode>(ranked: readonly T[]): readonly T[] {
+export function takeOverDomains<T extends PlacedNode>(ranked: readonly T[], count: number): readonly T[] {
 	const taken: T[] = [];
 	let rest = ranked;
-	while (rest.length > 0) {
+	while (rest.length > 0 && taken.length < count) {
 		const domains = new Set<string>();
 		const round: T[] = [];
 		const later: T[] = [];
@@ -39,5 +39,5 @@
 		rest = later;
 	}
 
-	return taken;
+	return taken.slice(0, count);
 }
--- a/src/decisions/caller-routing/subset.ts
+++ b/src/decisions/caller-routing/subset.ts
@@ -1,5 +1,5 @@
 import type {InstanceId} from '../../core/ids.js';
-import {alternateDomains, rankNodes, type PlacedNode} from './rendezvous.js';
+import {rankNodes, takeOverDomains, type PlacedNode} from './rendezvous.js';
 
 /** Up to this many agents, an entry links to all of them. */
 const MAX_AGENTS_FOR_FULL_MESH = 48;
@@ -13,7 +13,7 @@
 
 /** The entries that link to an agent whatever else they choose. */
 export function chooseCoveringEntries<T extends PlacedNode>(agentId: InstanceId, entries: readonly T[]): readonly T[] {
-	return alternateDomains(rankNodes(agentId, entries)).slice(0, MIN_ENTRIES_PER_AGENT);
+	return takeOverDomains(rankNodes(agentId, entries), MIN_ENTRIES_PER_AGENT);
 }
 
 function groupByService(agents: readonly LinkableAgent[]): ReadonlyMap<string, readonly LinkableAgent[]> {
@@ -39,7 +39,7 @@
 	}
 
 	for (const group of groupByService(agents).values()) {
-		for (const agent of alternateDomains(rankNodes(entryId, group)).slice(0, MIN_AGENTS_PER_SERVICE)) {
+		for (const agent of takeOverDomains(rankNodes(entryId, group), MIN_AGENTS_PER_SERVICE)) {
 			linked.add(agent.id);
 		}
 	}
