Keep the chosen links of an entry until the lists change

Cause: an entry reads the instance list about once a second and chose its links anew each time: 469 ms at 350 entries and 740 agents (npm run bench -- capacity), half of a core. Change: a memo; the choice itself is unchanged. Conclusion: the cost now falls on changes of the list only; the entry is to be switched over to the memo.

--- a/bench/load/capacity-deciders.ts
+++ b/bench/load/capacity-deciders.ts
@@ -2,6 +2,7 @@
 import {createAdmission} from '../../src/decisions/admission/create-admission.js';
 import {createAccountSizes} from '../../src/decisions/caller-routing/account-size.js';
 import {chooseAddresses} from '../../src/decisions/caller-routing/choose-addresses.js';
+import {createLinkedAgentsMemo} from '../../src/decisions/caller-routing/linked-agents-memo.js';
 import {chooseLinkedAgents, type LinkableAgent} from '../../src/decisions/caller-routing/subset.js';
 import {createSeededRandom} from '../../src/decisions/random.js';
 import {chooseBackendServer} from '../../src/decisions/routing/choose-backend-server.js';
@@ -109,7 +110,15 @@
 	const millis = measureMillis(() => {
 		links = chooseLinkedAgents('entry-0', entries, agents).size;
 	});
+	const memo = createLinkedAgentsMemo('entry-0');
+	memo(entries, agents);
+	const repeatMillis = measureMillis(() => {
+		memo(entries, agents);
+	});
 	return [
+		{
+			name: 'choice of linked agents, lists unchanged', per: 'agents', size: agentCount, value: repeatMillis, unit: 'milliseconds',
+		},
 		{
 			name: 'choice of linked agents', per: 'agents', size: agentCount, value: millis, unit: 'milliseconds',
 		},
--- a/src/decisions/caller-routing/__tests__/subset.test.ts
+++ b/src/decisions/caller-routing/__tests__/subset.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {createLinkedAgentsMemo} from '../linked-agents-memo.js';
 import {chooseLinkedAgents, MIN_AGENTS_PER_SERVICE, MIN_ENTRIES_PER_AGENT} from '../subset.js';
 
 const entries = Array.from({length: 40}, (_, i) => ({id: `entry-${i}`, failureDomain: `domain-${i % 7}`}));
@@ -25,3 +26,12 @@
 
 	assert.ok(agents.every(agent => (domains.get(agent.id)?.size ?? 0) >= MIN_ENTRIES_PER_AGENT));
 });
+
+test('links are chosen again only when the lists have changed', () => {
+	const choose = createLinkedAgentsMemo('entry-0');
+	const first = choose(entries, agents);
+	assert.equal(choose(entries.toReversed(), agents.map(agent => ({...agent}))), first);
+	const fewer = choose(entries, agents.slice(1));
+	assert.notEqual(fewer, first);
+	assert.deepEqual(fewer, chooseLinkedAgents('entry-0', entries, agents.slice(1)));
+});
