--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,6 +5,8 @@
 import {placementSuiteCommand} from './placement-suite-command.js';
 import {placementCommand} from './placement-command.js';
 import {admissionCommand} from './admission-command.js';
+import {capacityCommand} from './capacity-command.js';
+import {callerRoutingCommand} from './caller-routing-command.js';
 import {routingCommand} from './routing-command.js';
 import {traceCommand} from './trace-command.js';
 
@@ -17,6 +19,8 @@
 		faults: faultsCommand,
 		placement: placementCommand,
 		admission: admissionCommand,
+		capacity: capacityCommand,
+		'caller-routing': callerRoutingCommand,
 		routing: routingCommand,
 		'placement-suite': placementSuiteCommand,
 		trace: traceCommand,
