--- a/src/dispatch/candidates.ts
+++ b/src/dispatch/candidates.ts
@@ -20,3 +20,16 @@
 		.filter(link => !isStopPlanned(stops, link.hello.instanceId, link.hello.failureDomain))
 		.filter(link => !refusedBy.has(link.hello.instanceId));
 }
+
+/** Waits at most `millis` for an agent that {@link findCandidates} would give; false when none came. */
+export async function waitForCandidate(ctx: DispatchContext, service: string, refusedBy: ReadonlySet<InstanceId>, millis: number): Promise<boolean> {
+	const arrival = new AbortController();
+	const stopListening = ctx.links.registerListener(() => {
+		if (findCandidates(ctx, service, refusedBy).length > 0) {
+			arrival.abort();
+		}
+	});
+	await ctx.clock.sleep(millis, arrival.signal);
+	stopListening();
+	return arrival.signal.aborted;
+}
--- a/src/dispatch/dispatch-constants.ts
+++ b/src/dispatch/dispatch-constants.ts
@@ -14,3 +14,5 @@
 export const CLAIM_POLL_MILLIS = 50;
 /** Looks at a claim whose attempt has not started before it is taken over. */
 export const UNSTARTED_CLAIM_POLLS = 5;
+/** Longest wait of a started request for a backend server that takes it over, in milliseconds. */
+export const CANDIDATE_WAIT_MILLIS = 3000;
--- a/src/dispatch/dispatch-repeatable.ts
+++ b/src/dispatch/dispatch-repeatable.ts
@@ -4,10 +4,10 @@
 import {notRun} from '../core/outcome.js';
 import type {AnswerCollector} from './answer-collectors.js';
 import type {CallRequest} from './call-request.js';
-import {findCandidates} from './candidates.js';
+import {findCandidates, waitForCandidate} from './candidates.js';
 import {waitForConfiguration} from './configuration-wait.js';
 import {
-	CONFIGURATION_WAIT_MILLIS, MAX_CONFIGURATION_WAITS, NO_BACKEND_SERVER_RETRY_MILLIS, SETTLE_GRACE_MILLIS,
+	CANDIDATE_WAIT_MILLIS, CONFIGURATION_WAIT_MILLIS, MAX_CONFIGURATION_WAITS, NO_BACKEND_SERVER_RETRY_MILLIS, SETTLE_GRACE_MILLIS,
 } from './dispatch-constants.js';
 import type {DispatchContext} from './dispatch-context.js';
 import {chooseRefusalStep, toNotRunReason, toUnknownReason} from './refusal.js';
@@ -60,7 +60,7 @@
 
 		const link = chooseLink(ctx, req, progress);
 		if (!link) {
-			if (progress.mayHaveRun && await mayRetry(ctx, req, progress, 'no_backend_server')) {
+			if (progress.mayHaveRun && await waitForCandidate(ctx, req.service, progress.refusedBy, Math.min(CANDIDATE_WAIT_MILLIS, remainingMillis(ctx, req)))) {
 				continue;
 			}
 
--- a/src/entry/__tests__/entry-harness.ts
+++ b/src/entry/__tests__/entry-harness.ts
@@ -52,6 +52,8 @@
 	readonly table: InMemoryTableStore;
 	readonly objects: InMemoryObjectStore;
 	instances: readonly Instance[];
+	/** In force at entries from their start. */
+	configuration: Configuration | undefined;
 };
 
 /** An entry under test. */
@@ -141,26 +143,33 @@
 	const lifeCycle = createLifeCycle();
 	t.after(async () => lifeCycle.shutdown());
 	return {
-		lifeCycle, table: createInMemoryTableStore(), objects: createInMemoryObjectStore(), instances: [],
+		lifeCycle, table: createInMemoryTableStore(), objects: createInMemoryObjectStore(), instances: [], configuration,
 	};
 }
 
 /** Starts an agent of the service for each script and lists it. */
 export async function startAgents(world: World, service: string, scripts: readonly Script[]): Promise<readonly FakeAgent[]> {
 	const agents = await Promise.all(scripts.map(async (script, index) => startFakeAgent(world.lifeCycle, `${service}-${index + 1}`, service, script)));
+	for (const agent of agents) {
+		agent.configuration = world.configuration;
+	}
+
 	world.instances = [...world.instances, ...agents.map(agent => describeAgent(agent, service))];
 	return agents;
 }
 
 /** Starts an entry and waits until it has a link to each listed agent. */
-export async function startTestEntry(world: World, instanceId: string, overrides: Partial<EntrySettings> = {}): Promise<TestEntry> {
+export async function startTestEntry(world: World, instanceId: string, overrides: Partial<EntrySettings> = {}, operatorToken?: string): Promise<TestEntry> {
 	const events: AuditEvent[] = [];
 	const lifeCycle = createLifeCycle();
 	world.lifeCycle.own(instanceId, async () => {
 		await lifeCycle.shutdown();
 	});
 	const holder = createConfigurationHolder();
-	holder.offer(configuration);
+	if (world.configuration) {
+		holder.offer(world.configuration);
+	}
+
 	const ctx: ProcessContext = {
 		incarnation: `${instanceId}-1`,
 		clock: systemClock,
@@ -198,7 +207,7 @@
 		planIntervalMillis: 5000,
 		maxBodyBytes: 4096,
 		...overrides,
-	}, {operatorToken: undefined});
+	}, {operatorToken});
 	if (!started.ok) {
 		throw new Error(started.error.detail);
 	}
--- a/src/entry/__tests__/fake-agent.ts
+++ b/src/entry/__tests__/fake-agent.ts
@@ -3,14 +3,14 @@
 import {Server, ServerCredentials, type ServerDuplexStream} from '@grpc/grpc-js';
 import {createAnswerSender, type AnswerSender} from '../../answer/answer-sender.js';
 import {encodeTokens} from '../../answer/payload-units.js';
-import {createConfigDocument} from '../../configuration/configuration-document.js';
+import {createConfigDocument, parseConfigDocument} from '../../configuration/configuration-document.js';
 import type {Configuration} from '../../configuration/configuration.js';
 import type {LifeCycle} from '../../core/life-cycle.js';
 import {digestKey} from '../../ledger/key-digest.js';
 import type {JoinedEnd} from '../../ledger/ledger-types.js';
 import {createLedger, createLedgerLimits, type Ledger} from '../../ledger/ledger.js';
 import {
-	AgentLinkService, type AgentFrame, type EntryFrame, type StartAttempt,
+	AgentLinkService, type AgentFrame, type ConfigDocument, type EntryFrame, type StartAttempt,
 } from '../../wire/generated/link.js';
 
 /** One attempt as a script sees it. */
@@ -31,6 +31,7 @@
 	readonly address: string;
 	incarnation: string;
 	script: Script;
+	isLeaving: boolean;
 	/** Every attempt is refused for this reason while it is set. */
 	refuseAll: string | undefined;
 	/** Swallows this many start frames without a trace. */
@@ -40,6 +41,8 @@
 	readonly heldStarts: () => number;
 	/** Lets the start frames that were kept back arrive. */
 	readonly releaseStarts: () => void;
+	/** Whether configurations that entries send come into force. */
+	takesConfigurations: boolean;
 	/** No tombstone is recorded while this is set. */
 	refusesTombstones: boolean;
 	/** In force at the agent; entries on an older version are refused. */
@@ -113,8 +116,10 @@
 		address: `127.0.0.1:${port}`,
 		incarnation: `${agentId}-1`,
 		script,
+		isLeaving: false,
 		refuseAll: undefined,
 		refusesTombstones: false,
+		takesConfigurations: false,
 		holdStarts: false,
 		heldStarts: () => held.length,
 		releaseStarts() {
@@ -152,7 +157,7 @@
 
 	function write(stream: Stream, body: NonNullable<AgentFrame['body']>): void {
 		if (!silent.has(stream) && streams.has(stream)) {
-			stream.write({configVersion: agent.configuration?.version ?? 1, body});
+			stream.write({configVersion: agent.configuration?.version ?? 0, body});
 		}
 	}
 
@@ -227,9 +232,17 @@
 				break;
 			}
 
-			case 'cancel':
-			case 'config':
+			case 'config': {
+				takeConfiguration(body.config);
+				break;
+			}
+
 			case 'heartbeat': {
+				write(stream, {$case: 'leaving', leaving: {leaving: agent.isLeaving}});
+				break;
+			}
+
+			case 'cancel': {
 				break;
 			}
 		}
@@ -246,7 +259,7 @@
 			return;
 		}
 
-		const refusal = entryVersion < (agent.configuration?.version ?? 1) ? 'stale_configuration' : agent.refuseAll;
+		const refusal = entryVersion < (agent.configuration?.version ?? 0) ? 'stale_configuration' : agent.refuseAll;
 		if (refusal !== undefined) {
 			refuse(stream, start, refusal);
 			return;
@@ -263,6 +276,14 @@
 		void runOnce(stream, start);
 	}
 
+	function takeConfiguration(document: ConfigDocument): void {
+		const parsed = parseConfigDocument(document);
+		if (agent.takesConfigurations && parsed.ok) {
+			agent.configuration = parsed.value;
+			agent.say({$case: 'config', config: document});
+		}
+	}
+
 	function refuse(stream: Stream, {attemptId}: StartAttempt, reason: string): void {
 		write(stream, {$case: 'refused', refused: {attemptId, reason, retryAfterMillis: 0}});
 	}
--- a/src/entry/__tests__/graceful.test.ts
+++ b/src/entry/__tests__/graceful.test.ts
@@ -76,7 +76,9 @@
 	const answer = answerTokens(['ok']);
 	const [leaving, staying] = await startAgents(world, 'model', [answer, answer]);
 	const entry = await startTestEntry(world, 'entry-1');
-	leaving?.say({$case: 'leaving', leaving: {leaving: true}});
+	assert.ok(leaving);
+	leaving.isLeaving = true;
+	leaving.say({$case: 'leaving', leaving: {leaving: true}});
 	await waitFor(async () => {
 		const status = await fetch(`${entry.operatorUrl}/v1/status`);
 		return /"instanceId":"model-1"[^\}]*"leaving":true/v.test(await status.text());
--- a/src/entry/link-peer.ts
+++ b/src/entry/link-peer.ts
@@ -73,8 +73,8 @@
 	}
 
 	async function hold(link: AgentLink): Promise<void> {
-		deps.publish(link);
 		ctx.observer.onOpen(link.hello);
+		deps.publish(link);
 		report({ok: true, value: link});
 		await link.closed;
 		deps.publish(undefined);
--- a/src/entry/link-set.ts
+++ b/src/entry/link-set.ts
@@ -8,6 +8,7 @@
 import type {LifeCycle} from '../core/life-cycle.js';
 import {fail, succeed, type Result} from '../core/result.js';
 import {createSnapshotStore} from '../core/snapshot-store.js';
+import type {Teardown} from '../core/teardown.js';
 import type {Instance, InstanceList} from '../ports/instance-list.js';
 import {
 	openAgentLink, type AgentLink, type LinkContext, type LinkError,
@@ -29,6 +30,8 @@
 	readonly connect: (agent: AgentAddress, millis: number) => Promise<LinkOutcome>;
 	/** The instance list as last read; empty until then. */
 	readonly instances: () => readonly Instance[];
+	/** Calls `listener` whenever a link has opened or ended. */
+	readonly registerListener: (listener: () => void) => Teardown;
 };
 
 /** What decides how many links there are and how long a failed one rests. */
@@ -115,6 +118,7 @@
 	return {
 		links: () => [...open.read().values()].filter(link => link.isOpen()),
 		instances: listed.read,
+		registerListener: open.registerListener,
 		async connect(agent, millis) {
 			const link = open.read().get(agent.agentId);
 			if (link?.isOpen()) {
