--- a/src/dispatch/dispatch-repeatable.ts
+++ b/src/dispatch/dispatch-repeatable.ts
@@ -4,10 +4,10 @@
 import {notRun} from '../core/outcome.js';
 import type {AnswerCollector} from './answer-collectors.js';
 import type {CallRequest} from './call-request.js';
-import {findCandidates, waitForCandidate} from './candidates.js';
+import {findCandidates} from './candidates.js';
 import {waitForConfiguration} from './configuration-wait.js';
 import {
-	CANDIDATE_WAIT_MILLIS, CONFIGURATION_WAIT_MILLIS, MAX_CONFIGURATION_WAITS, NO_BACKEND_SERVER_RETRY_MILLIS, SETTLE_GRACE_MILLIS,
+	CONFIGURATION_WAIT_MILLIS, MAX_CONFIGURATION_WAITS, NO_BACKEND_SERVER_RETRY_MILLIS, SETTLE_GRACE_MILLIS,
 } from './dispatch-constants.js';
 import type {DispatchContext} from './dispatch-context.js';
 import {chooseRefusalStep, toNotRunReason, toUnknownReason} from './refusal.js';
@@ -17,6 +17,7 @@
 	settleAnswered, settleNotRun, settleUnknown, type Settled,
 } from './settled.js';
 import {takeRetry} from './take-retry.js';
+import {waitForLink} from './wait-for-link.js';
 
 /** State of one request over its attempts. */
 type Progress = {
@@ -58,12 +59,9 @@
 			return finish(progress, settleNotRun('never_sent', '', notRun('deadline', 'the deadline passed before an attempt')));
 		}
 
-		const link = chooseLink(ctx, req, progress);
+		const choose = () => chooseLink(ctx, req, progress);
+		const link = progress.mayHaveRun ? await waitForLink(ctx, req, choose, signal) : choose();
 		if (!link) {
-			if (progress.mayHaveRun && await waitForCandidate(ctx, req.service, progress.refusedBy, Math.min(CANDIDATE_WAIT_MILLIS, remainingMillis(ctx, req)))) {
-				continue;
-			}
-
 			return finish(progress, progress.last);
 		}
 
