Split the link to an agent into its parts, and open an attempt's mailbox before its frame

Cause: one function of 250 lines read frames, exchanged versions and kept questions; a link that ended during the write of a start frame would have left the attempt waiting for its deadline. Change: attempt-event, attempt-mailboxes, link-questions, version-exchange; a closing link answers its questions.

--- a/src/entry/agent-link.ts
+++ b/src/entry/agent-link.ts
@@ -4,11 +4,9 @@
  * A link is handed out only after the agent's hello, so an attempt is written to a stream that is known to work.
  * Each link has a connection of its own: a replacement never shares the connection that went silent.
  */
-import {Buffer} from 'node:buffer';
 import {match} from 'ts-pattern';
 import type {ClientDuplexStream} from '@grpc/grpc-js';
 import type {LinkAccess} from '../access/link-access.js';
-import {configurationSchema} from '../configuration/configuration.js';
 import type {ConfigurationHolder} from '../configuration/configuration-holder.js';
 import type {Clock} from '../core/clock.js';
 import type {
@@ -24,31 +22,20 @@
 	type AgentHello,
 	type AttemptQuery,
 	type AttemptStatus,
-	type Data,
-	type End,
 	type EntryFrame,
+	type EntryHello,
 	type LoadReport,
 	type StartAttempt,
 	type TombstoneReply,
 } from '../wire/generated/link.js';
+import type {AttemptEvent} from './attempt-event.js';
+import {createAttemptMailboxes} from './attempt-mailboxes.js';
+import {createLinkQuestions} from './link-questions.js';
+import {startVersionExchange} from './version-exchange.js';
 import {
 	HEARTBEAT_INTERVAL_MILLIS, HELLO_TIMEOUT_MILLIS, LINK_SILENCE_MILLIS, MAX_FRAME_BYTES,
 } from './link-constants.js';
 
-/** What comes back for an attempt. */
-export type AttemptEvent
-	= | Readonly<{tag: 'accepted'}>
-		| Readonly<{tag: 'data'; data: Data}>
-		| Readonly<{tag: 'end'; end: End}>
-	/** The attempt was not started and never will be. */
-		| Readonly<{tag: 'refused'; reason: string; retryAfterMillis: number}>
-	/** The attempt was started; no whole answer will follow. */
-		| Readonly<{tag: 'broken'; reason: string}>
-	/** The link ended; what became of the attempt is not known. */
-		| Readonly<{tag: 'link_lost'}>
-	/** Nobody on this side wants the outcome any more. */
-		| Readonly<{tag: 'abandoned'}>;
-
 /** A report of the agent's load and the monotonic time it came, in milliseconds. */
 export type ReceivedLoad = Readonly<{report: LoadReport; atMillis: number}>;
 
@@ -113,15 +100,6 @@
 	'grpc.max_send_message_length': MAX_FRAME_BYTES,
 } as const;
 
-/** Waiters for replies to one kind of question, by the id they ask about. */
-type Waiters<T> = Map<string, Set<Mailbox<T>>>;
-
-function settleWaiters<T>(waiters: Waiters<T>, id: string, reply: T): void {
-	for (const waiter of waiters.get(id) ?? []) {
-		waiter.push(reply);
-	}
-}
-
 function queryId(query: Readonly<{attemptId: string; idempotencyKey: string}>): string {
 	return `${query.attemptId} ${query.idempotencyKey}`;
 }
@@ -153,27 +131,26 @@
 	closeClient: () => void;
 }>;
 
+/** Reads the frames of a link and keeps what the agent said last. */
 function createLink(ctx: LinkContext, connection: Connection): Omit<AgentLink, 'hello'> {
-	const {address, call, greeting, closeClient} = connection;
-	const attempts = new Map<AttemptId, Mailbox<AttemptEvent>>();
-	const tombstones: Waiters<TombstoneReply> = new Map();
-	const queries: Waiters<AttemptStatus> = new Map();
+	const {address, call, greeting} = connection;
+	const attempts = createAttemptMailboxes();
+	const tombstones = createLinkQuestions<TombstoneReply>(ctx.clock);
+	const queries = createLinkQuestions<AttemptStatus>(ctx.clock);
 	const ending = new AbortController();
-	const closed = new Promise<void>(resolve => {
-		ending.signal.addEventListener('abort', () => {
-			resolve();
-		}, {once: true});
+	const versions = startVersionExchange(ctx.configuration, body => {
+		send(body);
 	});
 	let hello: AgentHello | undefined;
 	let isLeaving = false;
-	let peerVersion = 0;
-	let offeredVersion = 0;
-	let requestedVersion = 0;
-	let lastFrameMillis = ctx.clock.monotonicMillis();
 	let load: ReceivedLoad | undefined;
+	let lastFrameMillis = ctx.clock.monotonicMillis();
 
-	const isOpen = () => !ending.signal.aborted;
+	function isOpen(): boolean {
+		return !ending.signal.aborted;
+	}
 
+	/** False when the link was closed before, so that nothing can have been written. */
 	function send(body: EntryBody): boolean {
 		if (!isOpen()) {
 			return false;
@@ -183,15 +160,16 @@
 		return true;
 	}
 
-	function sendConfiguration(): void {
-		const cfg = ctx.configuration.read();
-		if (cfg) {
-			offeredVersion = cfg.version;
-			send({$case: 'config', config: {version: cfg.version, json: Buffer.from(JSON.stringify(cfg))}});
+	/** The mailbox is there before the frame is written, so that it learns of a link that ends during the write. */
+	function start(attempt: StartAttempt): Mailbox<AttemptEvent> | undefined {
+		const mailbox = attempts.open(attempt.attemptId);
+		if (send({$case: 'start', start: attempt})) {
+			return mailbox;
 		}
-	}
 
-	const stopListening = ctx.configuration.registerListener(sendConfiguration);
+		attempts.forget(attempt.attemptId);
+		return undefined;
+	}
 
 	function close(cause: string): void {
 		if (!isOpen()) {
@@ -199,49 +177,27 @@
 		}
 
 		ending.abort();
-		stopListening();
+		versions.stop();
 		call.cancel();
-		closeClient();
+		connection.closeClient();
 		ctx.log.info('link closed', {peer: hello?.instanceId, address, cause});
 		greeting.push(fail({tag: 'unreachable', detail: `${address}: ${cause}`}));
-		for (const mailbox of attempts.values()) {
-			mailbox.push({tag: 'link_lost'});
-		}
-
-		attempts.clear();
-	}
-
-	function takeConfiguration(json: Uint8Array): void {
-		const parsed = configurationSchema.safeParse(parseJson(json));
-		if (parsed.success) {
-			ctx.configuration.offer(parsed.data);
-			return;
-		}
-
-		ctx.metrics.droppedFrames.inc({reason: 'bad_configuration'});
+		tombstones.abandon();
+		queries.abandon();
+		attempts.loseAll();
 	}
 
-	function compareVersions(version: ConfigVersion): void {
-		peerVersion = version;
-		const own = ctx.configuration.version();
-		if (version > own && version > requestedVersion) {
-			requestedVersion = version;
-			send({$case: 'configRequest', configRequest: {knownVersion: own}});
-		}
-
-		if (version < own && offeredVersion < own) {
-			sendConfiguration();
+	function deliver(attemptId: AttemptId, event: AttemptEvent): void {
+		if (!attempts.deliver(attemptId, event)) {
+			ctx.metrics.droppedFrames.inc({reason: 'unknown_attempt'});
 		}
 	}
 
-	function deliver(attemptId: AttemptId, event: AttemptEvent): void {
-		const mailbox = attempts.get(attemptId);
-		if (mailbox) {
-			mailbox.push(event);
-			return;
+	function takeLoad(report: LoadReport): void {
+		load = {report, atMillis: ctx.clock.monotonicMillis()};
+		if (hello) {
+			ctx.observer.onReport(hello, report);
 		}
-
-		ctx.metrics.droppedFrames.inc({reason: 'unknown_attempt'});
 	}
 
 	function receive(body: AgentBody): void {
@@ -251,60 +207,42 @@
 				isLeaving = frame.hello.leaving;
 				greeting.push(succeed(frame.hello));
 			})
-			.with({$case: 'heartbeat'}, frame => {
-				load = {report: frame.heartbeat, atMillis: ctx.clock.monotonicMillis()};
-				if (hello) {
-					ctx.observer.onReport(hello, frame.heartbeat);
-				}
+			.with({$case: 'heartbeat'}, ({heartbeat}) => {
+				takeLoad(heartbeat);
 			})
 			.with({$case: 'leaving'}, frame => {
 				isLeaving = frame.leaving.leaving;
 			})
-			.with({$case: 'accepted'}, frame => {
-				deliver(frame.accepted.attemptId, {tag: 'accepted'});
+			.with({$case: 'accepted'}, ({accepted}) => {
+				deliver(accepted.attemptId, {tag: 'accepted'});
 			})
-			.with({$case: 'data'}, frame => {
-				deliver(frame.data.attemptId, {tag: 'data', data: frame.data});
+			.with({$case: 'data'}, ({data}) => {
+				deliver(data.attemptId, {tag: 'data', data});
 			})
-			.with({$case: 'end'}, frame => {
-				deliver(frame.end.attemptId, {tag: 'end', end: frame.end});
+			.with({$case: 'end'}, ({end}) => {
+				deliver(end.attemptId, {tag: 'end', end});
 			})
-			.with({$case: 'refused'}, ({refused}) => {
-				deliver(refused.attemptId, {tag: 'refused', reason: refused.reason, retryAfterMillis: refused.retryAfterMillis});
+			.with({$case: 'refused'}, ({refused: {attemptId, reason, retryAfterMillis}}) => {
+				deliver(attemptId, {tag: 'refused', reason, retryAfterMillis});
 			})
-			.with({$case: 'broken'}, frame => {
-				deliver(frame.broken.attemptId, {tag: 'broken', reason: frame.broken.reason});
+			.with({$case: 'broken'}, ({broken: {attemptId, reason}}) => {
+				deliver(attemptId, {tag: 'broken', reason});
 			})
-			.with({$case: 'tombstoned'}, frame => {
-				settleWaiters(tombstones, frame.tombstoned.attemptId, frame.tombstoned);
+			.with({$case: 'tombstoned'}, ({tombstoned}) => {
+				tombstones.settle(tombstoned.attemptId, tombstoned);
 			})
-			.with({$case: 'status'}, frame => {
-				settleWaiters(queries, queryId(frame.status), frame.status);
+			.with({$case: 'status'}, ({status}) => {
+				queries.settle(queryId(status), status);
 			})
-			.with({$case: 'config'}, frame => {
-				takeConfiguration(frame.config.json);
+			.with({$case: 'config'}, ({config}) => {
+				if (!versions.take(config)) {
+					ctx.metrics.droppedFrames.inc({reason: 'bad_configuration'});
+				}
 			})
-			.with({$case: 'configRequest'}, sendConfiguration)
+			.with({$case: 'configRequest'}, versions.sendOwn)
 			.exhaustive();
 	}
 
-	async function ask<T>(waiters: Waiters<T>, id: string, question: EntryBody, millis: number): Promise<T | undefined> {
-		const mailbox = createMailbox<T>();
-		const others = waiters.get(id) ?? new Set();
-		waiters.set(id, others.add(mailbox));
-		if (!send(question)) {
-			return undefined;
-		}
-
-		const reply = await Promise.race([mailbox.take(ctx.clock, millis), closed.then(() => undefined)]);
-		others.delete(mailbox);
-		if (others.size === 0) {
-			waiters.delete(id);
-		}
-
-		return reply;
-	}
-
 	async function keepAlive(): Promise<void> {
 		for (let sequence = 1; isOpen(); sequence++) {
 			send({$case: 'heartbeat', heartbeat: {sequence}});
@@ -317,15 +255,17 @@
 		}
 	}
 
-	call.on('data', (frame: AgentFrame) => {
+	function takeFrame({configVersion, body}: AgentFrame): void {
 		lastFrameMillis = ctx.clock.monotonicMillis();
-		if (!isOpen()) {
-			return;
+		versions.compare(configVersion);
+		if (body) {
+			receive(body);
 		}
+	}
 
-		compareVersions(frame.configVersion);
-		if (frame.body) {
-			receive(frame.body);
+	call.on('data', (frame: AgentFrame) => {
+		if (isOpen()) {
+			takeFrame(frame);
 		}
 	});
 	call.on('error', (err: Error) => {
@@ -334,46 +274,38 @@
 	call.on('end', () => {
 		close('ended by the agent');
 	});
-	send({
-		$case: 'hello', hello: {
-			instanceId: ctx.instanceId, incarnation: ctx.incarnation, failureDomain: ctx.failureDomain, token: '',
-		},
-	});
+	send({$case: 'hello', hello: createHello(ctx)});
 	void keepAlive();
 
 	return {
 		address,
 		isOpen,
-		closed,
+		closed: waitForAbort(ending.signal),
 		isLeaving: () => isLeaving,
-		peerVersion: () => peerVersion,
+		peerVersion: versions.peerVersion,
 		load: () => load,
-		inFlight: () => attempts.size,
-		start(attempt) {
-			const mailbox = createMailbox<AttemptEvent>();
-			if (!send({$case: 'start', start: attempt})) {
-				return undefined;
-			}
-
-			attempts.set(attempt.attemptId, mailbox);
-			return mailbox;
-		},
-		forget(attemptId) {
-			attempts.delete(attemptId);
-		},
+		inFlight: attempts.size,
+		start,
+		forget: attempts.forget,
 		cancel(attemptId) {
 			send({$case: 'cancel', cancel: {attemptId}});
 		},
-		tombstone: async (attemptId, millis) => ask(tombstones, attemptId, {$case: 'tombstone', tombstone: {attemptId}}, millis),
-		query: async (query, millis) => ask(queries, queryId(query), {$case: 'query', query}, millis),
+		tombstone: async (attemptId, millis) => tombstones.ask(attemptId, () => send({$case: 'tombstone', tombstone: {attemptId}}), millis),
+		query: async (query, millis) => queries.ask(queryId(query), () => send({$case: 'query', query}), millis),
 		close,
 	};
 }
 
-function parseJson(json: Uint8Array): unknown {
-	try {
-		return JSON.parse(Buffer.from(json).toString('utf8'));
-	} catch {
-		return undefined;
-	}
+function createHello({instanceId, incarnation, failureDomain}: LinkContext): EntryHello {
+	return {
+		instanceId, incarnation, failureDomain, token: '',
+	};
+}
+
+async function waitForAbort(signal: AbortSignal): Promise<void> {
+	await new Promise<void>(resolve => {
+		signal.addEventListener('abort', () => {
+			resolve();
+		}, {once: true});
+	});
 }
