--- a/bench/faults/run-faults.ts
+++ b/bench/faults/run-faults.ts
@@ -107,9 +107,10 @@
 
 type Round = Readonly<{kinds: readonly FaultKind[]; calls: readonly LoggedCall[]; recoveryMillis: number}>;
 
-async function runRound(ctx: FaultContext, round: number, callRandom: RandomSource, probe: Probe): Promise<Round> {
+type RoundPlan = Readonly<{round: number; kinds: readonly FaultKind[]; callRandom: RandomSource; probe: Probe}>;
+
+async function runRound(ctx: FaultContext, {round, kinds, callRandom, probe}: RoundPlan): Promise<Round> {
 	const {system, random} = ctx;
-	const kinds = drawFaults(random);
 	const calls = sendCalls(system, round, callRandom);
 	const lastsMillis = FAULT_MIN_MILLIS + (random() * (FAULT_MAX_MILLIS - FAULT_MIN_MILLIS));
 	const active = [];
@@ -168,10 +169,14 @@
 	const rounds: Round[] = [];
 	for (let i = 0; i < roundCount; i++) {
 		// Rounds follow each other, each against a system that works.
+		const kinds = drawFaults(random);
+		say(`round ${i}: ${kinds.map(kind => kind.name).join(' + ')}`);
 		// eslint-disable-next-line no-await-in-loop
-		const round = await runRound(ctx, i, callRandom, probe);
+		const round = await runRound(ctx, {
+			round: i, kinds, callRandom, probe,
+		});
 		rounds.push(round);
-		say(`round ${i}: ${round.kinds.map(kind => kind.name).join(' + ')}, new work after ${Math.round(round.recoveryMillis)} ms`);
+		say(`round ${i}: new work after ${Math.round(round.recoveryMillis)} ms`);
 		// eslint-disable-next-line no-await-in-loop
 		await watch.look();
 	}
