Write the log, and let a stopped process be waited for once

Cause: all log files were empty. Change: the variable is set before the library is imported; the end of a process is taken when it is told to stop.

--- a/bench/faults/process-faults.ts
+++ b/bench/faults/process-faults.ts
@@ -68,12 +68,13 @@
 				return NOTHING;
 			}
 
+			const ended = victim.waitEnd();
 			victim.signal('SIGTERM');
 			victim.signal('SIGTERM');
 			return {
 				async heal() {
 					victim.signal('SIGCONT');
-					const end = await victim.waitEnd();
+					const end = await ended;
 					if (end.code !== 0 && end.signal !== 'SIGKILL') {
 						ctx.report(`stop_cuts_nothing_off: ${victim.name} ended with ${JSON.stringify(end)}`);
 					}
--- a/src/observability/log.ts
+++ b/src/observability/log.ts
@@ -1,5 +1,5 @@
 import process from 'node:process';
-import {ROARR, Roarr} from 'roarr';
+import {ROARR, Roarr} from './enabled-roarr.js';
 
 /** Context of a log line: ids, reasons, figures. Never bodies or credentials. */
 export type LogContext = Readonly<Record<string, string | number | boolean | undefined>>;
@@ -43,12 +43,13 @@
 	};
 }
 
-/** The log of a process, on its standard error. */
-export function createProcessLog(ctx: LogContext): Log {
-	ROARR.write = line => {
-		process.stderr.write(`${line}\n`);
-	};
+function writeToStandardError(line: string): void {
+	process.stderr.write(`${line}\n`);
+}
 
+/** The log of a process; `write` takes each line, without its end. */
+export function createProcessLog(ctx: LogContext, write: (line: string) => void = writeToStandardError): Log {
+	ROARR.write = write;
 	return wrap(ctx);
 }
 
