--- a/src/dispatch/dispatch-repeatable.ts
+++ b/src/dispatch/dispatch-repeatable.ts
@@ -55,7 +55,7 @@
 
 	/* eslint-disable no-await-in-loop -- One attempt after the other. */
 	for (;;) {
-		if (signal?.aborted === true || remainingMillis(ctx, req) === 0) {
+		if (hasAborted(signal) || remainingMillis(ctx, req) === 0) {
 			return finish(progress, settleNotRun('never_sent', '', notRun('deadline', 'the deadline passed before an attempt')));
 		}
 
@@ -71,7 +71,7 @@
 			attemptId, offset: collector.beginAttempt(), boundIncarnation: '', countUnits: collector.countUnits, sink: collector.take, signal,
 		});
 		const settled = await follow(ctx, req, collector, {
-			link, attemptId, result, progress,
+			link, attemptId, result, progress, hasCallerLeft: hasAborted(signal),
 		});
 		if (settled) {
 			return {settled, attempts: progress.attempts};
@@ -80,6 +80,10 @@
 	/* eslint-enable no-await-in-loop */
 }
 
+function hasAborted(signal: AbortSignal | undefined): boolean {
+	return signal?.aborted === true;
+}
+
 function finish(progress: Progress, settled: Settled): RepeatableResult {
 	const truth = progress.mayHaveRun && settled.outcome.tag === 'not_run' ? progress.last : settled;
 	return {settled: truth, attempts: progress.attempts};
@@ -96,6 +100,7 @@
 	attemptId: string;
 	result: AttemptResult;
 	progress: Progress;
+	hasCallerLeft: boolean;
 }>;
 
 /** The request's outcome, or undefined when another attempt is to follow. */
@@ -166,8 +171,12 @@
 	return isAllowed;
 }
 
-async function settleLate(ctx: DispatchContext, req: CallRequest, {link, attemptId, progress}: Finished): Promise<Settled> {
+async function settleLate(ctx: DispatchContext, req: CallRequest, {link, attemptId, progress, hasCallerLeft}: Finished): Promise<Settled> {
 	link.cancel(attemptId);
+	if (hasCallerLeft) {
+		return settleUnknown(attemptId, 'connection_lost', 'the caller has left');
+	}
+
 	const agent = {agentId: link.hello.instanceId, incarnation: link.hello.incarnation, linkAddress: link.address};
 	if (!progress.mayHaveRun && await proveNotStarted(ctx, req, {agent, attemptIds: [attemptId]}, SETTLE_GRACE_MILLIS)) {
 		return settleNotRun('tombstone', attemptId, notRun('deadline', 'the deadline passed before the backend server began'));
--- a/src/entry/__tests__/entry-harness.ts
+++ b/src/entry/__tests__/entry-harness.ts
@@ -100,10 +100,11 @@
 export type TokenEvent = z.infer<typeof eventSchema> & Readonly<{name: string}>;
 
 /** Posts a request for a streamed answer and gives all events of the response. */
-export async function postPrompt(entry: TestEntry, headers: Readonly<Record<string, string>> = {}): Promise<Readonly<{status: number; events: readonly TokenEvent[]}>> {
+export async function postPrompt(entry: TestEntry, headers: Readonly<Record<string, string>> = {}, signal?: AbortSignal): Promise<Readonly<{status: number; events: readonly TokenEvent[]}>> {
 	const res = await fetch(`${entry.url}/v1/models/model/answers`, {
 		method: 'POST',
 		body: JSON.stringify({prompt: 'Why is the invoice higher?', maxTokens: 16}),
+		signal: signal ?? null,
 		headers: {authorization: `Bearer ${CREDENTIAL}`, ...headers},
 	});
 	const text = await res.text();
--- a/src/entry/__tests__/fake-agent.ts
+++ b/src/entry/__tests__/fake-agent.ts
@@ -54,6 +54,8 @@
 	/** Replaced when a test lets the agent restart. */
 	ledger: Ledger;
 	readonly tombstones: Set<string>;
+	/** Attempts that the entry cancelled. */
+	readonly cancelled: string[];
 	/** Ends this many coming links before their hello. */
 	refusedLinks: number;
 	readonly cutLinks: () => void;
@@ -136,6 +138,7 @@
 		runs: [],
 		ledger: createLedger(`${agentId}-1`, createLedgerLimits(100)),
 		tombstones: new Set(),
+		cancelled: [],
 		silenceLinks() {
 			for (const stream of streams) {
 				silent.add(stream);
@@ -252,6 +255,7 @@
 			}
 
 			case 'cancel': {
+				agent.cancelled.push(body.cancel.attemptId);
 				break;
 			}
 		}
