--- a/bench/main.ts
+++ b/bench/main.ts
@@ -2,8 +2,11 @@
 import process from 'node:process';
 import {defineCommand, runCommand} from 'citty';
 import {faultsCommand} from './faults-command.js';
+import {placementSuiteCommand} from './placement-suite-command.js';
 import {placementCommand} from './placement-command.js';
 import {admissionCommand} from './admission-command.js';
+import {capacityCommand} from './capacity-command.js';
+import {callerRoutingCommand} from './caller-routing-command.js';
 import {routingCommand} from './routing-command.js';
 import {traceCommand} from './trace-command.js';
 
@@ -16,7 +19,10 @@
 		faults: faultsCommand,
 		placement: placementCommand,
 		admission: admissionCommand,
+		capacity: capacityCommand,
+		'caller-routing': callerRoutingCommand,
 		routing: routingCommand,
+		'placement-suite': placementSuiteCommand,
 		trace: traceCommand,
 	},
 });
