--- a/src/core/outcome.ts
+++ b/src/core/outcome.ts
@@ -13,13 +13,11 @@
 		| 'stale_configuration'
 		| 'connection_refused'
 		| 'tombstone'
-		| 'never_sent'
 		| 'binding_expired'
 		| 'key_reused'
 		| 'ledger_full'
 		| 'audit_full'
-		| 'table_unavailable'
-		| 'claimed_elsewhere';
+		| 'table_unavailable';
 
 /** Why nobody can say whether a request ran. Each reason has its own counter. */
 export type UnknownReason
