Take a tombstone as proof only while the agent remembers an attempt that ran

Cause: the agent forgets ended attempts of repeatable requests after ten minutes. An entry that was paused for longer could then get a tombstone recorded for an attempt that had run, and tell its caller that it had not.

Change: the entry takes the tombstone of a request without a key as proof for five minutes only. Requests with a key are not concerned, since the ledger keeps their attempts for as long as the incarnation lives.

--- a/src/attempts/__tests__/attempt-table.test.ts
+++ b/src/attempts/__tests__/attempt-table.test.ts
@@ -4,6 +4,7 @@
 import {createManualClock} from '../../core/manual-clock.js';
 import {ATTEMPT_MEMORY_MILLIS} from '../attempt-constants.js';
 import {createAttemptTable} from '../attempt-table.js';
+import {isTombstoneProof} from '../tombstone-proof.js';
 
 const SEED = 20_261_203;
 
@@ -42,6 +43,18 @@
 	assert.equal(table.claim('a3'), 'full');
 });
 
+test('not run: a tombstone is taken as proof only while the agent still remembers an attempt that ran', () => {
+	fc.assert(fc.property(fc.nat(2 * ATTEMPT_MEMORY_MILLIS), ageMillis => {
+		const clock = createManualClock();
+		const table = createAttemptTable(clock);
+		table.claim('a1');
+		table.finish('a1', 'answered');
+		clock.advance(ageMillis);
+		assert.ok(!(table.recordTombstone('a1') && isTombstoneProof(ageMillis)));
+	}), {seed: SEED});
+	assert.ok(isTombstoneProof(0));
+});
+
 test('memory: ended attempts and tombstones are forgotten after their time, running ones never', () => {
 	const clock = createManualClock();
 	const table = createAttemptTable(clock, 3);
--- a/src/dispatch/settle-late.ts
+++ b/src/dispatch/settle-late.ts
@@ -1,4 +1,5 @@
 /** What can still be said about attempts whose deadline passed or whose link ended. */
+import {isTombstoneProof} from '../attempts/tombstone-proof.js';
 import {
 	createId, type AttemptId, type Incarnation, type InstanceId,
 } from '../core/ids.js';
@@ -63,9 +64,14 @@
 	}
 
 	if (!req.key) {
-		return true;
+		return isTombstoneProof(boundAgeMillis(ctx, req));
 	}
 
 	const state = await queryKey(link, req, leftMillis());
 	return state === 'never_seen' || state === 'tombstoned';
 }
+
+/** Largest age that an attempt of the request can have, in milliseconds: the caller's deadline is at most that of the class. */
+function boundAgeMillis({clock}: DispatchContext, {deadlineMillis, workClass}: CallRequest): number {
+	return clock.monotonicMillis() - (deadlineMillis - workClass.deadlineMillis);
+}
