--- a/bench/capacity-command.ts
+++ b/bench/capacity-command.ts
@@ -1,6 +1,7 @@
 import process from 'node:process';
 import {defineCommand} from 'citty';
 import {measureDeciders} from './load/capacity-deciders.js';
+import {measureLinks} from './load/capacity-link.js';
 import {measureWire} from './load/capacity-wire.js';
 
 const BYTES_PER_MEGABYTE = 1_048_576;
@@ -8,13 +9,15 @@
 /** Measures what a process spends against the number of peers, accounts, engines, changes and ranks. */
 export const capacityCommand = defineCommand({
 	meta: {name: 'capacity', description: 'Bytes, messages, processor time and memory at several sizes'},
-	run() {
+	async run() {
 		const rssMegabytes = Math.round(process.memoryUsage().rss / BYTES_PER_MEGABYTE);
 		const policies = [
 			{
 				name: 'resident memory at start', per: 'processes', size: 1, value: rssMegabytes, unit: 'megabytes',
 			},
 			...measureDeciders(),
+			...await measureLinks(8),
+			...await measureLinks(72),
 			...measureWire(),
 		];
 		for (const figure of policies) {
