Bound what a load view keeps of ended attempts, and refuse aborted requests at once

Cause: a backend server whose reports stay old (a stalled engine) let the list of ended attempts grow without end; a request whose signal had aborted before it asked was still queued. Change: at most 1,000 ended attempts are kept; an aborted signal is looked at first. A test for each. Conclusion: memory of the view is bounded by the agents it knows.

--- a/bench/load/capacity-deciders.ts
+++ b/bench/load/capacity-deciders.ts
@@ -44,8 +44,15 @@
 		const chosen = chooseBackendServer(view.listCandidates(ids), req, random);
 		view.startAttempt(chosen?.agentId ?? '', {nominalMillis: 50, promptMillis: 50, prefixDigests: ['prefix']}).end();
 	});
+	const plainMicros = measureMicros(CALLS, () => {
+		const chosen = chooseBackendServer(view.listCandidates(ids), {...req, prefixes: [], promptTokens: 0}, random);
+		view.startAttempt(chosen?.agentId ?? '', {nominalMillis: 50, promptMillis: 50, prefixDigests: []}).end();
+	});
 	const bytes = measureBytesEach(agents, () => createView(agents, PREFIXES));
 	return [
+		{
+			name: 'routing decision without prefixes', per: 'candidates', size: agents, value: plainMicros, unit: 'microseconds',
+		},
 		{
 			name: 'routing decision', per: 'candidates', size: agents, value: micros, unit: 'microseconds',
 		},
--- a/src/decisions/admission/__tests__/admission.test.ts
+++ b/src/decisions/admission/__tests__/admission.test.ts
@@ -148,6 +148,7 @@
 	const pending = admission.admit({account: 'a', workClass: lookups, remainingMillis: 5000}, controller.signal);
 	controller.abort();
 	const aborted = await pending;
-	assert.equal(aborted.tag, 'refused');
+	const alreadyAborted = await admission.admit({account: 'a', workClass: lookups, remainingMillis: 5000}, controller.signal);
+	assert.deepEqual([aborted.tag, alreadyAborted.tag], ['refused', 'refused']);
 	assert.equal(admission.countWaiting(), 1);
 });
--- a/src/decisions/admission/create-admission.ts
+++ b/src/decisions/admission/create-admission.ts
@@ -9,6 +9,9 @@
 /** What admission needs. */
 export type AdmissionDeps = Readonly<{clock: Clock; random: RandomSource}>;
 
+/** What a request is told that nobody waits for any more. */
+const withdrawn: AdmissionDecision = {tag: 'refused', reason: 'deadline', retryAfterMillis: 0};
+
 /** Creates the admission of an entry; each service has a queue and a limit of its own. */
 export function createAdmission(deps: AdmissionDeps): Admission {
 	const lanes = new Map<string, ServiceLane>();
@@ -60,11 +63,15 @@
 	return {
 		enqueue,
 		async admit(req, signal) {
+			if (signal?.aborted) {
+				return withdrawn;
+			}
+
 			return new Promise<AdmissionDecision>(resolve => {
 				const withdraw = enqueue(req, resolve);
 				signal?.addEventListener('abort', () => {
 					withdraw();
-					resolve({tag: 'refused', reason: 'deadline', retryAfterMillis: 0});
+					resolve(withdrawn);
 				}, {once: true});
 			});
 		},
--- a/src/decisions/routing/__tests__/load-view.test.ts
+++ b/src/decisions/routing/__tests__/load-view.test.ts
@@ -80,3 +80,23 @@
 	view.startAttempt('a', expectation).end();
 	assert.deepEqual(view.listCandidates(['a']), []);
 });
+
+test('attempts that end while no report comes are kept in bounded number', () => {
+	const {clock, view, read} = createView();
+	for (let i = 0; i < 3000; i++) {
+		const attempt = view.startAttempt('a', expectation);
+		clock.advance(1);
+		attempt.end();
+	}
+
+	const overlapping = Array.from({length: 1500}, () => view.startAttempt('a', expectation));
+	clock.advance(10);
+	for (const attempt of overlapping) {
+		attempt.end();
+	}
+
+	view.noteReport('a', {
+		...report, running: 1500, ageMillis: 5,
+	});
+	assert.equal(read('a').othersInFlight, 500);
+});
--- a/src/decisions/routing/server-record.ts
+++ b/src/decisions/routing/server-record.ts
@@ -14,6 +14,9 @@
 /** Time without progress, while own attempts run, after which a backend server counts as stalled. */
 const PROGRESS_LIMIT_MILLIS = 1500;
 
+/** Most ended attempts that are kept for the next report, however long it takes. */
+const MAX_ENDED_ATTEMPTS = 1000;
+
 /** A load report as it came in. */
 export type LoadReportInput = Readonly<{
 	running: number;
@@ -139,6 +142,10 @@
 			if (record.running.delete(attempt)) {
 				const endedAtMillis = clock.monotonicMillis();
 				record.ended.push({startedAtMillis, endedAtMillis});
+				if (record.ended.length > MAX_ENDED_ATTEMPTS) {
+					record.ended.shift();
+				}
+
 				means.noteHeld(endedAtMillis - startedAtMillis);
 			}
 		},
