--- a/bench/main.ts
+++ b/bench/main.ts
@@ -2,6 +2,7 @@
 import process from 'node:process';
 import {defineCommand, runCommand} from 'citty';
 import {faultsCommand} from './faults-command.js';
+import {placementSuiteCommand} from './placement-suite-command.js';
 import {placementCommand} from './placement-command.js';
 import {admissionCommand} from './admission-command.js';
 import {capacityCommand} from './capacity-command.js';
@@ -21,6 +22,7 @@
 		capacity: capacityCommand,
 		'caller-routing': callerRoutingCommand,
 		routing: routingCommand,
+		'placement-suite': placementSuiteCommand,
 		trace: traceCommand,
 	},
 });
--- a/fakes/engine/engine.ts
+++ b/fakes/engine/engine.ts
@@ -55,6 +55,14 @@
 			return succeed(undefined);
 		})
 		.with({tag: 'hold'}, async ({epoch, fromStep}) => agreement.hold({epoch, fromStep}))
+		.with({tag: 'forbid'}, async ({epoch}) => {
+			const forbidden = agreement.forbid(epoch);
+			if (forbidden.ok) {
+				loader.forget(epoch);
+			}
+
+			return forbidden;
+		})
 		.with({tag: 'release'}, async ({epoch}) => {
 			loader.forget(epoch);
 			return agreement.release(epoch);
