--- a/src/decisions/placement/layer-decider.ts
+++ b/src/decisions/placement/layer-decider.ts
@@ -65,13 +65,14 @@
 			}
 
 			const state = {map, loads: tracker.readLoads(), slowFactors};
+			const excess = measureExcess(state);
 			const terms = choosePlanTerms(favour, {
 				slots: map.slots.length,
 				unplannedExcess: measureExcess({...state, map: unplanned}),
+				excess,
 				recentLoads,
 				maxLoads,
 			});
-			const excess = measureExcess(state);
 			if (!isWorthASearch(excess, terms.leastSaving + terms.skewPerLoad)) {
 				return undefined;
 			}
--- a/src/decisions/placement/plan-terms.ts
+++ b/src/decisions/placement/plan-terms.ts
@@ -2,15 +2,19 @@
 import type {Favour, PlanTerms} from './placement-types.js';
 
 /** Skew that loading every slot of a layer anew must save where even steps weigh more. */
-const EVEN_SKEW_PER_REFILL = 0.5;
+const EVEN_SKEW_PER_REFILL = 0.4;
 /** Skew that a plan must save where even steps weigh more. */
-const EVEN_LEAST_SAVING = 0.025;
+const EVEN_LEAST_SAVING = 0.03;
 /** Share of the slots loaded lately at which a further load costs twice as much, where even steps weigh more. */
-const EVEN_BUSY_SHARE = 0.15;
+const EVEN_BUSY_SHARE = 0.2;
 /** Share of the unplanned layout's excess that loading every slot anew must save where few moves weigh more. */
 const CHEAP_EXCESS_PER_REFILL = 8;
 /** Share of the unplanned layout's excess that a plan must save where few moves weigh more. */
 const CHEAP_LEAST_SAVING = 0.3;
+/** Share of the unplanned layout's excess from which on a change is urgent where few moves weigh more. */
+const CHEAP_URGENT_SHARE = 0.5;
+/** Factor on the terms of an urgent change. */
+const CHEAP_URGENT_FACTOR = 0.5;
 /** Least excess that the unplanned layout is taken to have. */
 const LEAST_EXCESS = 0.1;
 
@@ -19,6 +23,8 @@
 	slots: number;
 	/** Skew beyond 1 that the layout of a group without any plan would have under the present load. */
 	unplannedExcess: number;
+	/** Skew beyond 1 of the present layout. */
+	excess: number;
 	/** Loads of the recent past, older ones counting less. */
 	recentLoads: number;
 	/** Largest number of loads that the weight store allows now. */
@@ -34,8 +40,9 @@
 			return {skewPerLoad: EVEN_SKEW_PER_REFILL * (1 + surcharge) / slots, leastSaving: EVEN_LEAST_SAVING, maxLoads};
 		})
 		.with('cost', () => {
-			const excess = Math.max(LEAST_EXCESS, input.unplannedExcess);
-			return {skewPerLoad: CHEAP_EXCESS_PER_REFILL * excess / slots, leastSaving: CHEAP_LEAST_SAVING * excess, maxLoads};
+			const unplanned = Math.max(LEAST_EXCESS, input.unplannedExcess);
+			const scale = input.excess > CHEAP_URGENT_SHARE * unplanned ? unplanned * CHEAP_URGENT_FACTOR : unplanned;
+			return {skewPerLoad: CHEAP_EXCESS_PER_REFILL * scale / slots, leastSaving: CHEAP_LEAST_SAVING * scale, maxLoads};
 		})
 		.exhaustive();
 }
