--- a/bench/placement-command.ts
+++ b/bench/placement-command.ts
@@ -23,9 +23,16 @@
 	'slow-rank': z.string().regex(/^\d+:\d+(?:\.\d+)?$/v, 'must be INDEX:FACTOR').optional(),
 });
 
+function readText(file: string): string {
+	try {
+		return readFileSync(file, 'utf8');
+	} catch {
+		throw new BadInputError(`${file}: line 1: field (line): the file cannot be read`);
+	}
+}
+
 function readTrace(file: string): LoadTrace {
-	const text = readFileSync(file, 'utf8');
-	const parsed = parseTrace(text);
+	const parsed = parseTrace(readText(file));
 	if (!parsed.ok) {
 		const {line, field, detail} = parsed.error;
 		throw new BadInputError(`${file}: line ${line}: field ${field}: ${detail}`);
--- a/bench/placement/replay.ts
+++ b/bench/placement/replay.ts
@@ -15,7 +15,8 @@
 	/** Steps after which at least one layer changed. */
 	rebalances: number;
 	planMillisP95: number;
-	planMillisMean: number;
+	/** Time of each plan, in the order of the trace. */
+	planMillis: readonly number[];
 	/** Last step after which a layer changed; -1 when none did. */
 	lastChangeStep: number;
 }>;
@@ -28,7 +29,8 @@
 	return sorted[Math.ceil(sorted.length * REPORTED_SHARE) - 1] ?? 0;
 }
 
-function findMean(values: readonly number[]): number {
+/** Mean of `values`; 0 when there are none. */
+export function findMean(values: readonly number[]): number {
 	let sum = 0;
 	for (const value of values) {
 		sum += value;
@@ -77,7 +79,7 @@
 		movedExperts,
 		rebalances: changedSteps.size,
 		planMillisP95: findPercentile(planMillis),
-		planMillisMean: findMean(planMillis),
+		planMillis,
 		lastChangeStep: Math.max(-1, ...changedSteps),
 	};
 }
--- a/src/decisions/placement/find-change.ts
+++ b/src/decisions/placement/find-change.ts
@@ -7,7 +7,7 @@
 const LEAST_PROGRESS = 1e-6;
 
 /** Ranks with the shortest times that a change may put load on. */
-const TARGET_RANKS = 32;
+const TARGET_RANKS = 16;
 
 /** What the search for a change needs to know besides the layout. */
 export type ChangeRules = Readonly<{
--- a/src/decisions/placement/plan-layer.ts
+++ b/src/decisions/placement/plan-layer.ts
@@ -3,10 +3,14 @@
 import {createLayerLayout, type SlotChange} from './layer-layout.js';
 import type {LayerPlan, LayerState, PlanTerms} from './placement-types.js';
 
-/** Changes made in a row without a better plan before the search ends. */
+/** Changes made in a row without a better plan before the search ends, once the best plan is even. */
 const PATIENCE = 16;
+/** The same while the best plan is still uneven. */
+const UNEVEN_PATIENCE = 96;
+/** Skew from which on a plan counts as uneven. */
+const UNEVEN_SKEW = 1.15;
 /** Changes for which a slot stays as it is once a change that made the layout worse was tried. */
-const LOCK_CHANGES = 8;
+const LOCK_CHANGES = 12;
 /** Largest number of changes per slot that one search makes. */
 const CHANGES_PER_SLOT = 4;
 
@@ -50,7 +54,8 @@
 	let bestPlan: LayerPlan | undefined;
 	let bestNet = 0;
 	let sinceBest = 0;
-	for (let i = 0; i < original.length * CHANGES_PER_SLOT && sinceBest < PATIENCE; i++) {
+	const isPatient = () => sinceBest < ((bestPlan?.skewAfter ?? skewBefore) > UNEVEN_SKEW ? UNEVEN_PATIENCE : PATIENCE);
+	for (let i = 0; i < original.length * CHANGES_PER_SLOT && isPatient(); i++) {
 		const found = findChange(layout, rules);
 		if (!found) {
 			break;
--- a/src/planner/load-pacer.ts
+++ b/src/planner/load-pacer.ts
@@ -4,29 +4,30 @@
 export type LoadPacer = {
 	/** Loads that may be started now. */
 	readonly available: () => number;
-	/** Takes `loads` off; what goes beyond the available ones delays later loads. */
-	readonly spend: (loads: number) => void;
-	/** Time until the weight store has served all loads spent so far, in milliseconds. */
-	readonly busyMillis: () => number;
+	/**
+	 * Takes `loads` off; what goes beyond the available ones delays later loads. Returns the time until the weight store
+	 * has served all loads spent so far, in milliseconds.
+	 */
+	readonly spend: (loads: number) => number;
 };
 
 /** Creates a pacer of `loadsPerSecond`; unused loads add up to at most `burst`. */
 export function createLoadPacer(clock: Clock, loadsPerSecond: number, burst: number): LoadPacer {
-	let tokens = burst;
+	let unused = burst;
 	let updatedMillis = clock.monotonicMillis();
 
 	function refill(): number {
 		const nowMillis = clock.monotonicMillis();
-		tokens = Math.min(burst, tokens + ((nowMillis - updatedMillis) * loadsPerSecond / 1000));
+		unused = Math.min(burst, unused + ((nowMillis - updatedMillis) * loadsPerSecond / 1000));
 		updatedMillis = nowMillis;
-		return tokens;
+		return unused;
 	}
 
 	return {
 		available: () => Math.max(0, Math.floor(refill())),
 		spend(loads) {
-			tokens = refill() - loads;
+			unused = refill() - loads;
+			return Math.max(loads, burst - unused) * 1000 / loadsPerSecond;
 		},
-		busyMillis: () => Math.max(0, (burst - refill()) * 1000 / loadsPerSecond),
 	};
 }
