Keep looking for a hold that nobody tells of

Cause: a restarted agent looked at its engine once and stopped looking when nothing was held. A hold that its former incarnation had sent could reach the engine after that look. Then the engine held an epoch that no agent knew, and the group stood still before the step of that epoch until an agent was restarted again.

Ruled out: a mixed map. No yes was sent for such a hold, so the fault cost progress and not the promise.

A new test puts the late hold after the look; the test of two proposers also says that a rank prepares one map at a time.

Conclusion: a late hold ends by itself once a copy of its proposal can be read.

--- a/src/expert-map/__tests__/rank-vote.test.ts
+++ b/src/expert-map/__tests__/rank-vote.test.ts
@@ -119,6 +119,28 @@
 	assert.deepEqual(readMaps(rig), [EPOCH, EPOCH]);
 });
 
+test('one expert map: a hold that reaches the engine after the next agent has looked blocks the group for a while only', async () => {
+	const {held, rig} = createQuietGroup(2);
+	rig.killAgent(1);
+	rig.propose(0, rig.createProposal(EPOCH, FROM_STEP, 1));
+	for (let legs = 0; legs < 100 && held.waiting.every(({label}) => label !== 'hold'); legs += 1) {
+		// eslint-disable-next-line no-await-in-loop
+		await held.passOne(rig, 0);
+	}
+
+	const [late] = held.waiting.splice(held.waiting.findIndex(({label}) => label === 'hold'), 1);
+	rig.restartAgent(0);
+	rig.restartAgent(1);
+	await runUntil(rig, held, FROM_STEP - 2);
+	late!.go();
+	await rig.flush();
+	assert.equal(rig.ranks[0]!.engine.readState().hold?.epoch, EPOCH);
+	await runUntil(rig, held, FROM_STEP + 2);
+	rig.stop();
+	assert.ok(rig.ranks.every(({engine}) => engine.readState().step >= FROM_STEP + 2), 'the group goes on');
+	assert.deepEqual(readMaps(rig), [0, 0]);
+});
+
 test('one expert map: an agent restarted before its vote makes no hold for a proposal to its former incarnation', async () => {
 	const {held, rig} = createQuietGroup(2);
 	const proposal = rig.createProposal(EPOCH, FROM_STEP, 1);
@@ -154,6 +176,10 @@
 	assert.equal(new Set(readMaps(rig)).size, 1);
 	assert.equal(readOutcomes(rig, EPOCH).length, 2);
 	assert.equal(readOutcomes(rig, EPOCH + 1).length, 2);
+	for (const {engine} of rig.ranks) {
+		const prepared = engine.done.flatMap(({order}) => order.tag === 'load_experts' ? [order.epoch] : []);
+		assert.equal(new Set(prepared).size, 1, 'a rank prepares one map at a time');
+	}
 });
 
 for (const checksFencing of [true, false]) {
--- a/src/expert-map/rank-vote.ts
+++ b/src/expert-map/rank-vote.ts
@@ -25,9 +25,9 @@
 	/** Takes a peer's report and gives this rank's. */
 	readonly exchange: (report: VoteReport) => Result<VoteReport, VoteRefusal>;
 	/**
-	 * Takes up a vote that a former incarnation left in the engine, when nobody else tells of it.
+	 * Takes up votes that a former incarnation left in the engine, when nobody else tells of them.
 	 *
-	 * Returns once the engine holds nothing that is not known.
+	 * Looks again until the process ends: an order of the former incarnation may arrive after any look.
 	 */
 	readonly resume: () => Promise<void>;
 	/** Whether a vote is not settled at this rank. */
@@ -162,22 +162,24 @@
 	async function resume(): Promise<void> {
 		while (!deps.signal.aborted) {
 			// eslint-disable-next-line no-await-in-loop
-			const epoch = await readHeldEpoch(deps);
-			if (epoch === undefined || read(epoch)) {
-				return;
-			}
-
-			// eslint-disable-next-line no-await-in-loop
-			const proposal = await deps.archive.find(epoch);
-			if (proposal) {
-				propose(proposal);
-			}
-
+			await takeUpHeldVote();
 			// eslint-disable-next-line no-await-in-loop
 			await deps.clock.sleep(GROUP_LOOK_MILLIS, deps.signal);
 		}
 	}
 
+	async function takeUpHeldVote(): Promise<void> {
+		const epoch = await readHeldEpoch(deps);
+		if (epoch === undefined || read(epoch)) {
+			return;
+		}
+
+		const proposal = await deps.archive.find(epoch);
+		if (proposal) {
+			propose(proposal);
+		}
+	}
+
 	function learn(report: VoteReport): void {
 		deps.floor.learnFromPeer(report.fencingFloor);
 		update(report.epoch, record => learnReport(record, report));
