Test that a changed audit record which was sealed anew is found

Change: one more row in the table of tamperings: an event changed and its record given a fitting hash.

--- a/src/audit/__tests__/verify-audit.test.ts
+++ b/src/audit/__tests__/verify-audit.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {createManualClock} from '../../core/manual-clock.js';
+import {sealRecord} from '../audit-chain.js';
 import {createAuditLog} from '../audit-recorder.js';
 import {verifyChains, type StoredChain} from '../verify-audit.js';
 import type {AuditEvent, AuditRecord} from '../audit-record.js';
@@ -37,6 +38,7 @@
 	{name: 'a removed first record', kind: 'removed', change: records => records.slice(1)},
 	{name: 'a changed event', kind: 'changed', change: records => records.map(item => item.sequence === 2 ? {...item, event: versionTwo} : item)},
 	{name: 'a changed time', kind: 'changed', change: records => records.map(item => item.sequence === 1 ? {...item, at: '2026-01-01T00:00:00.000Z'} : item)},
+	{name: 'a changed event that was sealed anew', kind: 'changed', change: records => records.map(item => item.sequence === 2 ? sealRecord({...item, event: versionTwo}) : item)},
 	{name: 'two records in another order', kind: 'reordered', change: ([first, second, ...rest]) => first && second ? [second, first, ...rest] : []},
 ];
 
