Test a repeat during an outage of the table and one key over two entries on a slow table

Cause: the table of fault cases had no test in which the key had run before the table went down, and none with a slow table. Also in this commit: a vote in another incarnation of the group is void and no longer recorded as a no.

--- a/src/entry/__tests__/at-most-once.test.ts
+++ b/src/entry/__tests__/at-most-once.test.ts
@@ -89,6 +89,26 @@
 	assert.equal(countRuns(agents), 0);
 });
 
+test('at most once: a key that ran is repeated while the table is down, and is never told as not run', async t => {
+	const {world, agents, entries} = await startPair(t, book);
+	await postCall(entries[0], 'van', headers);
+	world.table.faults.set({outage: true});
+	const repeats = await Promise.all(entries.map(async entry => postCall(entry, 'van', headers)));
+
+	const outcomes = await Promise.all(repeats.map(async res => readOutcome(res)));
+	assert.deepEqual(outcomes.map(({outcome}) => outcome), ['unknown', 'unknown']);
+	assert.equal(countRuns(agents), 1);
+});
+
+test('at most once: the same key through two entries at once while the table is slow', async t => {
+	const {world, agents, entries} = await startPair(t, book);
+	world.table.faults.set({delayMillis: 50});
+	const answers = await Promise.all([...entries, ...entries].map(async entry => postCall(entry, 'van', headers)));
+
+	assert.deepEqual(await Promise.all(answers.map(async res => res.text())), ['booked', 'booked', 'booked', 'booked']);
+	assert.equal(countRuns(agents), 1);
+});
+
 test('at most once: the link is cut after the call ran, and the answer is fetched over a new one', async t => {
 	const {world, agents, entries} = await startPair(t, faultFirst(async attempt => {
 		attempt.cutLink();
--- a/src/expert-map/__tests__/rank-vote.test.ts
+++ b/src/expert-map/__tests__/rank-vote.test.ts
@@ -234,6 +234,30 @@
 	assert.deepEqual(readMaps(rig), [EPOCH + 1, EPOCH + 1]);
 });
 
+test('one expert map: a proposal that comes again after a commit and a restart of the group records no vote against it', async () => {
+	const {held, rig} = createQuietGroup(2);
+	const proposal = rig.createProposal(EPOCH, FROM_STEP, 1);
+	rig.propose(0, proposal);
+	rig.propose(1, proposal);
+	for (let legs = 0; legs < 400 && readOutcomes(rig, EPOCH).length === 0; legs += 1) {
+		// Only one rank gets its map.
+		const isTaken = rig.ranks.some(({engine}) => engine.done.some(({order}) => order.tag === 'take_map'));
+		// eslint-disable-next-line no-await-in-loop
+		await held.passOne(rig, isTaken ? held.waiting.findIndex(({label}) => label !== 'take_map') : 0);
+	}
+
+	assert.deepEqual(readOutcomes(rig, EPOCH), ['committed']);
+	const slow = rig.ranks.findIndex(({engine}) => engine.readState().hold?.epoch === EPOCH);
+	rig.killAgent(slow);
+	rig.restartGroup('g2');
+	rig.restartAgent(slow);
+	rig.propose(slow, proposal);
+	await runUntilSettled(rig, held);
+	rig.stop();
+	assert.deepEqual(new Set(readOutcomes(rig, EPOCH)), new Set(['committed']));
+	assert.equal(rig.events.filter(event => event.kind === 'vote_cast' && event.vote === 'no').length, 0);
+});
+
 const faultsArbitrary = fc.record({
 	size: fc.integer({min: 2, max: 4}),
 	checksFencing: fc.boolean(),
--- a/src/expert-map/engine-vote.ts
+++ b/src/expert-map/engine-vote.ts
@@ -10,8 +10,12 @@
 import type {RankVoteDeps} from './rank-vote-types.js';
 import {NEAR_STEPS, ORDER_RETRY_MILLIS, STEP_LOOK_MILLIS} from './vote-constants.js';
 
-/** The vote that the engine holds; `taken` means that the map was committed and is in the engine. */
-export type HeldVote = 'yes' | 'no' | 'taken' | 'ended';
+/**
+ * The vote that the engine holds; `taken` means that the map was committed and is in the engine.
+ *
+ * `void` means that the engine is in another incarnation of its group, where the proposal does not count.
+ */
+export type HeldVote = 'yes' | 'no' | 'taken' | 'void' | 'ended';
 
 /** Reason by which an engine refuses to release an epoch whose map it has taken. */
 const TAKEN_REASON = 'taken';
@@ -23,8 +27,9 @@
 /**
  * Reads the vote of an epoch back, and makes it a no unless the engine holds it.
  *
- * A hold in another incarnation of the group comes from an order that arrived late. No yes was sent for it, since a
- * yes is sent only after the incarnation was read behind the hold. It is released.
+ * In another incarnation of the group the vote is void and not a no: the group has restarted since the proposal was
+ * made, and a former incarnation of this agent may have voted yes before that. A hold found there comes from an order
+ * that arrived late; no yes was sent for it, since a yes is sent only after the incarnation was read behind the hold.
  */
 export async function concludeVote(deps: RankVoteDeps, proposal: Proposal): Promise<HeldVote> {
 	const state = await readUntilAnswered(deps);
@@ -36,8 +41,11 @@
 		return 'taken';
 	}
 
-	const isHeld = state.hold?.epoch === proposal.epoch && state.groupIncarnation === proposal.groupIncarnation;
-	return isHeld ? 'yes' : release(deps, proposal.epoch);
+	if (state.groupIncarnation !== proposal.groupIncarnation) {
+		return 'void';
+	}
+
+	return state.hold?.epoch === proposal.epoch ? 'yes' : release(deps, proposal.epoch);
 }
 
 /** Epoch that the engine holds; undefined when there is none or the process ends. */
--- a/src/expert-map/rank-vote.ts
+++ b/src/expert-map/rank-vote.ts
@@ -105,6 +105,9 @@
 			.with('taken', () => {
 				update(proposal.epoch, record => setOutcome({...record, vote: 'yes'}, 'committed'));
 			})
+			.with('void', () => {
+				// The engine is released once the restart of the group is seen.
+			})
 			.with('ended', () => {
 				// The next incarnation reads the vote back.
 			})
