--- a/src/expert-map/__tests__/rank-vote.test.ts
+++ b/src/expert-map/__tests__/rank-vote.test.ts
@@ -139,6 +139,28 @@
 	assert.deepEqual(readMaps(rig), [EPOCH, EPOCH]);
 });
 
+test('one expert map: a hold that reaches the engine after the next agent has looked blocks the group for a while only', async () => {
+	const {held, rig} = createQuietGroup(2);
+	rig.killAgent(1);
+	rig.propose(0, rig.createProposal(EPOCH, FROM_STEP, 1));
+	for (let legs = 0; legs < 100 && held.waiting.every(({label}) => label !== 'hold'); legs += 1) {
+		// eslint-disable-next-line no-await-in-loop
+		await held.passOne(rig, 0);
+	}
+
+	const [late] = held.waiting.splice(held.waiting.findIndex(({label}) => label === 'hold'), 1);
+	rig.restartAgent(0);
+	rig.restartAgent(1);
+	await runUntil(rig, held, FROM_STEP - 2);
+	late!.go();
+	await rig.flush();
+	assert.equal(rig.ranks[0]!.engine.readState().hold?.epoch, EPOCH);
+	await runUntil(rig, held, FROM_STEP + 2);
+	rig.stop();
+	assert.ok(rig.ranks.every(({engine}) => engine.readState().step >= FROM_STEP + 2), 'the group goes on');
+	assert.deepEqual(readMaps(rig), [0, 0]);
+});
+
 test('one expert map: an agent restarted before its vote makes no hold for a proposal to its former incarnation', async () => {
 	const {held, rig} = createQuietGroup(2);
 	const proposal = rig.createProposal(EPOCH, FROM_STEP, 1);
@@ -174,6 +196,10 @@
 	assert.equal(new Set(readMaps(rig)).size, 1);
 	assert.equal(readOutcomes(rig, EPOCH).length, 2);
 	assert.equal(readOutcomes(rig, EPOCH + 1).length, 2);
+	for (const {engine} of rig.ranks) {
+		const prepared = engine.done.flatMap(({order}) => order.tag === 'load_experts' ? [order.epoch] : []);
+		assert.equal(new Set(prepared).size, 1, 'a rank prepares one map at a time');
+	}
 });
 
 for (const checksFencing of [true, false]) {
@@ -261,6 +287,30 @@
 	assert.deepEqual(readMaps(rig), [EPOCH, EPOCH]);
 });
 
+test('one expert map: a proposal that comes again after a commit and a restart of the group records no vote against it', async () => {
+	const {held, rig} = createQuietGroup(2);
+	const proposal = rig.createProposal(EPOCH, FROM_STEP, 1);
+	rig.propose(0, proposal);
+	rig.propose(1, proposal);
+	for (let legs = 0; legs < 400 && readOutcomes(rig, EPOCH).length === 0; legs += 1) {
+		// Only one rank gets its map.
+		const isTaken = rig.ranks.some(({engine}) => engine.done.some(({order}) => order.tag === 'take_map'));
+		// eslint-disable-next-line no-await-in-loop
+		await held.passOne(rig, isTaken ? held.waiting.findIndex(({label}) => label !== 'take_map') : 0);
+	}
+
+	assert.deepEqual(readOutcomes(rig, EPOCH), ['committed']);
+	const slow = rig.ranks.findIndex(({engine}) => engine.readState().hold?.epoch === EPOCH);
+	rig.killAgent(slow);
+	rig.restartGroup('g2');
+	rig.restartAgent(slow);
+	rig.propose(slow, proposal);
+	await runUntilSettled(rig, held);
+	rig.stop();
+	assert.deepEqual(new Set(readOutcomes(rig, EPOCH)), new Set(['committed']));
+	assert.equal(rig.events.filter(event => event.kind === 'vote_cast' && event.vote === 'no').length, 0);
+});
+
 const faultsArbitrary = fc.record({
 	size: fc.integer({min: 2, max: 4}),
 	checksFencing: fc.boolean(),
--- a/src/expert-map/engine-vote.ts
+++ b/src/expert-map/engine-vote.ts
@@ -11,8 +11,12 @@
 import type {RankVoteDeps} from './rank-vote-types.js';
 import {NEAR_STEPS, ORDER_RETRY_MILLIS, STEP_LOOK_MILLIS} from './vote-constants.js';
 
-/** The vote that the engine holds; `taken` means that the map was committed and is in the engine. */
-export type HeldVote = 'yes' | 'no' | 'taken' | 'ended';
+/**
+ * The vote that the engine holds; `taken` means that the map was committed and is in the engine.
+ *
+ * `void` means that the engine is in another incarnation of its group, where the proposal does not count.
+ */
+export type HeldVote = 'yes' | 'no' | 'taken' | 'void' | 'ended';
 
 /** Reason by which an engine refuses to forbid an epoch that it holds. */
 const HELD_REASON = 'held';
@@ -29,8 +33,10 @@
  * The no is placed by an order that the engine refuses while it holds the epoch. An order of a former incarnation of
  * this agent that arrives late therefore never ends a hold that was read back as a yes.
  *
- * A hold in another incarnation of the group comes from an order that arrived late. No yes was sent for it, since a
- * yes is sent only after the incarnation was read behind the hold. It is released.
+ * In another incarnation of the group the vote is void and not a no: the group has restarted since the proposal was
+ * made, and a former incarnation of this agent may have voted yes before that. A hold found there comes from an order
+ * that arrived late; no yes was sent for it, since a yes is sent only after the incarnation was read behind the hold.
+ * It is released.
  */
 export async function concludeVote(deps: RankVoteDeps, proposal: Proposal): Promise<HeldVote> {
 	while (!deps.signal.aborted) {
@@ -56,8 +62,12 @@
 		return 'taken';
 	}
 
+	if (state.groupIncarnation !== groupIncarnation) {
+		return state.hold?.epoch === epoch ? endVoidHold(deps, epoch) : 'void';
+	}
+
 	if (state.hold?.epoch === epoch) {
-		return state.groupIncarnation === groupIncarnation ? 'yes' : release(deps, epoch);
+		return 'yes';
 	}
 
 	const isFinal = (reason: string) => reason === DONE || reason === TAKEN_REASON || reason === HELD_REASON;
@@ -69,6 +79,12 @@
 		.otherwise(() => 'no');
 }
 
+/** Lets the engine go on past the step of a hold that does not count. */
+async function endVoidHold(deps: RankVoteDeps, epoch: number): Promise<HeldVote> {
+	const released = await release(deps, epoch);
+	return released === 'no' ? 'void' : released;
+}
+
 /** Epoch that the engine holds; undefined when there is none or the process ends. */
 export async function readHeldEpoch(deps: RankVoteDeps): Promise<number | undefined> {
 	const state = await readUntilAnswered(deps);
