End the preparation of a vote with the process

Cause: an agent that waited for the fencing floor, or for the step of a proposal, watched only the vote's own signal. At the end of the process its calls failed at once and were repeated for good, so the process did not end.

Before: the new test fails on a build without the change (17 passed, 1 failed). After: npm test -- expert-map rank-vote (20 passed).

--- a/src/expert-map/__tests__/rank-vote.test.ts
+++ b/src/expert-map/__tests__/rank-vote.test.ts
@@ -261,6 +261,24 @@
 	assert.deepEqual(readMaps(rig), [EPOCH, EPOCH]);
 });
 
+test('planned stop: an agent that ends while it waits for the floor gives no more calls', async () => {
+	const {held, rig} = createQuietGroup(2, false);
+	rig.table.fencingToken = undefined;
+	rig.propose(0, rig.createProposal(EPOCH, FROM_STEP, 1));
+	await runUntil(rig, held, 3);
+	rig.stop();
+	for (let rounds = 0; rounds < 10; rounds += 1) {
+		for (const {go} of held.waiting.splice(0)) {
+			go();
+		}
+
+		// eslint-disable-next-line no-await-in-loop
+		await rig.flush();
+	}
+
+	assert.deepEqual(held.waiting.map(leg => leg.label), []);
+});
+
 const faultsArbitrary = fc.record({
 	size: fc.integer({min: 2, max: 4}),
 	checksFencing: fc.boolean(),
--- a/src/expert-map/engine-vote.ts
+++ b/src/expert-map/engine-vote.ts
@@ -97,10 +97,16 @@
 /** Loads the experts and orders the hold. Whether the hold was placed is for {@link concludeVote} to say. */
 export async function tryHold(deps: RankVoteDeps, proposal: Proposal, isOpen: () => boolean): Promise<void> {
 	const stop = new AbortController();
+	const end = () => {
+		stop.abort();
+	};
+
+	deps.signal.addEventListener('abort', end, {once: true});
 	const prepared = prepare(deps, proposal, stop.signal);
 	const isPrepared = await Promise.race([prepared, untilNearStep(deps, proposal, stop.signal)]);
-	stop.abort();
-	if (isPrepared && isOpen() && isTokenValid(deps, proposal)) {
+	deps.signal.removeEventListener('abort', end);
+	end();
+	if (isPrepared && !deps.signal.aborted && isOpen() && isTokenValid(deps, proposal)) {
 		await deps.engine.order({tag: 'hold', epoch: proposal.epoch, fromStep: proposal.fromStep}, proposal.fencingToken);
 	}
 }
