--- a/bench/placement/suite-cases.ts
+++ b/bench/placement/suite-cases.ts
@@ -3,7 +3,7 @@
 
 /** A generated trace and the group that it is replayed on. */
 export type SuiteCase = Readonly<{
-	/** Held-out cases were not looked at while the constants of the decider were chosen. */
+	/** Shapes of the tuning set were replayed to choose the constants of the decider; the others were added later. */
 	set: 'tuning' | 'held-out';
 	shape: TraceShape;
 	ranks: number;
