--- a/src/agent/run-plain-attempt.ts
+++ b/src/agent/run-plain-attempt.ts
@@ -68,18 +68,15 @@
 	if (end.tag === 'not_run') {
 		parts.ledger.release(keyDigest);
 		parts.ctx.audit.append({
-			kind: 'not_run', attemptId, requestId, reason: 'connection_refused', proof: 'refused',
-		}, 'must_keep');
+			kind: 'not_run', attemptId, requestId, reason: 'connection_refused', proof: 'never_sent',
+		}, 'closes_kept');
 		return;
 	}
 
 	parts.ledger.finish(keyDigest, end);
-	const isRecorded = parts.ctx.audit.append({
+	parts.ctx.audit.append({
 		kind: 'call_finished', attemptId, account, service, keyDigest, outcome: end.tag,
-	}, 'must_keep');
-	if (!isRecorded) {
-		parts.ctx.log.error('no room for the record of a finished call', {attemptId});
-	}
+	}, 'closes_kept');
 }
 
 /** Waits for the key's running call, but not beyond this attempt's own deadline. */
--- a/src/audit/__tests__/verify-audit.test.ts
+++ b/src/audit/__tests__/verify-audit.test.ts
@@ -174,3 +174,21 @@
 	assert.deepEqual(log.readPending().map(({sequence}) => sequence), [5]);
 	assert.equal(log.readDropped(), 1);
 });
+
+const neverSent: AuditEvent = {
+	kind: 'not_run', attemptId: 'attempt-1', requestId: 'request-1', reason: 'connection_refused', proof: 'never_sent',
+};
+
+test('a call whose agent recorded that nothing was sent did not run, and may run elsewhere', () => {
+	const report = verifyChains([
+		record('agent-1', [started, neverSent]),
+		record('agent-2', [{...started, attemptId: 'attempt-2'}, {...finished, attemptId: 'attempt-2'}]),
+	]);
+	assert.equal(verdictOf(report, 'at_most_once'), 'held');
+	assert.equal(verdictOf(report, 'not_run_is_true'), 'held');
+});
+
+test('the word of another process that nothing was sent withdraws no started call', () => {
+	const report = verifyChains([record('agent-1', [started, finished]), record('entry-1', [neverSent])]);
+	assert.equal(verdictOf(report, 'not_run_is_true'), 'broken');
+});
--- a/src/audit/promise-check.ts
+++ b/src/audit/promise-check.ts
@@ -74,9 +74,18 @@
 	});
 }
 
+/** Started calls without those of which the same agent recorded that nothing was sent to the backend server. */
+function listRuns(records: readonly AuditRecord[]): ReadonlyArray<RecordOf<'call_started'>> {
+	const identify = ({instanceId, incarnation}: AuditRecord, attemptId: string) => `${instanceId}/${incarnation}/${attemptId}`;
+	const withdrawn = new Set(ofKind(records, 'not_run')
+		.filter(({event}) => event.proof === 'never_sent')
+		.map(record => identify(record, record.event.attemptId)));
+	return ofKind(records, 'call_started').filter(record => !withdrawn.has(identify(record, record.event.attemptId)));
+}
+
 /** No attempt that was refused or told as not run was started. */
 function checkNotRun(records: readonly AuditRecord[]): PromiseFinding {
-	const started = new Map(ofKind(records, 'call_started').map(record => [record.event.attemptId, record]));
+	const started = new Map(listRuns(records).map(record => [record.event.attemptId, record]));
 	const refused = ofKind(records, 'not_run');
 	const told = ofKind(records, 'caller_told').filter(({event}) => event.outcome === 'not_run');
 	const breaches = [...refused, ...told].filter(({event}) => event.attemptId !== '' && started.has(event.attemptId));
@@ -87,7 +96,7 @@
 
 /** No key was started twice; each started call has an end. */
 function checkAtMostOnce(records: readonly AuditRecord[]): PromiseFinding {
-	const started = ofKind(records, 'call_started');
+	const started = listRuns(records);
 	const finished = new Set(ofKind(records, 'call_finished').map(({event}) => event.attemptId));
 	const breaches = groupRecords(started, ({event}) => `${event.account}/${event.service}/${event.keyDigest}`)
 		.filter(group => group.length > 1);
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -33,7 +33,8 @@
 			return;
 		}
 
-		process.exitCode = await runDaemon(settings.value, secrets.value);
+		// Everything is released by now; a handle left behind by a library must not keep the process.
+		process.exit(await runDaemon(settings.value, secrets.value));
 	},
 });
 
--- a/src/dispatch/create-deciders.ts
+++ b/src/dispatch/create-deciders.ts
@@ -20,6 +20,11 @@
 /** What the deciders need of their process. */
 export type DecidersDeps = Readonly<{clock: Clock; random: RandomSource; failureDomain: string}>;
 
+/** Requests at work; those in flight at the agent include the queued ones. */
+function countRunning({inFlight, queued}: LoadReport): number {
+	return Math.max(0, inFlight - queued);
+}
+
 function toLoadInput(report: LoadReport): LoadReportInput {
 	const gap: readonly PrefixNews[] = report.cacheGap ? [{tag: 'gap'}] : [];
 	const events = report.cacheEvents.map(event => ({
@@ -27,7 +32,7 @@
 		digest: event.prefixDigest,
 	}));
 	return {
-		running: report.inFlight,
+		running: countRunning(report),
 		queued: report.queued,
 		ageMillis: report.ageMillis,
 		cacheNews: [...gap, ...events],
@@ -69,10 +74,11 @@
 		const nowMillis = clock.monotonicMillis();
 		const own = [...reports.values()].filter(item => item.service === service);
 		admission.noteServiceLoad(service, {
-			running: own.reduce((sum, item) => sum + item.report.inFlight, 0),
+			running: own.reduce((sum, item) => sum + countRunning(item.report), 0),
 			queued: own.reduce((sum, item) => sum + item.report.queued, 0),
 			backendServers: own.length,
-			ageMillis: Math.max(0, ...own.map(item => item.report.ageMillis + nowMillis - item.atMillis)),
+			// The mean: one old report must not hold the limit of the service.
+			ageMillis: own.reduce((sum, item) => sum + item.report.ageMillis + nowMillis - item.atMillis, 0) / Math.max(1, own.length),
 		});
 	}
 
--- a/src/dispatch/dispatch-constants.ts
+++ b/src/dispatch/dispatch-constants.ts
@@ -18,3 +18,5 @@
 export const LINK_WAIT_MILLIS = 10_000;
 /** Time between two looks for such a link, in milliseconds. */
 export const LINK_POLL_MILLIS = 25;
+/** Priority of every admitted request at its engine: admission decides by class, and strict priorities beyond it would starve the lower ones. */
+export const ADMITTED_PRIORITY = 0;
--- a/src/dispatch/run-attempt.ts
+++ b/src/dispatch/run-attempt.ts
@@ -9,6 +9,7 @@
 import type {AgentLink} from '../entry/agent-link.js';
 import type {StartAttempt} from '../wire/generated/link.js';
 import type {CallRequest} from './call-request.js';
+import {ADMITTED_PRIORITY} from './dispatch-constants.js';
 import type {DispatchContext} from './dispatch-context.js';
 
 /** What became of an attempt. */
@@ -105,7 +106,7 @@
 		requestDigest: req.requestDigest,
 		boundIncarnation: plan.boundIncarnation,
 		offset: plan.offset,
-		priority: req.workClass.priority,
+		priority: ADMITTED_PRIORITY,
 		body: Buffer.from(req.body),
 	};
 }
--- a/src/entry/start-entry.ts
+++ b/src/entry/start-entry.ts
@@ -4,7 +4,7 @@
 import type {TlsMaterial} from '../access/link-access.js';
 import {createInFlight} from '../attempts/in-flight.js';
 import {succeed, type Result} from '../core/result.js';
-import {chooseLinkedAgents} from '../decisions/caller-routing/subset.js';
+import {createLinkedAgentsMemo, type LinkedAgentsMemo} from '../decisions/caller-routing/linked-agents-memo.js';
 import {findCandidates} from '../dispatch/candidates.js';
 import {createDeciders} from '../dispatch/create-deciders.js';
 import type {DispatchContext} from '../dispatch/dispatch-context.js';
@@ -39,9 +39,10 @@
 	const {random} = Math;
 	const {instanceId, failureDomain} = settings;
 	const {deciders, observer} = createDeciders({clock, random, failureDomain});
+	const chooseLinked = createLinkedAgentsMemo(instanceId);
 	const links = startLinkSet({
 		...ctx, instanceId, failureDomain, observer,
-	}, ctx.instances, lifeCycle, {random, chooseSubset: instances => chooseAgents(instanceId, instances)});
+	}, ctx.instances, lifeCycle, {random, chooseSubset: instances => chooseAgents(chooseLinked, instances)});
 	const statistics = createClassStatistics();
 	const dispatch: DispatchContext = {
 		...ctx, links, deciders, statistics,
@@ -101,10 +102,10 @@
 	});
 }
 
-function chooseAgents(entryId: string, instances: readonly Instance[]): readonly Instance[] {
+function chooseAgents(chooseLinked: LinkedAgentsMemo, instances: readonly Instance[]): readonly Instance[] {
 	const agents = instances.filter(instance => instance.role === 'agent');
 	const entries = instances.filter(instance => instance.role === 'entry');
-	const linked = chooseLinkedAgents(entryId, entries, agents);
+	const linked = chooseLinked(entries, agents);
 	return agents.filter(agent => linked.has(agent.id));
 }
 
