Change a slow factor only after three reports in a row

Ranks report the time of single steps, which jump about where a step has few tokens; a median of three took such jumps for a slow rank.

--- a/src/decisions/placement/pace-tracker.ts
+++ b/src/decisions/placement/pace-tracker.ts
@@ -4,7 +4,7 @@
 const DEAD_BAND = 0.1;
 /** Times that differ by less than this share, largest to smallest, are taken for the time of the whole group. */
 const SHARED_TIME_SPREAD = 0.05;
-/** Observations of a rank whose median counts, so that a single stall does not. */
+/** Observations of a rank that must all show a change, so that a stall or a single odd step does not count. */
 const OBSERVATIONS = 3;
 
 /** What one report says of a rank's pace. Undefined time: no report, or one that is too old. */
@@ -38,9 +38,10 @@
 function updateRank(before: RankEstimate, observed: number): RankEstimate {
 	const bounded = Math.min(FACTOR_BOUNDS.largest, Math.max(FACTOR_BOUNDS.least, observed));
 	const observations = [...before.observations, bounded].slice(-OBSERVATIONS);
-	const median = findMedian(observations);
-	const isSteady = Math.abs(median - before.factor) < DEAD_BAND * before.factor;
-	return {factor: isSteady ? before.factor : median, observations};
+	const isSlower = observations.every(value => value > before.factor * (1 + DEAD_BAND));
+	const isFaster = observations.every(value => value < before.factor * (1 - DEAD_BAND));
+	const isChanged = observations.length === OBSERVATIONS && (isSlower || isFaster);
+	return {factor: isChanged ? findMedian(observations) : before.factor, observations};
 }
 
 /**
--- a/src/planner/group-view.ts
+++ b/src/planner/group-view.ts
@@ -14,7 +14,7 @@
 	states: readonly RankState[];
 	/** Furthest step of any rank. */
 	step: number;
-	/** Shortest step time that a rank reports, in milliseconds; 0 when none does. */
+	/** Longest time that a rank reports for its part of a step, in milliseconds; 0 when none does. */
 	stepMillis: number;
 	map: ExpertMap;
 	/** Whether the group has no map yet. */
@@ -100,7 +100,6 @@
 		return fail({tag: 'rank_missing', rank: states.length});
 	}
 
-	const stepTimes = states.map(({stepMillis}) => stepMillis).filter(stepMillis => stepMillis > 0);
 	return succeed({
 		groupIncarnation: first.groupIncarnation,
 		members: states.map(({agentId, agentIncarnation}, rank) => ({
@@ -108,7 +107,7 @@
 		})),
 		states,
 		step: Math.max(...states.map(({step}) => step)),
-		stepMillis: stepTimes.length > 0 ? Math.min(...stepTimes) : 0,
+		stepMillis: Math.max(0, ...states.map(({stepMillis}) => stepMillis)),
 		map,
 		isFresh: isEmptyMap(map),
 	});
