Forbid a hold instead of releasing it when a rank says no

Cause: a restarted agent that read no hold released the epoch before its no. When that agent died as well, its release could still be on its way while a late hold of the agent before it arrived; the next agent read the hold and voted yes, all ranks committed, and then the release undid the hold. A step then ran on two maps. The model of the vote has no release on its way, so it does not show this.

Ruled out: a vote that a restarted agent never casts (a yes that was already sent would then be counted against it); a fencing token for each agent (engines that ignore tokens); a wait before the release (bounds nothing).

Change: a new order `forbid` of the engine's port. It forbids a hold for good but is refused while there is one, so no late order ends a hold that a yes rests on. A release is sent only when the epoch is aborted or void. The test of an agent that does not know the floor now expects `forbid` where it expected `release`: it is the same order that ends a vote, under its new name.

Conclusion: a yes now rests on a hold that only an outcome or a restart of the group can end. It asks one more order of an engine than shared/design.md names.

--- a/fakes/engine/__tests__/map-agreement.test.ts
+++ b/fakes/engine/__tests__/map-agreement.test.ts
@@ -12,6 +12,7 @@
 
 const hold = (epoch: number, fromStep: number): Order => agreement => agreement.hold({epoch, fromStep});
 const release = (epoch: number): Order => agreement => agreement.release(epoch);
+const forbid = (epoch: number): Order => agreement => agreement.forbid(epoch);
 const takeMap = (epoch: number, fromStep: number): Order => agreement => agreement.takeMap({epoch, map, fromStep});
 const restart = (incarnation: string): Order => agreement => {
 	agreement.restartGroup(incarnation, 0);
@@ -35,6 +36,8 @@
 	{name: 'a hold at another step', orders: [hold(1, 9), hold(1, 8)], outcomes: ['done', 'other_hold']},
 	{name: 'a hold after the release', orders: [release(1), hold(1, 9)], outcomes: ['done', 'released']},
 	{name: 'a hold after hold and release', orders: [hold(1, 9), release(1), hold(1, 9)], outcomes: ['done', 'done', 'released']},
+	{name: 'an epoch forbidden before its hold', orders: [forbid(1), hold(1, 9)], outcomes: ['done', 'released']},
+	{name: 'an epoch forbidden under its hold', orders: [hold(1, 9), forbid(1), takeMap(1, 9), forbid(1)], outcomes: ['done', 'held', 'done', 'taken']},
 	{name: 'a release again', orders: [release(1), release(1)], outcomes: ['done', 'done']},
 	{name: 'a release of one epoch under a hold of another', orders: [hold(2, 9), release(1), hold(2, 9)], outcomes: ['done', 'done', 'done']},
 	{name: 'a map without a hold', orders: [takeMap(1, 9)], outcomes: ['no_hold']},
--- a/fakes/engine/engine-routes.ts
+++ b/fakes/engine/engine-routes.ts
@@ -32,6 +32,7 @@
 	order: z.discriminatedUnion('tag', [
 		z.strictObject({tag: z.literal('load_experts'), epoch, map: mapSchema}),
 		z.strictObject({tag: z.literal('hold'), epoch, fromStep}),
+		z.strictObject({tag: z.literal('forbid'), epoch}),
 		z.strictObject({tag: z.literal('release'), epoch}),
 		z.strictObject({
 			tag: z.literal('take_map'), epoch, map: mapSchema, fromStep,
--- a/fakes/engine/engine.ts
+++ b/fakes/engine/engine.ts
@@ -55,6 +55,7 @@
 			return succeed(undefined);
 		})
 		.with({tag: 'hold'}, async ({epoch, fromStep}) => agreement.hold({epoch, fromStep}))
+		.with({tag: 'forbid'}, async ({epoch}) => agreement.forbid(epoch))
 		.with({tag: 'release'}, async ({epoch}) => {
 			loader.forget(epoch);
 			return agreement.release(epoch);
--- a/fakes/engine/map-agreement.ts
+++ b/fakes/engine/map-agreement.ts
@@ -6,7 +6,7 @@
 /** Why an order about the map was refused. */
 export type MapRefusal = Readonly<{
 	tag: 'refused';
-	reason: 'released' | 'step_past' | 'other_hold' | 'map_pending' | 'taken' | 'no_hold';
+	reason: 'released' | 'step_past' | 'other_hold' | 'map_pending' | 'taken' | 'no_hold' | 'held';
 }>;
 
 type PendingMap = Readonly<{epoch: number; map: ExpertMap; fromStep: number}>;
@@ -33,6 +33,8 @@
 	readonly read: () => MapState;
 	/** Refused for a released or taken epoch, for a step that has begun, and beside another hold or pending map. */
 	readonly hold: (hold: Hold) => Result<void, MapRefusal>;
+	/** Forbids a hold of this epoch for good. Refused while there is one, and when the map of this epoch was taken. */
+	readonly forbid: (epoch: number) => Result<void, MapRefusal>;
 	/** Ends a hold, and forbids one of this epoch for good. Refused when the map of this epoch was taken. */
 	readonly release: (epoch: number) => Result<void, MapRefusal>;
 	/** Refused without a hold of the same epoch and step; a repeat is harmless. */
@@ -143,6 +145,19 @@
 			store.update(state => ({...state, hold}));
 			return succeed(undefined);
 		},
+		forbid(epoch) {
+			const {taken, hold} = store.read();
+			if (taken.has(epoch)) {
+				return refuse('taken');
+			}
+
+			if (hold?.epoch === epoch) {
+				return refuse('held');
+			}
+
+			store.update(state => releaseEpoch(state, epoch));
+			return succeed(undefined);
+		},
 		release(epoch) {
 			if (store.read().taken.has(epoch)) {
 				return refuse('taken');
--- a/src/expert-map/__tests__/fake-rank-engine.ts
+++ b/src/expert-map/__tests__/fake-rank-engine.ts
@@ -35,6 +35,7 @@
 	function carryOut(order: EngineOrder): Result<void, EngineError> {
 		return match(order)
 			.with({tag: 'hold'}, ({epoch, fromStep}) => agreement.hold({epoch, fromStep}))
+			.with({tag: 'forbid'}, ({epoch}) => agreement.forbid(epoch))
 			.with({tag: 'release'}, ({epoch}) => agreement.release(epoch))
 			.with({tag: 'take_map'}, ({epoch, map, fromStep}) => agreement.takeMap({epoch, map, fromStep}))
 			.otherwise(() => succeed(undefined));
--- a/src/expert-map/__tests__/rank-vote.test.ts
+++ b/src/expert-map/__tests__/rank-vote.test.ts
@@ -206,7 +206,7 @@
 	await runUntil(rig, held, FROM_STEP + 2);
 	rig.stop();
 	const tags = rig.ranks.flatMap(rank => rank.engine.done.map(({order}) => order.tag));
-	assert.deepEqual(new Set(tags), new Set(['release']));
+	assert.deepEqual(new Set(tags), new Set(['forbid']));
 	assert.deepEqual(readMaps(rig), [0, 0]);
 });
 
@@ -234,6 +234,40 @@
 	assert.deepEqual(readMaps(rig), [EPOCH + 1, EPOCH + 1]);
 });
 
+test('one expert map: a no on its way from a dead agent does not undo the yes of the next one', async () => {
+	const {held, rig} = createQuietGroup(2);
+	const proposal = rig.createProposal(EPOCH, FROM_STEP, 1);
+	const takeLeg = async (isWanted: (label: string) => boolean) => {
+		for (let legs = 0; legs < 200 && !held.waiting.some(({label}) => isWanted(label)); legs += 1) {
+			// eslint-disable-next-line no-await-in-loop
+			await held.passOne(rig, 0);
+		}
+
+		return held.waiting.splice(held.waiting.findIndex(({label}) => isWanted(label)), 1)[0]!;
+	};
+
+	rig.killAgent(1);
+	rig.propose(0, proposal);
+	const hold = await takeLeg(label => label === 'hold');
+	rig.restartAgent(0);
+	rig.propose(0, proposal);
+	const ending = await takeLeg(label => label === 'release' || label === 'forbid');
+	hold.go();
+	await rig.flush();
+	rig.restartAgent(0);
+	rig.ranks[1]!.engine.order({tag: 'hold', epoch: EPOCH, fromStep: FROM_STEP}, 1);
+	rig.restartAgent(1);
+	rig.propose(0, proposal);
+	rig.propose(1, proposal);
+	const taking = await takeLeg(label => label === 'take_map');
+	ending.go();
+	await rig.flush();
+	taking.go();
+	await runUntil(rig, held, FROM_STEP + 2);
+	rig.stop();
+	assert.deepEqual(readMaps(rig), [EPOCH, EPOCH]);
+});
+
 test('one expert map: a proposal that comes again after a commit and a restart of the group records no vote against it', async () => {
 	const {held, rig} = createQuietGroup(2);
 	const proposal = rig.createProposal(EPOCH, FROM_STEP, 1);
--- a/src/expert-map/engine-vote.ts
+++ b/src/expert-map/engine-vote.ts
@@ -1,9 +1,10 @@
 /**
  * The vote as the engine holds it.
  *
- * A hold is a yes and a release is a no. The engine outlives its agent, so a restarted agent finds its vote here. Each
+ * A hold is a yes, and an epoch that is forbidden is a no. The engine outlives its agent, so a restarted agent finds its vote here. Each
  * function returns only with a definite answer, or with `ended` when the process ends.
  */
+import {match} from 'ts-pattern';
 import type {Result} from '../core/result.js';
 import type {EngineError, EngineOrder, EngineState} from '../ports/model-engine.js';
 import type {Proposal} from '../wire/generated/vote.js';
@@ -19,6 +20,8 @@
 
 /** Reason by which an engine refuses to release an epoch whose map it has taken. */
 const TAKEN_REASON = 'taken';
+/** Reason by which an engine refuses to forbid an epoch that it holds. */
+const HELD_REASON = 'held';
 /** Stands for the reason of an order that was done. */
 const DONE = '';
 /** Reason by which an engine refuses an order with an old fencing token. */
@@ -45,7 +48,24 @@
 		return 'void';
 	}
 
-	return state.hold?.epoch === proposal.epoch ? 'yes' : release(deps, proposal.epoch);
+	return state.hold?.epoch === proposal.epoch ? 'yes' : forbid(deps, proposal);
+}
+
+/**
+ * Makes the vote of an epoch that is not held a no for good.
+ *
+ * Unlike a release the order ends no hold: when it arrives late, the next incarnation may have found a hold and voted
+ * yes. A hold that arrived before it is read again.
+ */
+async function forbid(deps: RankVoteDeps, proposal: Proposal): Promise<HeldVote> {
+	const isFinal = (reason: string) => reason === DONE || reason === TAKEN_REASON || reason === HELD_REASON;
+	const reason = await orderUntil(deps, {tag: 'forbid', epoch: proposal.epoch}, isFinal);
+	return match(reason)
+		.returnType<HeldVote | Promise<HeldVote>>()
+		.with(undefined, () => 'ended')
+		.with(DONE, () => 'no')
+		.with(HELD_REASON, async () => concludeVote(deps, proposal))
+		.otherwise(() => 'taken');
 }
 
 /** Epoch that the engine holds; undefined when there is none or the process ends. */
@@ -54,15 +74,10 @@
 	return state?.hold?.epoch;
 }
 
-/** Makes the vote of an epoch a no for good, unless its map was taken. */
-export async function release(deps: RankVoteDeps, epoch: number): Promise<'no' | 'taken' | 'ended'> {
+/** Ends the hold of an epoch that is aborted or void, unless its map was taken. */
+export async function release(deps: RankVoteDeps, epoch: number): Promise<void> {
 	const isFinal = (reason: string) => reason === DONE || reason === TAKEN_REASON;
-	const reason = await orderUntil(deps, {tag: 'release', epoch}, isFinal);
-	if (reason === undefined) {
-		return 'ended';
-	}
-
-	return reason === DONE ? 'no' : 'taken';
+	await orderUntil(deps, {tag: 'release', epoch}, isFinal);
 }
 
 /** Puts the committed map into the engine. An engine that refuses has taken it before, or its group has restarted. */
--- a/src/ports/model-engine.ts
+++ b/src/ports/model-engine.ts
@@ -69,6 +69,8 @@
 export type EngineOrder
 	= | Readonly<{tag: 'load_experts'; epoch: number; map: ExpertMap}>
 		| Readonly<{tag: 'hold'; epoch: number; fromStep: number}>
+	/** Forbids a hold of this epoch for good. Refused as `held` while there is one, which then stays. */
+		| Readonly<{tag: 'forbid'; epoch: number}>
 	/** Ends a hold, and forbids one of this epoch for good. */
 		| Readonly<{tag: 'release'; epoch: number}>
 	/** Ends the hold of a committed epoch: the map holds from the hold's step on. */
