--- /dev/null
+++ b/bench/system/__tests__/operations-page.test.ts
@@ -0,0 +1,58 @@
+import assert from 'node:assert/strict';
+import {readFile} from 'node:fs/promises';
+import path from 'node:path';
+import {test} from 'node:test';
+import {startLocalSystem, type LocalSystem} from '../local-system.js';
+import {runTool, type ToolRun} from '../run-tool.js';
+import {DEFAULT_SYSTEM} from '../system-options.js';
+
+type PageCommand = Readonly<{words: readonly string[]; exitCode: number}>;
+
+const EXIT_CODE_NOTE = / # exit code (?<code>\d)$/v;
+
+/** Commands in the `sh` blocks of a page, with the exit code that a note behind them names. */
+function parseCommands(page: string): readonly PageCommand[] {
+	const blocks = [...page.matchAll(/```sh\n(?<body>.*?)```/gsv)].map(block => block.groups?.body ?? '');
+	return blocks
+		.flatMap(block => block.split('\n'))
+		.filter(line => line.startsWith('pollenport '))
+		.map(line => ({
+			words: line.replace(EXIT_CODE_NOTE, '').split(' ').slice(1),
+			exitCode: Number(EXIT_CODE_NOTE.exec(line)?.groups?.code ?? 0),
+		}));
+}
+
+async function runPage(system: LocalSystem, commands: readonly PageCommand[]): Promise<void> {
+	const variables = new Map([['$OBJECTS', system.objects.url], ['$SETTINGS', path.join(system.dir, 'entry-0.toml')]]);
+	const entry = system.entries.map(item => item.operatorUrl).join(',');
+	for (const {words, exitCode} of commands) {
+		const args = words.map(word => variables.get(word) ?? word);
+		const asksEntry = !['audit', 'check'].includes(args[0] ?? '');
+		// The commands of the page build on each other.
+		// eslint-disable-next-line no-await-in-loop
+		const run: ToolRun = await runTool(...args, ...(asksEntry ? ['--entry', entry] : []));
+		assert.equal(run.exitCode, exitCode, `pollenport ${args.join(' ')}: ${run.text}`);
+		const id: unknown = Reflect.get(new Object(run.output), 'id');
+		if (typeof id === 'string') {
+			variables.set('$STOP', id);
+		}
+	}
+}
+
+test('each command of the page for operators does what the page says', async () => {
+	const commands = parseCommands(await readFile('docs/operations.md', 'utf8'));
+	assert.ok(commands.length > 10);
+	const system = await startLocalSystem(DEFAULT_SYSTEM);
+	try {
+		await runPage(system, commands);
+	} finally {
+		const {badEnds} = await system.close(async () => undefined);
+		assert.deepEqual(badEnds, []);
+	}
+});
+
+test('the operators\' tool says what to do when no entry can be reached', async () => {
+	const run = await runTool('status', '--entry', 'http://127.0.0.1:9');
+	assert.equal(run.exitCode, 3);
+	assert.equal(Reflect.get(new Object(run.output), 'outcome'), 'unreachable');
+});
