--- a/bench/system/local-system.ts
+++ b/bench/system/local-system.ts
@@ -183,6 +183,13 @@
 	await Promise.all(processes.map(async managed => managed.waitReady()));
 }
 
+async function killAll(processes: readonly ManagedProcess[]): Promise<void> {
+	await Promise.all(processes.map(async managed => {
+		managed.signal('SIGKILL');
+		return managed.waitEnd();
+	}));
+}
+
 /** Ends a process; says whether it ended by itself and well. */
 async function endProcess(managed: ManagedProcess): Promise<boolean> {
 	const timeout = new AbortController();
@@ -223,10 +230,16 @@
 	const platform = [standIns.table, standIns.objects, standIns.instanceList, standIns.weightStore, standIns.rankGroup];
 	const allDaemons = [...daemons.entries, ...daemons.engineAgents, ...daemons.plainAgents];
 
-	await startAll([...platform, ...standIns.plains]);
-	await startAll(standIns.engines);
-	await standIns.instanceList.control('PUT', 'instances', {instances: allDaemons.map(daemon => daemon.instance)});
-	await startAll(allDaemons);
+	const allStandIns = [...platform, ...standIns.engines, ...standIns.plains];
+	try {
+		await startAll([...platform, ...standIns.plains]);
+		await startAll(standIns.engines);
+		await standIns.instanceList.control('PUT', 'instances', {instances: allDaemons.map(daemon => daemon.instance)});
+		await startAll(allDaemons);
+	} catch (error) {
+		await killAll([...allDaemons, ...allStandIns]);
+		throw error;
+	}
 
 	return {
 		options,
@@ -239,7 +252,7 @@
 			const running = allDaemons.filter(daemon => daemon.pid() !== undefined);
 			const ends = await Promise.all(running.map(async daemon => [daemon.name, await endProcess(daemon)] as const));
 			const seen = await beforePlatformEnds();
-			await Promise.all([...platform, ...standIns.engines, ...standIns.plains].map(async standIn => endProcess(standIn)));
+			await Promise.all(allStandIns.map(async standIn => endProcess(standIn)));
 			await Promise.all(relays.map(async relay => relay.close()));
 			const badEnds = ends.filter(([, isGood]) => !isGood).map(([name]) => name);
 			if (badEnds.length === 0) {
