--- a/bench/demo/run-demo.ts
+++ b/bench/demo/run-demo.ts
@@ -7,7 +7,16 @@
 import {createCallWorker, type CallWorker} from '../system/call-worker.js';
 import {fetchAddresses} from '../system/caller.js';
 import {
-	countSwitches, findDuplicates, judgeAnswers, judgeAtMostOnce, judgeExpertMaps, judgeNotRun, parseGroupRecords, parsePlainRecords, type Evidence,
+	countSwitches,
+	findDuplicates,
+	judgeAnswers,
+	judgeAtMostOnce,
+	judgeExpertMaps,
+	judgeNotRun,
+	listSwitchPauses,
+	parseGroupRecords,
+	parsePlainRecords,
+	type Evidence,
 } from '../system/evidence.js';
 import {startLocalSystem, type LocalSystem} from '../system/local-system.js';
 import {runTool} from '../system/run-tool.js';
@@ -34,6 +43,8 @@
 	duplicates: number;
 	mixedMapSteps: number;
 	mapSwitches: number;
+	/** Time that each switch of the expert map added to its step, in milliseconds. */
+	switchPauseMillis: readonly number[];
 	meanSkew: number;
 	processes: number;
 	promises: readonly Evidence[];
@@ -116,7 +127,9 @@
 	return {
 		calls,
 		leaving: {
-			name: 'leaving_gets_no_new_work', held: plan.exitCode === 0 && !isListed, detail: `planned stop: exit code ${plan.exitCode}; the leaving entry is ${isListed ? 'still' : 'not'} among the addresses`,
+			name: 'leaving_gets_no_new_work',
+			held: plan.exitCode === 0 && !isListed,
+			detail: `planned stop: exit code ${plan.exitCode}; the leaving entry is ${isListed ? 'still' : 'not'} among the addresses`,
 		},
 		stop: {
 			name: 'stop_cuts_nothing_off', held: end.code === 0 && cut.length === 0, detail: `exit code ${String(end.code)}, ${cut.length} answers cut off`,
@@ -187,8 +200,16 @@
 		judgeNotRun(calls, executions),
 		judgeAtMostOnce(calls, executions),
 		stopping.leaving,
-		{...stopping.stop, held: stopping.stop.held && failed.badEnds.length === 0, detail: `${stopping.stop.detail}; ${failed.badEnds.length} daemons ended badly at the end`},
-		{name: 'configuration_never_reverts', held: isEverywhere && watch.reverted().length === 0, detail: `version ${version} everywhere: ${String(isEverywhere)}, ${watch.reverted().length} instances went back`},
+		{
+			...stopping.stop,
+			held: stopping.stop.held && failed.badEnds.length === 0,
+			detail: `${stopping.stop.detail}; ${failed.badEnds.length} daemons ended badly at the end`,
+		},
+		{
+			name: 'configuration_never_reverts',
+			held: isEverywhere && watch.reverted().length === 0,
+			detail: `version ${version} everywhere: ${String(isEverywhere)}, ${watch.reverted().length} instances went back`,
+		},
 	];
 	return {
 		requests: allTries(calls).length,
@@ -198,6 +219,7 @@
 		duplicates: findDuplicates(executions).length,
 		mixedMapSteps: group.mixedSteps.length,
 		mapSwitches: countSwitches(group),
+		switchPauseMillis: listSwitchPauses(group),
 		meanSkew: group.meanSkew,
 		processes,
 		promises: addAudit(evidence, failed.beforePlatformEnds),
--- a/bench/faults/judge-run.ts
+++ b/bench/faults/judge-run.ts
@@ -1,5 +1,12 @@
 import {
-	countSwitches, judgeAnswers, judgeAtMostOnce, judgeExpertMaps, judgeNotRun, parseGroupRecords, parsePlainRecords,
+	countSwitches,
+	judgeAnswers,
+	judgeAtMostOnce,
+	judgeExpertMaps,
+	judgeNotRun,
+	listSwitchPauses,
+	parseGroupRecords,
+	parsePlainRecords,
 } from '../system/evidence.js';
 import type {AuditSummary} from '../system/audit-summary.js';
 import type {LoggedCall} from '../system/call-log.js';
@@ -26,7 +33,7 @@
 }
 
 /** Checks every promise against what callers, stand-ins and the audit record hold. */
-export function judgeRun(records: RunRecords): Readonly<{broken: readonly BrokenPromise[]; mapSwitches: number}> {
+export function judgeRun(records: RunRecords): Readonly<{broken: readonly BrokenPromise[]; mapSwitches: number; switchPauseMillis: readonly number[]}> {
 	const executions = records.plains.flatMap(plain => parsePlainRecords(plain));
 	const group = parseGroupRecords(records.group);
 	const evidence = [
@@ -37,6 +44,7 @@
 	];
 	return {
 		mapSwitches: countSwitches(group),
+		switchPauseMillis: listSwitchPauses(group),
 		broken: [
 			...evidence.filter(item => !item.held).map(({name, detail}) => ({name, detail})),
 			...records.badEnds.map(name => ({name: 'stop_cuts_nothing_off', detail: `${name} ended badly at the end`})),
--- a/bench/faults/run-faults.ts
+++ b/bench/faults/run-faults.ts
@@ -45,6 +45,8 @@
 	/** Tries refused over all tries. */
 	refusedShare: number;
 	mapSwitches: number;
+	/** Time that each switch of the expert map added to its step, faults included, in milliseconds. */
+	switchPauseMillis: readonly number[];
 	auditRecords: number;
 	/** Time from each fault until a new call of each kind was answered, in milliseconds. */
 	recoveryMillis: Readonly<Record<string, RecoverySummary>>;
@@ -188,7 +190,7 @@
 		return parseAuditReport(run.output);
 	});
 	const outcomes = countOutcomes(calls);
-	const {broken, mapSwitches} = judgeRun({
+	const {broken, mapSwitches, switchPauseMillis} = judgeRun({
 		calls, group, plains, audit: end.beforePlatformEnds, badEnds: end.badEnds, reverted: watch.reverted(), reported,
 	});
 	return {
@@ -199,6 +201,7 @@
 		outcomes,
 		refusedShare: (outcomes.not_run ?? 0) / Math.max(1, allTries(calls).length),
 		mapSwitches,
+		switchPauseMillis,
 		auditRecords: end.beforePlatformEnds.records,
 		recoveryMillis: summarizeRecovery(rounds.flatMap(round => round.kinds.map(kind => ({name: kind.name, millis: round.recoveryMillis})))),
 		broken,
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,6 +1,6 @@
 /** Entry point of the experiment tool: `npm run bench -- NAME ...`. One file per experiment beside this one. */
 import process from 'node:process';
-import {defineCommand, runCommand} from 'citty';
+import {defineCommand, runCommand, runMain} from 'citty';
 import {faultsCommand} from './faults-command.js';
 import {placementSuiteCommand} from './placement-suite-command.js';
 import {placementCommand} from './placement-command.js';
@@ -27,8 +27,10 @@
 	},
 });
 
+const rawArguments = process.argv.slice(2);
+
 try {
-	await runCommand(main, {rawArgs: process.argv.slice(2)});
+	await (rawArguments.includes('--help') ? runMain : runCommand)(main, {rawArgs: rawArguments});
 } catch (error) {
 	console.error(error instanceof Error ? error.message : String(error));
 	process.exitCode = EXIT_BAD_INPUT;
--- a/bench/system/evidence.ts
+++ b/bench/system/evidence.ts
@@ -11,7 +11,8 @@
 	steps: z.number(),
 	mixedSteps: z.array(z.unknown()),
 	/** The first is that to the map the ranks start with. */
-	switches: z.array(z.looseObject({epoch: z.number()})),
+	switches: z.array(z.looseObject({epoch: z.number(), waitMillis: z.number()})),
+	medianWaitMillis: z.number(),
 	meanSkew: z.number(),
 });
 
@@ -35,6 +36,13 @@
 	return group.switches.filter(({epoch}) => epoch > 0).length;
 }
 
+/** Time that each switch to a proposed map added to its step over the median step, in milliseconds. */
+export function listSwitchPauses(group: GroupRecords): readonly number[] {
+	return group.switches
+		.filter(({epoch}) => epoch > 0)
+		.map(({waitMillis}) => Math.max(0, Math.round((waitMillis - group.medianWaitMillis) * 10) / 10));
+}
+
 /** What callers and stand-ins saw of one promise. */
 export type Evidence = Readonly<{name: PromiseName; held: boolean; detail: string}>;
 
--- a/fakes/__tests__/rank-group.test.ts
+++ b/fakes/__tests__/rank-group.test.ts
@@ -71,9 +71,9 @@
 	assert.ok(results.every(result => result.ok), JSON.stringify(results));
 }
 
-/** Freezes the group, so that no order comes too late, and holds `EPOCH` in all engines; gives the step it names. */
+/** Waits until all have joined, freezes the group, so that no order comes too late, and holds `EPOCH` in all engines; gives the step it names. */
 async function holdAll(group: StandIn, engines: readonly ModelEngine[]): Promise<number> {
-	await untilState(engines[0]!, state => state.groupIncarnation !== '');
+	await Promise.all(engines.map(async engine => untilState(engine, state => state.groupIncarnation !== '')));
 	group.faults.set({freeze: true});
 	const {step} = await untilState(engines[0]!, () => true);
 	const fromStep = step + AHEAD_STEPS;
--- a/src/cli/commands/status.ts
+++ b/src/cli/commands/status.ts
@@ -40,15 +40,31 @@
 /** Digits of a share or a skew behind the point. */
 const FIGURE_DIGITS = 4;
 
+function describeInstance(instance: StatusDocument['failureDomains'][number]['instances'][number]): string {
+	const link = instance.linked ? 'linked' : 'no link';
+	return `  ${instance.instanceId}  ${instance.role}  version ${instance.version}  ${link}${instance.leaving ? '  leaving' : ''}`;
+}
+
+function describeClass(item: StatusDocument['classes'][number]): string {
+	const late = `late ${item.lateShare.toFixed(FIGURE_DIGITS)} (target ${item.lateShareTarget})`;
+	const refused = `refused ${item.refusedShare.toFixed(FIGURE_DIGITS)} (target ${item.refusedShareTarget})`;
+	return `class ${item.name}: ${item.requests} requests, ${late}, ${refused}`;
+}
+
+function describeGroup(item: StatusDocument['groups'][number]): string {
+	const skew = item.skew?.toFixed(FIGURE_DIGITS) ?? 'unknown';
+	return `group ${item.name}: favour ${item.favour}, step skew ${skew}, ${item.movedExperts} experts moved`;
+}
+
 function describeStatus(status: StatusDocument): readonly string[] {
 	return [
 		`version ${status.version} in force (change ${status.changeId})`,
 		...status.failureDomains.flatMap(({failureDomain, instances}) => [
 			`failure domain ${failureDomain}`,
-			...instances.map(instance => `  ${instance.instanceId}  ${instance.role}  version ${instance.version}  ${instance.linked ? 'linked' : 'no link'}${instance.leaving ? '  leaving' : ''}`),
+			...instances.map(instance => describeInstance(instance)),
 		]),
-		...status.classes.map(item => `class ${item.name}: ${item.requests} requests, late ${item.lateShare.toFixed(FIGURE_DIGITS)} (target ${item.lateShareTarget}), refused ${item.refusedShare.toFixed(FIGURE_DIGITS)} (target ${item.refusedShareTarget})`),
-		...status.groups.map(item => `group ${item.name}: favour ${item.favour}, step skew ${item.skew?.toFixed(FIGURE_DIGITS) ?? 'unknown'}, ${item.movedExperts} experts moved`),
+		...status.classes.map(item => describeClass(item)),
+		...status.groups.map(item => describeGroup(item)),
 	];
 }
 
