--- a/src/entry/link-peer.ts
+++ b/src/entry/link-peer.ts
@@ -1,9 +1,8 @@
 /** The task that keeps a link to one agent: dials, waits for the link's end, rests, and dials again. */
 import type {InstanceId} from '../core/ids.js';
 import {fail, type Result} from '../core/result.js';
-import {
-	openAgentLink, type AgentLink, type LinkContext, type LinkError,
-} from './agent-link.js';
+import {openAgentLink} from './agent-link.js';
+import type {AgentLink, LinkContext, LinkError} from './agent-link-types.js';
 import {REDIAL_MAX_MILLIS, REDIAL_MIN_MILLIS} from './link-constants.js';
 
 /** Outcome of one try to open a link. */
--- a/src/entry/link-set.ts
+++ b/src/entry/link-set.ts
@@ -9,9 +9,8 @@
 import {fail, succeed, type Result} from '../core/result.js';
 import {createSnapshotStore} from '../core/snapshot-store.js';
 import type {Instance, InstanceList} from '../ports/instance-list.js';
-import {
-	openAgentLink, type AgentLink, type LinkContext, type LinkError,
-} from './agent-link.js';
+import {openAgentLink} from './agent-link.js';
+import type {AgentLink, LinkContext, LinkError} from './agent-link-types.js';
 import {INSTANCE_POLL_MILLIS} from './link-constants.js';
 import {startLinkPeer, type LinkOutcome, type LinkPeer} from './link-peer.js';
 
--- a/src/entry/system-view.ts
+++ b/src/entry/system-view.ts
@@ -1,7 +1,7 @@
 /** What this entry knows of all instances: their configuration version, whether they leave, what they work on. */
 import type {ConfigVersion, InstanceId} from '../core/ids.js';
 import type {Instance} from '../ports/instance-list.js';
-import type {AgentLink} from './agent-link.js';
+import type {AgentLink} from './agent-link-types.js';
 import type {EntryPeers} from './entry-peers.js';
 import type {LinkSet} from './link-set.js';
 
