End with exit code 2 where arguments do not fit

Cause: the tool and the daemon said exit code 2 for bad input and ended with 1, the library's own, for an unknown command or a missing argument, with the whole usage on standard output. Conclusion: four cases are tests.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,6 +1,6 @@
 /** Entry point of the experiment tool: `npm run bench -- NAME ...`. One file per experiment beside this one. */
-import process from 'node:process';
-import {defineCommand, runCommand, runMain} from 'citty';
+import {defineCommand} from 'citty';
+import {runProgram} from '../src/core/run-program.js';
 import {faultsCommand} from './faults-command.js';
 import {placementSuiteCommand} from './placement-suite-command.js';
 import {placementCommand} from './placement-command.js';
@@ -10,9 +10,6 @@
 import {routingCommand} from './routing-command.js';
 import {traceCommand} from './trace-command.js';
 
-/** Exit code for bad input. */
-const EXIT_BAD_INPUT = 2;
-
 const main = defineCommand({
 	meta: {name: 'bench', description: 'Measures the deciders against baselines; the last line of each experiment is JSON'},
 	subCommands: {
@@ -27,11 +24,4 @@
 	},
 });
 
-const rawArguments = process.argv.slice(2);
-
-try {
-	await (rawArguments.includes('--help') ? runMain : runCommand)(main, {rawArgs: rawArguments});
-} catch (error) {
-	console.error(error instanceof Error ? error.message : String(error));
-	process.exitCode = EXIT_BAD_INPUT;
-}
+await runProgram(main);
--- a/bench/system/__tests__/operations-page.test.ts
+++ b/bench/system/__tests__/operations-page.test.ts
@@ -56,3 +56,18 @@
 	assert.equal(run.exitCode, 3);
 	assert.equal(Reflect.get(new Object(run.output), 'outcome'), 'unreachable');
 });
+
+const badInput: ReadonlyArray<readonly [string, readonly string[], RegExp]> = [
+	['an unknown command', ['aply'], /^Unknown command .*aply/v],
+	['a missing file', ['apply'], /FILE/v],
+	['a stop of nothing', ['stop', 'plan'], /--instance ID or --failure-domain NAME/v],
+	['a targets file that is not there', ['check', '--targets', 'absent.toml'], /absent\.toml: cannot be read: ENOENT/v],
+];
+
+for (const [name, args, expected] of badInput) {
+	test(`the operators' tool refuses ${name} with one line and exit code 2`, async () => {
+		const run = await runTool(...args);
+		assert.equal(run.exitCode, 2);
+		assert.match(run.text, expected);
+	});
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
-import process from 'node:process';
-import {defineCommand, runMain} from 'citty';
+import {defineCommand} from 'citty';
+import {runProgram} from '../core/run-program.js';
 import {applyCommand} from './commands/apply.js';
 import {auditCommand} from './commands/audit.js';
 import {checkCommand} from './commands/check.js';
@@ -23,4 +23,4 @@
 	},
 });
 
-await runMain(main, {rawArgs: process.argv.slice(2)});
+await runProgram(main);
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -1,7 +1,8 @@
 #!/usr/bin/env node
 import process from 'node:process';
-import {defineCommand, runMain} from 'citty';
+import {defineCommand} from 'citty';
 import {InvariantError} from '../core/invariant.js';
+import {runProgram} from '../core/run-program.js';
 import {readSecrets} from '../settings/read-secrets.js';
 import {readSettings} from '../settings/read-settings.js';
 import {describeDocumentError, type DocumentError} from '../toml/toml-document.js';
@@ -44,4 +45,4 @@
 	process.exit(EXIT_INVARIANT);
 });
 
-await runMain(main, {rawArgs: process.argv.slice(2)});
+await runProgram(main);
