Listen for HTTP in one place

Cause: two listeners of the same kind stood side by side, and three types of the same error. Change: the entry's listener, with its time limits, serves metrics too; one type of listen error. Conclusion: a slow caller of the metrics port is now cut off as well.

--- a/src/agent/link-server.ts
+++ b/src/agent/link-server.ts
@@ -2,15 +2,13 @@
 import {Server, type UntypedServiceImplementation, type ServiceDefinition} from '@grpc/grpc-js';
 import type {LinkAccess} from '../access/link-access.js';
 import type {Clock} from '../core/clock.js';
+import type {ListenError} from '../core/listen-error.js';
 import {fail, succeed, type Result} from '../core/result.js';
 import {CLOSE_MILLIS, MAX_FRAME_BYTES} from './agent-constants.js';
 
 /** A service and what implements it. */
 export type LinkService = Readonly<{definition: ServiceDefinition; implementation: UntypedServiceImplementation}>;
 
-/** The listener could not be opened. */
-export type ListenError = Readonly<{tag: 'listen_failed'; address: string; detail: string}>;
-
 /** An open listener. */
 export type LinkServer = Readonly<{
 	/** `host:port` that is listened on. */
--- a/src/agent/start-agent.ts
+++ b/src/agent/start-agent.ts
@@ -12,6 +12,7 @@
 import type {AgentSettings} from '../settings/settings.js';
 import type {ModelEngine} from '../ports/model-engine.js';
 import {RankVoteService} from '../wire/generated/vote.js';
+import type {ListenError} from '../core/listen-error.js';
 import type {AgentParts} from './agent-parts.js';
 import {watchBackendLoad} from './backend-load.js';
 import type {Backend} from './backend.js';
@@ -20,7 +21,7 @@
 import {serveEntry} from './entry-link.js';
 import {createLeavingState} from './leaving-state.js';
 import {agentLinkDefinition} from './link-definition.js';
-import {openLinkServer, type LinkService, type ListenError} from './link-server.js';
+import {openLinkServer, type LinkService} from './link-server.js';
 import {watchLeaving} from './watch-leaving.js';
 
 /** An agent that serves its entries. */
--- /dev/null
+++ b/src/core/listen-error.ts
@@ -0,0 +1,2 @@
+/** An address that could not be listened on. */
+export type ListenError = Readonly<{tag: 'listen_failed'; address: string; detail: string}>;
--- a/src/daemon/run-daemon.ts
+++ b/src/daemon/run-daemon.ts
@@ -1,6 +1,7 @@
 import process from 'node:process';
 import {registerConfigurationSync} from '../configuration/configuration-sync.js';
-import {startMetricsListener, type ListenError} from '../observability/metrics-listener.js';
+import {startMetricsListener} from '../observability/metrics-listener.js';
+import type {ListenError} from '../core/listen-error.js';
 import type {Secrets} from '../settings/read-secrets.js';
 import type {Settings} from '../settings/settings.js';
 import {createContext} from './create-context.js';
@@ -51,7 +52,7 @@
 		return endWithListenError(ctx, role.error);
 	}
 
-	const metricsListener = await startMetricsListener(settings.metricsListen, ctx.metrics, ctx.lifeCycle, role.value.isReady);
+	const metricsListener = await startMetricsListener({...ctx, address: settings.metricsListen, isReady: role.value.isReady});
 	if (!metricsListener.ok) {
 		return endWithListenError(ctx, metricsListener.error);
 	}
--- a/src/daemon/start-role.ts
+++ b/src/daemon/start-role.ts
@@ -5,7 +5,7 @@
 import {succeed, type Result} from '../core/result.js';
 import {startEntry} from '../entry/start-entry.js';
 import type {Backend} from '../agent/backend.js';
-import type {ListenError} from '../observability/metrics-listener.js';
+import type {ListenError} from '../core/listen-error.js';
 import type {Secrets} from '../settings/read-secrets.js';
 import type {AgentSettings, EntrySettings, Settings} from '../settings/settings.js';
 import type {ProcessContext} from './process-context.js';
--- a/src/entry/start-entry.ts
+++ b/src/entry/start-entry.ts
@@ -11,12 +11,13 @@
 import type {Instance} from '../ports/instance-list.js';
 import {startPlanners} from '../planner/planners.js';
 import type {EntrySettings} from '../settings/settings.js';
+import {listenHttp, type ListenerTls} from '../http/http-listener.js';
+import type {ListenError} from '../core/listen-error.js';
 import {createAddressBook} from './address-book.js';
 import {createCallerApp} from './caller-app.js';
 import {createClassStatistics} from './class-statistics.js';
 import {createDrain, type DrainReport} from './drain.js';
 import {createEntryPeers} from './entry-peers.js';
-import {listenHttp, type ListenError, type ListenerTls} from './http-listener.js';
 import {startLinkSet} from './link-set.js';
 import {createOperatorApp} from './operator-app.js';
 
--- a/src/entry/http-listener.ts
+++ b/src/http/http-listener.ts
@@ -1,4 +1,4 @@
-/** HTTP listeners of an entry. */
+/** HTTP listeners. */
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {createServer, type Server} from 'node:http';
@@ -7,11 +7,10 @@
 import type {TlsMaterial} from '../access/link-access.js';
 import type {Clock} from '../core/clock.js';
 import type {LifeCycle} from '../core/life-cycle.js';
+import {describeError} from '../core/describe-error.js';
+import type {ListenError} from '../core/listen-error.js';
 import {fail, succeed, type Result} from '../core/result.js';
-import {CLOSE_TIMEOUT_MILLIS, CONNECTION_CHECK_MILLIS, REQUEST_TIMEOUT_MILLIS} from './caller-constants.js';
-
-/** An address that could not be listened on. */
-export type ListenError = Readonly<{tag: 'listen_failed'; address: string; detail: string}>;
+import {CLOSE_TIMEOUT_MILLIS, CONNECTION_CHECK_MILLIS, REQUEST_TIMEOUT_MILLIS} from './http-listener-constants.js';
 
 /** What answers requests. */
 export type FetchHandler = (req: Request) => Response | Promise<Response>;
@@ -67,7 +66,7 @@
 	try {
 		await once(server, 'listening');
 	} catch (error) {
-		return fail({tag: 'listen_failed', address: options.address, detail: String(error)});
+		return fail({tag: 'listen_failed', address: options.address, detail: describeError(error)});
 	}
 
 	options.lifeCycle.own(options.name, async () => closeServer(server, options.clock));
--- a/src/observability/metrics-listener.ts
+++ b/src/observability/metrics-listener.ts
@@ -1,33 +1,32 @@
-import {createAdaptorServer} from '@hono/node-server';
 import {Hono} from 'hono';
-import {listenOn} from '../core/listen.js';
-import {fail, succeed, type Result} from '../core/result.js';
+import {listenHttp} from '../http/http-listener.js';
+import type {Clock} from '../core/clock.js';
 import type {LifeCycle} from '../core/life-cycle.js';
+import type {ListenError} from '../core/listen-error.js';
+import type {Result} from '../core/result.js';
 import type {Metrics} from './metrics.js';
 
-/** The listener could not take its address. */
-export type ListenError = Readonly<{tag: 'listen_failed'; address: string; detail: string}>;
-
 const OK = 200;
 const UNAVAILABLE = 503;
 
-/** Serves `/metrics`, `/healthz` and `/readyz` until the process ends. */
-export async function startMetricsListener(
-	address: string,
-	metrics: Metrics,
-	lifeCycle: LifeCycle,
-	isReady: () => boolean,
-): Promise<Result<void, ListenError>> {
+/** What the listener needs of its process. */
+export type MetricsListenerDeps = Readonly<{
+	/** `IP:port`. */
+	address: string;
+	metrics: Metrics;
+	clock: Clock;
+	lifeCycle: LifeCycle;
+	isReady: () => boolean;
+}>;
+
+/** Serves `/metrics`, `/healthz` and `/readyz` until the process ends. The value is the port. */
+export async function startMetricsListener(deps: MetricsListenerDeps): Promise<Result<number, ListenError>> {
+	const {address, metrics: {registry}, clock, lifeCycle, isReady} = deps;
 	const app = new Hono();
-	app.get('/metrics', async ctx => ctx.text(await metrics.registry.metrics(), OK, {'content-type': metrics.registry.contentType}));
+	app.get('/metrics', async ctx => ctx.text(await registry.metrics(), OK, {'content-type': registry.contentType}));
 	app.get('/healthz', ctx => ctx.json({healthy: true}));
 	app.get('/readyz', ctx => ctx.json({ready: isReady()}, isReady() ? OK : UNAVAILABLE));
-
-	const listening = await listenOn(createAdaptorServer({fetch: app.fetch}), address);
-	if (!listening.ok) {
-		return fail({tag: 'listen_failed', address, detail: listening.error});
-	}
-
-	lifeCycle.own('metrics listener', listening.value);
-	return succeed(undefined);
+	return listenHttp(app.fetch, {
+		name: 'metrics listener', address, clock, lifeCycle,
+	});
 }
