Test TLS of the listeners for callers and operators

Cause: mutual TLS of the HTTP listeners had no test; settings promise that operators need a certificate of the authority. Each case has its opposite beside it, so a listener that admits all would fail. Conclusion: wrong certificates are refused on links and on both listeners.

--- a/src/access/__tests__/link-access.test.ts
+++ b/src/access/__tests__/link-access.test.ts
@@ -1,14 +1,13 @@
 import assert from 'node:assert/strict';
-import {Buffer} from 'node:buffer';
 import {test, type TestContext} from 'node:test';
 import {
 	Server, status, type sendUnaryData, type ServerUnaryCall,
 } from '@grpc/grpc-js';
-import {generate} from 'selfsigned';
+import {createTestCertificate} from '../../../fakes/test-certificate.js';
 import {
 	RankVoteClient, RankVoteService, type RankQuery, type RankState,
 } from '../../wire/generated/vote.js';
-import {createLinkAccess, type LinkAccess, type TlsMaterial} from '../link-access.js';
+import {createLinkAccess, type LinkAccess} from '../link-access.js';
 
 /** Time until a call that gets no connection fails, in milliseconds. */
 const CALL_TIMEOUT_MILLIS = 5000;
@@ -29,14 +28,6 @@
 	pending: false,
 };
 
-function createMaterial(): TlsMaterial {
-	const pems = generate([{name: 'commonName', value: 'pollenport'}], {
-		keySize: 2048,
-		extensions: [{name: 'basicConstraints', cA: true}, {name: 'subjectAltName', altNames: [{type: 7, ip: '127.0.0.1'}]}],
-	});
-	return {certificate: Buffer.from(pems.cert), key: Buffer.from(pems.private), authority: Buffer.from(pems.cert)};
-}
-
 /** Starts a server that answers whom its access admits; resolves to its address. */
 async function startServer(t: TestContext, access: LinkAccess): Promise<string> {
 	const server = new Server();
@@ -74,8 +65,8 @@
 	return code;
 }
 
-const ours = createMaterial();
-const foreign = createMaterial();
+const ours = createTestCertificate();
+const foreign = createTestCertificate();
 
 const cases: ReadonlyArray<Readonly<{name: string; peer: () => LinkAccess; expected: number}>> = [
 	{name: 'a peer with our certificate and token is admitted', peer: () => createLinkAccess('token', ours), expected: status.OK},
--- /dev/null
+++ b/src/http/__tests__/http-listener.test.ts
@@ -0,0 +1,73 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {test, type TestContext} from 'node:test';
+import {Agent, request} from 'undici';
+import {createTestCertificate} from '../../../fakes/test-certificate.js';
+import {createLifeCycle} from '../../core/life-cycle.js';
+import {systemClock} from '../../core/system-clock.js';
+import {listenHttp} from '../http-listener.js';
+import type {TlsMaterial} from '../../access/link-access.js';
+
+const ours = createTestCertificate();
+const foreign = createTestCertificate();
+
+async function startListener(t: TestContext, asksForCertificate: boolean): Promise<string> {
+	const lifeCycle = createLifeCycle();
+	t.after(async () => lifeCycle.shutdown());
+	const listening = await listenHttp(() => new Response('served'), {
+		name: 'listener', address: '127.0.0.1:0', clock: systemClock, lifeCycle, tls: {material: ours, asksForCertificate},
+	});
+	assert.ok(listening.ok);
+	return `https://127.0.0.1:${listening.value}`;
+}
+
+/** The answer, or `refused` when no connection comes about. */
+async function ask(url: string, own: TlsMaterial | undefined, authority: TlsMaterial): Promise<string> {
+	const dispatcher = new Agent({
+		connect: {
+			ca: Buffer.from(authority.authority),
+			...(own && {cert: Buffer.from(own.certificate), key: Buffer.from(own.key)}),
+		},
+	});
+	try {
+		const reply = await request(url, {dispatcher});
+		return await reply.body.text();
+	} catch {
+		return 'refused';
+	} finally {
+		await dispatcher.destroy();
+	}
+}
+
+const cases = [
+	{
+		name: 'an operator with a certificate of the authority', asks: true, own: ours, authority: ours, expected: 'served',
+	},
+	{
+		name: 'an operator without a certificate', asks: true, own: undefined, authority: ours, expected: 'refused',
+	},
+	{
+		name: 'an operator with a certificate of another authority', asks: true, own: foreign, authority: ours, expected: 'refused',
+	},
+	{
+		name: 'a caller without a certificate', asks: false, own: undefined, authority: ours, expected: 'served',
+	},
+	{
+		name: 'a caller that trusts another authority', asks: false, own: undefined, authority: foreign, expected: 'refused',
+	},
+];
+
+for (const {name, asks, own, authority, expected} of cases) {
+	test(`access over TLS: ${name} is ${expected}`, async t => {
+		assert.equal(await ask(await startListener(t, asks), own, authority), expected);
+	});
+}
+
+test('an address in use is an error that names it', async t => {
+	const url = new URL(await startListener(t, false));
+	const lifeCycle = createLifeCycle();
+	const second = await listenHttp(() => new Response(), {
+		name: 'second', address: url.host, clock: systemClock, lifeCycle,
+	});
+	assert.deepEqual(second, {ok: false, error: {tag: 'listen_failed', address: url.host, detail: 'EADDRINUSE'}});
+});
