Give an entry's drain its own limit on top of the wait for addresses

Cause: the daemon counted the wait for the last address answer into the time for requests in flight, so an entry gave its requests less than drain_millis. Found by reading. Change: the daemon's limit is the address lifetime, drain_millis and a second for the report; the roles keep their own. Conclusion: tests of the drain pass as before; a drain that uses up its limit has no test over processes.

--- a/src/daemon/run-daemon.ts
+++ b/src/daemon/run-daemon.ts
@@ -9,6 +9,9 @@
 import {startRole, type RunningRole} from './start-role.js';
 import type {ProcessContext} from './process-context.js';
 
+/** Time that a role gets to report a drain that has used up its own limit, in milliseconds. */
+const DRAIN_GRACE_MILLIS = 1000;
+
 /** Resolves with the first signal to stop; later ones are only logged, so that a drain is not cut short. */
 async function waitForStopSignal(ctx: ProcessContext): Promise<NodeJS.Signals> {
 	return new Promise(resolve => {
@@ -21,7 +24,13 @@
 	});
 }
 
-/** Drains for at most the time that the settings allow; resolves to the number of requests cut off. */
+/** Longest time of a whole drain: an entry waits for the last address answer that named it, then for its requests. */
+function chooseDrainLimit(settings: Settings): number {
+	const addressMillis = settings.role === 'entry' ? settings.addressLifetimeMillis : 0;
+	return addressMillis + settings.drainMillis + DRAIN_GRACE_MILLIS;
+}
+
+/** Drains for at most `drainMillis`; resolves to the number of requests cut off. */
 async function drainInTime(ctx: ProcessContext, role: RunningRole, drainMillis: number): Promise<number> {
 	const timeout = new AbortController();
 	const late = ctx.clock.sleep(drainMillis, timeout.signal).then(() => undefined);
@@ -59,7 +68,7 @@
 
 	ctx.log.info('started', {role: settings.role});
 	await stopSignal;
-	const cutOff = await drainInTime(ctx, role.value, settings.drainMillis);
+	const cutOff = await drainInTime(ctx, role.value, chooseDrainLimit(settings));
 	const failures = await ctx.lifeCycle.shutdown();
 	for (const {name, err} of failures) {
 		ctx.log.error('clean-up failed', {name, detail: String(err)});
