End the processes of a bench that is told to stop

Cause: 37 stand-ins and daemons of two test files that had run into their time limit were still there. A signal ends a process without its exit listeners, which end the children. Change: SIGTERM and SIGINT end the bench by way of them.

--- a/bench/system/managed-process.ts
+++ b/bench/system/managed-process.ts
@@ -9,6 +9,9 @@
 /** Longest time a process may take to be ready, in milliseconds. */
 const READY_TIMEOUT_MILLIS = 20_000;
 
+/** Exit code after a signal to stop. */
+const EXIT_SIGNALLED = 143;
+
 /** What to run, and how to tell that it serves. */
 export type ProcessDefinition = Readonly<{
 	name: string;
@@ -45,6 +48,12 @@
 	}
 });
 
+for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+	process.once(signal, () => {
+		process.exit(EXIT_SIGNALLED);
+	});
+}
+
 const NOT_RUN: ProcessEnd = {code: undefined, signal: undefined};
 
 /** Defines a process; it can be started again after it ended. */
