--- a/bench/demo/run-demo.ts
+++ b/bench/demo/run-demo.ts
@@ -21,9 +21,9 @@
 import {startLocalSystem, type LocalSystem} from '../system/local-system.js';
 import {runTool} from '../system/run-tool.js';
 import {DEFAULT_SYSTEM} from '../system/system-options.js';
+import {TARGETS_FILE} from '../system/targets-file.js';
 import {watchVersions, type VersionWatch} from '../system/version-watch.js';
 
-const TARGETS_FILE = path.resolve(import.meta.dirname, '..', '..', '..', 'examples', 'workshops.toml');
 const CREDENTIAL = 'workshop-santiago-credential';
 const MODEL_CALLS = 24;
 const PLAIN_CALLS = 30;
--- a/bench/faults/operator-faults.ts
+++ b/bench/faults/operator-faults.ts
@@ -3,7 +3,7 @@
 import {parsePlainRecords} from '../system/evidence.js';
 import {runTool, type ToolRun} from '../system/run-tool.js';
 import {systemClock} from '../../src/core/system-clock.js';
-import {TARGETS_FILE} from './targets-file.js';
+import {TARGETS_FILE} from '../system/targets-file.js';
 import type {ActiveFault, FaultContext, FaultKind} from './fault.js';
 
 /** Time after which a leaving backend server must get no new work, in milliseconds. */
--- a/bench/faults/run-faults.ts
+++ b/bench/faults/run-faults.ts
@@ -8,6 +8,7 @@
 import {runTool} from '../system/run-tool.js';
 import {DEFAULT_SYSTEM} from '../system/system-options.js';
 import {watchVersions} from '../system/version-watch.js';
+import {TARGETS_FILE} from '../system/targets-file.js';
 import {createProbe, type Probe} from './probe.js';
 import {judgeRun, type BrokenPromise} from './judge-run.js';
 import {networkFaults} from './network-faults.js';
@@ -15,7 +16,6 @@
 import {platformFaults} from './platform-faults.js';
 import {processFaults} from './process-faults.js';
 import {summarizeRecovery, type RecoverySummary} from './recovery-summary.js';
-import {TARGETS_FILE} from './targets-file.js';
 import type {FaultContext, FaultKind} from './fault.js';
 
 /** All kinds of faults. */
--- a/bench/system/__tests__/process-faults.test.ts
+++ b/bench/system/__tests__/process-faults.test.ts
@@ -1,5 +1,4 @@
 import assert from 'node:assert/strict';
-import path from 'node:path';
 import {
 	after, before, beforeEach, test,
 } from 'node:test';
@@ -12,8 +11,8 @@
 import {startLocalSystem, type LocalSystem} from '../local-system.js';
 import {runTool} from '../run-tool.js';
 import {DEFAULT_SYSTEM} from '../system-options.js';
+import {TARGETS_FILE} from '../targets-file.js';
 
-const TARGETS_FILE = path.resolve(import.meta.dirname, '..', '..', '..', '..', 'examples', 'workshops.toml');
 const MODEL_CALLS = 10;
 const PLAIN_CALLS = 16;
 const TOKENS_PER_ANSWER = 120;
--- /dev/null
+++ b/src/access/is-same-secret.ts
@@ -0,0 +1,8 @@
+import {Buffer} from 'node:buffer';
+import {timingSafeEqual} from 'node:crypto';
+import {sha256Hex} from '../core/digest.js';
+
+/** Compares two secrets in a time that does not tell where they differ. */
+export function isSameSecret(left: string, right: string): boolean {
+	return timingSafeEqual(Buffer.from(sha256Hex(left)), Buffer.from(sha256Hex(right)));
+}
--- a/src/access/link-access.ts
+++ b/src/access/link-access.ts
@@ -1,9 +1,8 @@
 import {Buffer} from 'node:buffer';
-import {timingSafeEqual} from 'node:crypto';
 import {
 	ChannelCredentials, Metadata, ServerCredentials,
 } from '@grpc/grpc-js';
-import {sha256Hex} from '../core/digest.js';
+import {isSameSecret} from './is-same-secret.js';
 
 /** Certificate files' contents of this process, PEM. */
 export type TlsMaterial = Readonly<{
@@ -24,10 +23,6 @@
 
 const AUTHORIZATION_KEY = 'authorization';
 
-function isSameSecret(left: string, right: string): boolean {
-	return timingSafeEqual(Buffer.from(sha256Hex(left)), Buffer.from(sha256Hex(right)));
-}
-
 /** Builds the access of a process from its token and certificate, either of which may be missing on loopback. */
 export function createLinkAccess(token: string | undefined, tls: TlsMaterial | undefined): LinkAccess {
 	const expected = token === undefined ? undefined : `Bearer ${token}`;
--- a/src/entry/operator-app.ts
+++ b/src/entry/operator-app.ts
@@ -1,14 +1,12 @@
 /** HTTP routes for operators: configuration, planned stops, status. */
-import {Buffer} from 'node:buffer';
-import {timingSafeEqual} from 'node:crypto';
 import {Hono, type Context} from 'hono';
 import {bodyLimit} from 'hono/body-limit';
 import type {z} from 'zod';
+import {isSameSecret} from '../access/is-same-secret.js';
 import {changeConfiguration} from '../configuration/change-configuration.js';
 import type {ChangeError} from '../configuration/change-error.js';
 import {addPlannedStop, cancelPlannedStop, replaceTargets} from '../configuration/configuration-update.js';
 import type {Configuration} from '../configuration/configuration.js';
-import {sha256Hex} from '../core/digest.js';
 import {createId} from '../core/ids.js';
 import {fail, succeed, type Result} from '../core/result.js';
 import type {ProcessContext} from '../daemon/process-context.js';
@@ -67,7 +65,7 @@
 		return true;
 	}
 
-	return timingSafeEqual(Buffer.from(sha256Hex(header ?? '')), Buffer.from(sha256Hex(`Bearer ${token}`)));
+	return isSameSecret(header ?? '', `Bearer ${token}`);
 }
 
 async function readBody<T>(c: Context, schema: z.ZodType<T>): Promise<Result<T, Response>> {
