Run a gateway on the users' platform through an adapter that only translates

The gateway calls backend servers directly and keeps its view of configuration, backend servers and entries by feeds of the table store.

--- a/src/daemon/run-daemon.ts
+++ b/src/daemon/run-daemon.ts
@@ -7,23 +7,12 @@
 import {createContext} from './create-context.js';
 import {EXIT_OK, EXIT_REFUSED, EXIT_USAGE} from './exit-code.js';
 import {startRole, type RunningRole} from './start-role.js';
+import {waitForStopSignal} from './stop-signal.js';
 import type {ProcessContext} from './process-context.js';
 
 /** Time that a role gets to report a drain that has used up its own limit, in milliseconds. */
 const DRAIN_GRACE_MILLIS = 1000;
 
-/** Resolves with the first signal to stop; later ones are only logged, so that a drain is not cut short. */
-async function waitForStopSignal(ctx: ProcessContext): Promise<NodeJS.Signals> {
-	return new Promise(resolve => {
-		for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-			process.on(signal, () => {
-				ctx.log.info('stop signal', {signal});
-				resolve(signal);
-			});
-		}
-	});
-}
-
 /** Longest time of a whole drain: an entry waits for the last address answer that named it, then for its requests. */
 function chooseDrainLimit(settings: Settings): number {
 	const addressMillis = settings.role === 'entry' ? settings.addressLifetimeMillis : 0;
@@ -54,7 +43,7 @@
 /** Runs a role until a signal to stop; resolves to the exit code. */
 export async function runDaemon(settings: Settings, secrets: Secrets): Promise<number> {
 	const ctx = createContext(settings, secrets);
-	const stopSignal = waitForStopSignal(ctx);
+	const stopSignal = waitForStopSignal(ctx.log);
 	ctx.lifeCycle.own('configuration polling', registerConfigurationSync({...ctx, holder: ctx.configuration, random: Math.random}));
 	const role = await startRole(ctx, settings, secrets);
 	if (!role.ok) {
--- /dev/null
+++ b/src/decisions/flow/flow-lane.ts
@@ -0,0 +1,180 @@
+/**
+ * Answers bursts and lasting overload of one service: requests wait only as long as they can still be on time, in order of
+ * priority and of what their account has in flight; the others are refused at once and told when to come back.
+ */
+import type {Clock} from '../../core/clock.js';
+import type {Teardown} from '../../core/teardown.js';
+import type {RandomSource} from '../random.js';
+import {
+	HOLD_WEIGHT, MAX_RETURN_MILLIS, MAX_WAITING, MIN_RETURN_MILLIS,
+} from './flow-constants.js';
+
+/** A request that asks for a place. */
+export type FlowRequest = Readonly<{
+	account: string;
+	/** 0 is served first. */
+	priority: number;
+	/** Longest time that it may wait for a place, in milliseconds. */
+	maxWaitMillis: number;
+}>;
+
+/** Whether a request gets a place. */
+export type FlowDecision
+	/** `release` gives the place back; further calls have no effect. */
+	= | Readonly<{tag: 'admitted'; release: () => void}>
+	/** Nothing was sent; the caller may come back after `retryAfterMillis`. */
+		| Readonly<{tag: 'refused'; reason: 'overload' | 'withdrawn'; retryAfterMillis: number}>;
+
+/** Queue before the backend servers of one service. */
+export type FlowLane = Readonly<{
+	admit: (req: FlowRequest, signal: AbortSignal) => Promise<FlowDecision>;
+	countInFlight: () => number;
+	countWaiting: () => number;
+	/** Looks again for room, after the limit has changed. */
+	dispatch: () => void;
+}>;
+
+/** What a lane needs; `readLimit` is asked before each decision. */
+export type FlowLaneDeps = Readonly<{
+	clock: Clock;
+	random: RandomSource;
+	readLimit: () => number;
+	noteReached: () => void;
+}>;
+
+type Waiter = Readonly<{
+	req: FlowRequest;
+	arrivedAtMillis: number;
+	decide: (decision: FlowDecision) => void;
+}>;
+
+/** Creates the lane of one service. */
+export function createFlowLane({clock, random, readLimit, noteReached}: FlowLaneDeps): FlowLane {
+	const inFlightByAccount = new Map<string, number>();
+	let inFlight = 0;
+	let meanHoldMillis = 0;
+	let waiting: readonly Waiter[] = [];
+
+	function countOf(account: string): number {
+		return inFlightByAccount.get(account) ?? 0;
+	}
+
+	function compare(left: Waiter, right: Waiter): number {
+		return left.req.priority - right.req.priority
+			|| countOf(left.req.account) - countOf(right.req.account)
+			|| left.arrivedAtMillis - right.arrivedAtMillis;
+	}
+
+	/** Time until the request at this place of the queue gets its turn, in milliseconds. */
+	function estimateWaitMillis(place: number): number {
+		return ((place + 1) * meanHoldMillis) / Math.max(1, readLimit());
+	}
+
+	function chooseRetryAfterMillis(): number {
+		const backlogMillis = estimateWaitMillis(waiting.length);
+		const baseMillis = Math.min(MAX_RETURN_MILLIS, Math.max(MIN_RETURN_MILLIS, backlogMillis));
+		return Math.round(baseMillis * (1 + random()));
+	}
+
+	function take(req: FlowRequest): FlowDecision {
+		const startedAtMillis = clock.monotonicMillis();
+		let isReleased = false;
+		inFlight++;
+		inFlightByAccount.set(req.account, countOf(req.account) + 1);
+		return {
+			tag: 'admitted',
+			release() {
+				if (isReleased) {
+					return;
+				}
+
+				isReleased = true;
+				inFlight--;
+				const count = countOf(req.account) - 1;
+				if (count > 0) {
+					inFlightByAccount.set(req.account, count);
+				} else {
+					inFlightByAccount.delete(req.account);
+				}
+
+				const heldMillis = clock.monotonicMillis() - startedAtMillis;
+				meanHoldMillis = meanHoldMillis === 0 ? heldMillis : meanHoldMillis + ((heldMillis - meanHoldMillis) * HOLD_WEIGHT);
+				dispatch();
+			},
+		};
+	}
+
+	function dispatch(): void {
+		while (waiting.length > 0 && inFlight + 1 <= readLimit()) {
+			const next = waiting.toSorted(compare)[0];
+			waiting = waiting.filter(waiter => waiter !== next);
+			if (next) {
+				next.decide(take(next.req));
+			}
+		}
+	}
+
+	function refuse(waiter: Waiter, reason: 'overload' | 'withdrawn'): void {
+		if (waiting.includes(waiter)) {
+			waiting = waiting.filter(other => other !== waiter);
+			waiter.decide({tag: 'refused', reason, retryAfterMillis: chooseRetryAfterMillis()});
+		}
+	}
+
+	/** Refuses whoever would wait longest beyond its time. */
+	function refuseHopeless(): void {
+		const nowMillis = clock.monotonicMillis();
+		let place = 0;
+		for (const waiter of waiting.toSorted(compare)) {
+			const leftMillis = waiter.arrivedAtMillis + waiter.req.maxWaitMillis - nowMillis;
+			if (estimateWaitMillis(place) > leftMillis || place >= MAX_WAITING) {
+				refuse(waiter, 'overload');
+			} else {
+				place++;
+			}
+		}
+	}
+
+	function enqueue(req: FlowRequest, decide: (decision: FlowDecision) => void): Waiter {
+		const waiter = {req, arrivedAtMillis: clock.monotonicMillis(), decide};
+		noteReached();
+		waiting = [...waiting, waiter];
+		refuseHopeless();
+		return waiter;
+	}
+
+	async function refuseInTime(waiter: Waiter, signal: AbortSignal): Promise<void> {
+		await clock.sleep(waiter.req.maxWaitMillis, signal);
+		refuse(waiter, 'overload');
+	}
+
+	return {
+		async admit(req, signal) {
+			if (inFlight + 1 <= readLimit() && waiting.length === 0) {
+				return take(req);
+			}
+
+			return new Promise<FlowDecision>(resolve => {
+				const decided = new AbortController();
+				let waiter: Waiter | undefined;
+				const withdraw: Teardown = () => {
+					if (waiter) {
+						refuse(waiter, 'withdrawn');
+					}
+				};
+
+				signal.addEventListener('abort', withdraw, {once: true});
+				waiter = enqueue(req, decision => {
+					signal.removeEventListener('abort', withdraw);
+					decided.abort();
+					resolve(decision);
+				});
+				void refuseInTime(waiter, decided.signal);
+				dispatch();
+			});
+		},
+		countInFlight: () => inFlight,
+		countWaiting: () => waiting.length,
+		dispatch,
+	};
+}
--- /dev/null
+++ b/src/feeds/follow-table.ts
@@ -0,0 +1,103 @@
+/** Follows a table of the platform through outages and lost history. */
+import type {Clock} from '../core/clock.js';
+import type {RandomSource} from '../decisions/random.js';
+import type {Log} from '../observability/log.js';
+import type {FeedError, FeedRow, TableFeed} from '../ports/table-feed.js';
+import {FIRST_RETRY_MILLIS, MAX_RETRY_MILLIS} from './follow-table-constants.js';
+
+/** An answer of the store. */
+export type StoreContact = Readonly<{
+	/** Steady clock of the store, in milliseconds. */
+	storeMillis: number;
+	/** Whether the calls before this one failed. */
+	wasLost: boolean;
+}>;
+
+/** What a follower does with the rows. */
+export type TableListener = Readonly<{
+	/** All rows of the table; those not named are gone. */
+	onSnapshot: (rows: readonly FeedRow[], contact: StoreContact) => void;
+	onChanges: (rows: readonly FeedRow[], contact: StoreContact) => void;
+}>;
+
+/** How a table is followed. */
+export type FollowOptions = Readonly<{
+	feed: TableFeed;
+	table: string;
+	clock: Clock;
+	log: Log;
+	random: RandomSource;
+	/** Ends the task when it aborts. */
+	signal: AbortSignal;
+	/** Longest wait for a change in one call, in milliseconds. */
+	waitMillis: number;
+	/** Least time between two calls, in milliseconds; bounds the calls where rows change all the time. */
+	paceMillis: number;
+	listener: TableListener;
+	/** Called with each answer of the store. */
+	onContact?: () => void;
+}>;
+
+type Position = Readonly<{version: number | undefined; failures: number}>;
+
+const START: Position = {version: undefined, failures: 0};
+
+/** Exponential backoff with jitter over the upper half. */
+function chooseRetryMillis(failures: number, random: RandomSource): number {
+	return Math.min(MAX_RETRY_MILLIS, FIRST_RETRY_MILLIS * (2 ** failures)) * (0.5 + (random() / 2));
+}
+
+function noteFailure(options: FollowOptions, before: Position, err: FeedError): Position {
+	if (err.tag === 'history_lost') {
+		options.log.info('history of the table dropped; reading all rows', {table: options.table, version: before.version});
+		return {version: undefined, failures: before.failures};
+	}
+
+	if (before.failures === 0) {
+		options.log.warn('lost the table', {table: options.table, detail: err.detail, version: before.version});
+	}
+
+	return {version: before.version, failures: before.failures + 1};
+}
+
+async function step(options: FollowOptions, before: Position): Promise<Position> {
+	const {feed, table, listener} = options;
+	const page = before.version === undefined
+		? await feed.readAll(table)
+		: await feed.readChanges(table, before.version, options.waitMillis);
+	if (!page.ok) {
+		return noteFailure(options, before, page.error);
+	}
+
+	options.onContact?.();
+	if (before.failures > 0) {
+		options.log.info('regained the table', {table, failures: before.failures, version: page.value.version});
+	}
+
+	const {rows, storeMillis, version} = page.value;
+	const contact = {storeMillis, wasLost: before.failures > 0};
+	if (before.version === undefined) {
+		listener.onSnapshot(rows, contact);
+	} else {
+		listener.onChanges(rows, contact);
+	}
+
+	return {version: Math.max(version, before.version ?? 0), failures: 0};
+}
+
+/** Follows the table until the signal aborts; errors are logged and retried. */
+export async function followTable(options: FollowOptions): Promise<void> {
+	const {clock, signal, random, paceMillis} = options;
+	let position = START;
+	/* eslint-disable no-await-in-loop -- One call after the other. */
+	while (!signal.aborted) {
+		const startedAtMillis = clock.monotonicMillis();
+		position = await step(options, position);
+		const elapsedMillis = clock.monotonicMillis() - startedAtMillis;
+		const pauseMillis = position.failures > 0
+			? chooseRetryMillis(position.failures - 1, random)
+			: Math.max(0, paceMillis - elapsedMillis);
+		await clock.sleep(pauseMillis, signal);
+	}
+	/* eslint-enable no-await-in-loop */
+}
--- /dev/null
+++ b/src/gateway/answer-sink.ts
@@ -0,0 +1,124 @@
+/** Takes the answer of an attempt: holds it until it is complete, or passes it on as it comes. */
+import {Buffer} from 'node:buffer';
+import type {Clock} from '../core/clock.js';
+import type {AnswerHead} from '../ports/call-codec.js';
+import type {CallReply} from './call.js';
+import {createEventSplitter, type EventSplitter, type StreamEvent} from './event-splitter.js';
+import {HELD_ANSWER_BYTES} from './gateway-constants.js';
+
+/** How far the answer to a call has come over its attempts. */
+export type AnswerProgress = {
+	/** Id of the last event that was passed on. */
+	lastEventId: number | undefined;
+	/** Monotonic time of the last event; undefined before the first. */
+	lastEventAtMillis: number | undefined;
+};
+
+/** What a sink needs of its call. */
+export type SinkDeps = Readonly<{
+	reply: CallReply;
+	clock: Clock;
+	isStreaming: boolean;
+	progress: AnswerProgress;
+	/** Called with the time since the event before it, or undefined for the first one. */
+	onEvent: (pauseMillis: number | undefined) => void;
+}>;
+
+/** Takes one answer. */
+export type AnswerSink = Readonly<{
+	/** False when the bytes cannot be what follows on those passed on before. */
+	take: (bytes: Buffer) => boolean;
+	/** Bytes of a complete answer that were not passed on; undefined when all were. */
+	finish: () => Buffer | undefined;
+	/** Whether anything of this answer was passed on. */
+	hasPassed: () => boolean;
+}>;
+
+/** Passes on whole events, so that another attempt can continue behind the last one. */
+function createEventSink(head: AnswerHead, {reply, clock, progress, onEvent}: SinkDeps): AnswerSink {
+	const splitter: EventSplitter = createEventSplitter();
+	let hasPassed = false;
+
+	function passOn(bytes: Buffer): void {
+		if (!reply.hasHead()) {
+			reply.writeHead(head.status, head.headers);
+		}
+
+		hasPassed = true;
+		reply.write(bytes);
+	}
+
+	function takeEvent({id, bytes}: StreamEvent): boolean {
+		const {lastEventId, lastEventAtMillis} = progress;
+		if (id !== undefined && lastEventId !== undefined && id !== lastEventId + 1) {
+			return false;
+		}
+
+		const nowMillis = clock.monotonicMillis();
+		onEvent(lastEventAtMillis === undefined ? undefined : nowMillis - lastEventAtMillis);
+		progress.lastEventId = id ?? lastEventId;
+		progress.lastEventAtMillis = nowMillis;
+		passOn(bytes);
+		return true;
+	}
+
+	return {
+		take: bytes => splitter.push(bytes).every(event => takeEvent(event)),
+		finish() {
+			const rest = splitter.rest();
+			if (rest.length > 0) {
+				passOn(rest);
+			}
+
+			return hasPassed ? undefined : Buffer.alloc(0);
+		},
+		hasPassed: () => hasPassed,
+	};
+}
+
+/** Holds an answer until it is complete, unless it is large. */
+function createHoldingSink(head: AnswerHead, {reply}: SinkDeps): AnswerSink {
+	let held: Buffer[] = [];
+	let size = 0;
+	let isPassing = (head.contentLength ?? 0) > HELD_ANSWER_BYTES;
+
+	function passHeld(): void {
+		if (!reply.hasHead()) {
+			reply.writeHead(head.status, head.headers);
+		}
+
+		for (const piece of held) {
+			reply.write(piece);
+		}
+
+		held = [];
+	}
+
+	return {
+		take(bytes) {
+			held.push(bytes);
+			size += bytes.length;
+			isPassing ||= size > HELD_ANSWER_BYTES;
+			if (isPassing) {
+				passHeld();
+			}
+
+			return true;
+		},
+		finish() {
+			if (isPassing) {
+				passHeld();
+				return undefined;
+			}
+
+			return Buffer.concat(held);
+		},
+		hasPassed: () => isPassing && reply.hasHead(),
+	};
+}
+
+/** Creates the sink for an answer with this head. */
+export function createAnswerSink(head: AnswerHead, deps: SinkDeps): AnswerSink {
+	const isEventStream = deps.isStreaming && head.status >= 200 && head.status < 300;
+	return isEventStream ? createEventSink(head, deps) : createHoldingSink(head, deps);
+}
--- /dev/null
+++ b/src/gateway/backend-connections.ts
@@ -0,0 +1,189 @@
+/** Connections to backend servers: each serves one request at a time and is kept for the next. */
+import type {Buffer} from 'node:buffer';
+import {Client, type Dispatcher} from 'undici';
+import type {Clock} from '../core/clock.js';
+import {describeError} from '../core/describe-error.js';
+import type {LifeCycle} from '../core/life-cycle.js';
+import type {RawHeaders} from '../ports/call-codec.js';
+import {
+	CONNECT_TIMEOUT_MILLIS, IDLE_MARGIN_MILLIS, IDLE_TIMEOUT_MILLIS, SAFE_IDLE_MILLIS,
+} from './gateway-constants.js';
+
+/** A request to a backend server. */
+export type BackendRequest = Readonly<{
+	method: string;
+	path: string;
+	headers: string[];
+	body: Buffer;
+	/** Whether a connection that has been idle for long may be used, although it may be gone. */
+	allowsIdle: boolean;
+}>;
+
+/** What happens to a request, in order; `onEnd` is last. */
+export type ExchangeListener = Readonly<{
+	/** The first byte is about to be written. */
+	onSent: () => void;
+	/** False breaks the exchange off: the answer belongs to another request. */
+	onHead: (status: number, headers: RawHeaders) => boolean;
+	onData: (bytes: Buffer) => void;
+	/** `error` is undefined after a complete answer. */
+	onEnd: (error: string | undefined) => void;
+}>;
+
+/** A request under way. */
+export type Exchange = Readonly<{
+	/** Closes the connection; `onEnd` follows. */
+	abort: (reason: string) => void;
+	pause: () => void;
+	resume: () => void;
+}>;
+
+/** Connections to all backend servers. */
+export type BackendConnections = Readonly<{
+	send: (address: string, req: BackendRequest, listener: ExchangeListener) => Exchange;
+	/** Closes the idle connections to an address. */
+	forget: (address: string) => void;
+}>;
+
+type Connection = Readonly<{client: Client; idleSinceMillis: number}>;
+
+function toText(headers: unknown): string[] {
+	return Array.isArray(headers) ? headers.map(item => typeof item === 'string' ? item : (item as Buffer).toString('latin1')) : [];
+}
+
+/** Creates the connections of a process. */
+export function createBackendConnections({clock, lifeCycle}: Readonly<{clock: Clock; lifeCycle: LifeCycle}>): BackendConnections {
+	const idle = new Map<string, Connection[]>();
+	const open = new Set<Client>();
+	lifeCycle.own('connections to backend servers', async () => {
+		await Promise.all([...open].map(async client => client.destroy()));
+	});
+
+	function openClient(address: string): Client {
+		const client = new Client(`http://${address}`, {
+			pipelining: 1,
+			connect: {timeout: CONNECT_TIMEOUT_MILLIS},
+			headersTimeout: 0,
+			bodyTimeout: 0,
+			keepAliveTimeout: IDLE_TIMEOUT_MILLIS,
+			keepAliveTimeoutThreshold: IDLE_MARGIN_MILLIS,
+		});
+		open.add(client);
+		return client;
+	}
+
+	function close(client: Client): void {
+		if (open.delete(client)) {
+			void client.destroy();
+		}
+	}
+
+	/** A kept connection, the one that was used last; those idle for too long are closed. */
+	function takeClient(address: string, allowsIdle: boolean): Client {
+		const kept = idle.get(address) ?? [];
+		const nowMillis = clock.monotonicMillis();
+		const maxIdleMillis = allowsIdle ? IDLE_TIMEOUT_MILLIS : SAFE_IDLE_MILLIS;
+		while (kept.length > 0) {
+			const last = kept.at(-1);
+			if (!last || nowMillis - last.idleSinceMillis > maxIdleMillis) {
+				break;
+			}
+
+			kept.pop();
+			if (!last.client.closed && !last.client.destroyed) {
+				return last.client;
+			}
+		}
+
+		while (kept[0] && nowMillis - kept[0].idleSinceMillis > IDLE_TIMEOUT_MILLIS) {
+			const stale = kept.shift();
+			if (stale) {
+				close(stale.client);
+			}
+		}
+
+		return openClient(address);
+	}
+
+	function keep(address: string, client: Client): void {
+		if (!client.closed && !client.destroyed) {
+			idle.set(address, [...idle.get(address) ?? [], {client, idleSinceMillis: clock.monotonicMillis()}]);
+		}
+	}
+
+	return {
+		send(address, req, listener) {
+			const client = takeClient(address, req.allowsIdle);
+			let controller: Dispatcher.DispatchController | undefined;
+			let abortReason: string | undefined;
+			let hasEnded = false;
+
+			function finish(error: string | undefined): void {
+				if (hasEnded) {
+					return;
+				}
+
+				hasEnded = true;
+				if (error === undefined) {
+					keep(address, client);
+				} else {
+					close(client);
+				}
+
+				listener.onEnd(error);
+			}
+
+			function abort(reason: string): void {
+				if (!hasEnded && abortReason === undefined) {
+					abortReason = reason;
+					if (controller) {
+						controller.abort(new Error(reason));
+					} else {
+						close(client);
+					}
+				}
+			}
+
+			client.dispatch({
+				method: req.method as Dispatcher.HttpMethod, path: req.path, headers: req.headers, body: req.body.length > 0 ? req.body : null,
+			}, {
+				onRequestStart(started) {
+					controller = started;
+					listener.onSent();
+				},
+				onResponseStart(started, status) {
+					if (status >= 200 && !listener.onHead(status, toText(started.rawHeaders))) {
+						abort('the answer belongs to another request');
+					}
+				},
+				onResponseData(_started, bytes) {
+					if (abortReason === undefined) {
+						listener.onData(bytes);
+					}
+				},
+				onResponseEnd() {
+					finish(abortReason);
+				},
+				onResponseError(_started, error) {
+					finish(abortReason ?? describeError(error));
+				},
+			});
+			return {
+				abort,
+				pause() {
+					controller?.pause();
+				},
+				resume() {
+					controller?.resume();
+				},
+			};
+		},
+		forget(address) {
+			for (const {client} of idle.get(address) ?? []) {
+				close(client);
+			}
+
+			idle.delete(address);
+		},
+	};
+}
--- /dev/null
+++ b/src/gateway/call.ts
@@ -0,0 +1,32 @@
+import type {Buffer} from 'node:buffer';
+import type {CallHead, RawHeaders} from '../ports/call-codec.js';
+
+/** A caller's request, read as a whole. */
+export type Call = Readonly<{
+	method: string;
+	/** Path and query as they came. */
+	path: string;
+	host: string;
+	headers: RawHeaders;
+	head: CallHead;
+	body: Buffer;
+	/** Monotonic time of its arrival. */
+	arrivedAtMillis: number;
+	reply: CallReply;
+	/** Aborts when the caller has left. */
+	gone: AbortSignal;
+}>;
+
+/** The way back to the caller. */
+export type CallReply = Readonly<{
+	writeHead: (status: number, headers: RawHeaders) => void;
+	write: (bytes: Buffer) => void;
+	/** Whether the caller reads more slowly than bytes come; `onDrain` tells when it has caught up. */
+	isFull: () => boolean;
+	onDrain: (resume: () => void) => void;
+	/** Ends the answer as complete. */
+	end: () => void;
+	/** Closes the connection, so that the answer does not look complete. */
+	breakOff: () => void;
+	hasHead: () => boolean;
+}>;
--- /dev/null
+++ b/src/gateway/configuration-in-force.ts
@@ -0,0 +1,60 @@
+/** The newest configuration that this process knows. */
+import type {Clock} from '../core/clock.js';
+import type {TableListener} from '../feeds/follow-table.js';
+import type {Log} from '../observability/log.js';
+import type {FeedRow} from '../ports/table-feed.js';
+import {createRouteTable, type RouteTable} from '../routing/route-table.js';
+import type {RoutingConfiguration} from '../routing/routing-configuration.js';
+import {STALE_CONFIGURATION_MILLIS} from './gateway-constants.js';
+
+/** A configuration with its index. */
+export type IndexedConfiguration = Readonly<{cfg: RoutingConfiguration; table: RouteTable}>;
+
+/** Holder of the configuration; it never goes back to an older version. */
+export type ConfigurationInForce = Readonly<{
+	read: () => IndexedConfiguration | undefined;
+	/** Whether the store has answered lately, so that a newer version would be known. */
+	isFresh: () => boolean;
+	/** Time since the last answer of the store, in milliseconds. */
+	ageMillis: () => number;
+	noteContact: () => void;
+	listener: TableListener;
+}>;
+
+/** Reads the operators' row; undefined when it is no configuration. */
+export type ReadConfiguration = (row: FeedRow) => RoutingConfiguration | undefined;
+
+type Deps = Readonly<{
+	clock: Clock;
+	log: Log;
+	read: ReadConfiguration;
+	onChange: (cfg: RoutingConfiguration) => void;
+}>;
+
+/** Creates a holder that knows no configuration yet. */
+export function createConfigurationInForce({clock, log, read, onChange}: Deps): ConfigurationInForce {
+	let current: IndexedConfiguration | undefined;
+	let contactAtMillis = -Infinity;
+
+	function take(rows: readonly FeedRow[]): void {
+		for (const row of rows) {
+			const cfg = read(row);
+			if (cfg && cfg.version > (current?.cfg.version ?? -1)) {
+				log.info('configuration in force', {version: cfg.version, former: current?.cfg.version, routes: cfg.routes.length});
+				current = {cfg, table: createRouteTable(cfg)};
+				onChange(cfg);
+			}
+		}
+	}
+
+	const ageMillis = () => clock.monotonicMillis() - contactAtMillis;
+	return {
+		read: () => current,
+		isFresh: () => ageMillis() < STALE_CONFIGURATION_MILLIS,
+		ageMillis,
+		noteContact() {
+			contactAtMillis = clock.monotonicMillis();
+		},
+		listener: {onSnapshot: take, onChanges: take},
+	};
+}
--- /dev/null
+++ b/src/gateway/gateway-constants.ts
@@ -0,0 +1,48 @@
+/** Time in which entries that lapsed during an outage of the store are written again, in milliseconds; two heartbeats. */
+export const LAPSED_ENTRY_GRACE_MILLIS = 2500;
+/** Longest wait for a new connection to a backend server, in milliseconds; over three lost opening packets of a LAN. */
+export const CONNECT_TIMEOUT_MILLIS = 800;
+/** Idle time after which a connection is not used again for work that must not be repeated, in milliseconds. */
+export const SAFE_IDLE_MILLIS = 300;
+/** Idle time after which a connection without a stated timeout is closed, in milliseconds. */
+export const IDLE_TIMEOUT_MILLIS = 4000;
+/** Part of a stated idle timeout at its end in which a connection is not used, in milliseconds; more than a round trip. */
+export const IDLE_MARGIN_MILLIS = 600;
+/** Largest answer that is held until it is complete, in bytes; larger ones are passed on as they come. */
+export const HELD_ANSWER_BYTES = 262_144;
+/** Bytes of request bodies and held answers that a process keeps at most; a tenth of the smallest instance's memory. */
+export const MAX_HELD_BYTES = 25_000_000;
+/** Least time that is worth sending to a backend server, in milliseconds; two crossings of the network and a short answer. */
+export const LEAST_ATTEMPT_MILLIS = 15;
+/** Time kept back from a deadline for the way to the caller, in milliseconds. */
+export const RETURN_MARGIN_MILLIS = 8;
+/** Wait that a refused caller is told when nothing is known of the backlog, in milliseconds. */
+export const DEFAULT_RETRY_AFTER_MILLIS = 500;
+/** Age of the last answer of the store from which on an unknown route or credential is not refused for good, in milliseconds. */
+export const STALE_CONFIGURATION_MILLIS = 4000;
+/** Longest wait for a change of the configuration in one call, in milliseconds; a silent connection shows soon after it. */
+export const CONFIGURATION_WAIT_MILLIS = 1000;
+/** Least time between two reads of the backend servers' entries, in milliseconds; a third of the time that a leaving one still serves. */
+export const SERVER_LIST_PACE_MILLIS = 600;
+/** Largest time between two heartbeats of an entry, in milliseconds; a store call is paid for. */
+export const HEARTBEAT_MILLIS = 1500;
+/** Age of a heartbeat from which on an entry is taken for dead, in milliseconds; two missed heartbeats and the pace of reading. */
+export const MEMBER_TIMEOUT_MILLIS = 4500;
+/** Least time between two reads of the entries' heartbeats, in milliseconds. */
+export const MEMBER_LIST_PACE_MILLIS = 1000;
+/** Time that callers may keep an address answer, in milliseconds. */
+export const ADDRESS_LIFETIME_MILLIS = 3000;
+/** Most addresses in one answer; the platform's callers use no more. */
+export const MAX_ADDRESSES = 64;
+/** Largest head of a caller's request, in bytes; twice the largest limit that operators set. */
+export const MAX_CALLER_HEADER_BYTES = 32_768;
+/** Time between two looks for connections whose head is overdue, in milliseconds. */
+export const CONNECTION_CHECK_MILLIS = 1000;
+/** Time that an idle connection is kept beyond its limit, in milliseconds; callers use it up to the limit. */
+export const IDLE_SLACK_MILLIS = 1000;
+/** Time after the signal to stop until no connection is taken any more, in milliseconds; callers have new addresses by then. */
+export const STOP_LISTENING_MILLIS = 2500;
+/** Time before the end of the grace at which calls under way are broken off, in milliseconds. */
+export const GRACE_MARGIN_MILLIS = 500;
+/** Time between two looks whether calls are still under way, in milliseconds. */
+export const DRAIN_CHECK_MILLIS = 50;
--- /dev/null
+++ b/src/gateway/gateway-context.ts
@@ -0,0 +1,24 @@
+import type {Clock} from '../core/clock.js';
+import type {ServerPicker} from '../decisions/flow/server-picker.js';
+import type {RandomSource} from '../decisions/random.js';
+import type {Log} from '../observability/log.js';
+import type {CallCodec} from '../ports/call-codec.js';
+import type {BackendConnections} from './backend-connections.js';
+import type {BackendServers} from './backend-server-list.js';
+import type {ConfigurationInForce} from './configuration-in-force.js';
+import type {GatewayMetrics} from './gateway-metrics.js';
+import type {ServiceFlows} from './service-flows.js';
+
+/** What serving a call needs. */
+export type GatewayContext = Readonly<{
+	clock: Clock;
+	log: Log;
+	random: RandomSource;
+	metrics: GatewayMetrics;
+	codec: CallCodec;
+	connections: BackendConnections;
+	configuration: ConfigurationInForce;
+	readServers: () => BackendServers;
+	picker: ServerPicker;
+	flows: ServiceFlows;
+}>;
--- /dev/null
+++ b/src/gateway/gateway-metrics.ts
@@ -0,0 +1,45 @@
+import {
+	Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
+
+/** Upper bounds of the latency buckets in seconds. */
+const LATENCY_BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10];
+
+/** Metrics of a gateway. Each is listed in docs/metrics.md. */
+export type GatewayMetrics = ReturnType<typeof createGatewayMetrics>;
+
+/** Creates the metrics in a registry of their own. */
+export function createGatewayMetrics() {
+	const registry = new Registry();
+	const registers = [registry];
+	return {
+		registry,
+		calls: new Counter({
+			name: 'pollenport_calls_total', help: 'Calls by route kind and outcome', labelNames: ['kind', 'outcome'], registers,
+		}),
+		refusals: new Counter({
+			name: 'pollenport_call_refusals_total', help: 'Answers of this process\'s own, by reason', labelNames: ['reason'], registers,
+		}),
+		attempts: new Counter({
+			name: 'pollenport_attempts_total', help: 'Attempts at backend servers by how they ended', labelNames: ['end'], registers,
+		}),
+		repeats: new Counter({
+			name: 'pollenport_repeats_total', help: 'Attempts beyond the first of a call, by reason', labelNames: ['reason'], registers,
+		}),
+		firstByteSeconds: new Histogram({
+			name: 'pollenport_call_first_byte_seconds', help: 'Time from arrival to the first byte of the answer', labelNames: ['kind'], buckets: LATENCY_BUCKETS_SECONDS, registers,
+		}),
+		inFlight: new Gauge({
+			name: 'pollenport_calls_in_flight', help: 'Calls in flight at backend servers, by service', labelNames: ['service'], registers,
+		}),
+		limit: new Gauge({
+			name: 'pollenport_calls_limit', help: 'Calls that may be in flight at backend servers, by service', labelNames: ['service'], registers,
+		}),
+		unreadableRows: new Counter({
+			name: 'pollenport_unreadable_rows_total', help: 'Rows of the platform that could not be used, by table', labelNames: ['table'], registers,
+		}),
+		configVersion: new Gauge({
+			name: 'pollenport_routing_version', help: 'Version of the routing configuration in force', registers,
+		}),
+	};
+}
--- /dev/null
+++ b/src/gateway/service-flows.ts
@@ -0,0 +1,88 @@
+/** Limits, queues and retry budgets, one of each for a service. */
+import type {Clock} from '../core/clock.js';
+import {createFlowLane, type FlowLane} from '../decisions/flow/flow-lane.js';
+import {PLAIN_REQUESTS_PER_SLOT} from '../decisions/flow/flow-constants.js';
+import {createPauseLimit, type PauseLimit} from '../decisions/flow/pause-limit.js';
+import type {RandomSource} from '../decisions/random.js';
+import {createSharedRetryBudget, type SharedBudgetTerms, type SharedRetryBudget} from '../decisions/retry/shared-retry-budget.js';
+import type {RoutingConfiguration} from '../routing/routing-configuration.js';
+import type {BackendServer} from './backend-server.js';
+import type {BackendServers} from './backend-server-list.js';
+
+/** What the requests of one service share. */
+export type ServiceFlow = Readonly<{
+	lane: FlowLane;
+	limit: PauseLimit;
+	budget: SharedRetryBudget;
+}>;
+
+/** The flows of all services. */
+export type ServiceFlows = Readonly<{
+	read: (service: string) => ServiceFlow;
+	/** Takes the backend servers, the configuration and the number of entries that share them. */
+	update: (servers: BackendServers, cfg: RoutingConfiguration | undefined) => void;
+	list: () => ReadonlyMap<string, ServiceFlow>;
+}>;
+
+type Deps = Readonly<{
+	clock: Clock;
+	random: RandomSource;
+	budgetTerms: SharedBudgetTerms;
+	/** Live entries, this one included. */
+	countEntries: () => number;
+}>;
+
+function countSlots(servers: readonly BackendServer[]): number {
+	let slots = 0;
+	for (const server of servers) {
+		slots += server.slots;
+	}
+
+	return slots;
+}
+
+/** Creates flows; a service gets its own when it is first asked for. */
+export function createServiceFlows({clock, random, budgetTerms, countEntries}: Deps): ServiceFlows {
+	const flows = new Map<string, ServiceFlow>();
+	/** Requests that the process may send to each plain service. */
+	const plainLimits = new Map<string, number>();
+
+	function create(service: string): ServiceFlow {
+		const limit = createPauseLimit();
+		const lane = createFlowLane({
+			clock, random, readLimit: () => plainLimits.get(service) ?? limit.read(), noteReached: limit.noteReached,
+		});
+		return {lane, limit, budget: createSharedRetryBudget(clock, budgetTerms, countEntries)};
+	}
+
+	function read(service: string): ServiceFlow {
+		const known = flows.get(service);
+		if (known) {
+			return known;
+		}
+
+		const flow = create(service);
+		flows.set(service, flow);
+		return flow;
+	}
+
+	return {
+		read,
+		update(servers, cfg) {
+			const entries = Math.max(1, countEntries());
+			for (const [name, {engine}] of cfg?.services ?? []) {
+				const ready = [...servers.values()].filter(server => server.service === name && server.state === 'ready');
+				const slots = countSlots(ready);
+				const {limit, lane} = read(name);
+				if (engine) {
+					limit.setPlaces(slots / entries);
+				} else {
+					plainLimits.set(name, Math.max(PLAIN_REQUESTS_PER_SLOT, slots * PLAIN_REQUESTS_PER_SLOT / entries));
+				}
+
+				lane.dispatch();
+			}
+		},
+		list: () => flows,
+	};
+}
--- a/src/observability/metrics-listener.ts
+++ b/src/observability/metrics-listener.ts
@@ -4,7 +4,7 @@
 import type {LifeCycle} from '../core/life-cycle.js';
 import type {ListenError} from '../core/listen-error.js';
 import type {Result} from '../core/result.js';
-import type {Metrics} from './metrics.js';
+import type {Registry} from 'prom-client';
 
 const OK = 200;
 const UNAVAILABLE = 503;
@@ -13,7 +13,7 @@
 export type MetricsListenerDeps = Readonly<{
 	/** `IP:port`. */
 	address: string;
-	metrics: Metrics;
+	metrics: Readonly<{registry: Registry}>;
 	clock: Clock;
 	lifeCycle: LifeCycle;
 	isReady: () => boolean;
--- /dev/null
+++ b/src/routing/route-table.ts
@@ -0,0 +1,53 @@
+import type {RandomSource} from '../decisions/random.js';
+import type {Route, RoutingConfiguration} from './routing-configuration.js';
+
+/** Index of the routes of one configuration version. */
+export type RouteTable = Readonly<{
+	/** The route of this host with the longest prefix that begins the path. */
+	find: (host: string, path: string) => Route | undefined;
+}>;
+
+/** Host names are compared without case and port. */
+function normalizeHost(host: string): string {
+	const colon = host.indexOf(':');
+	return (colon === -1 ? host : host.slice(0, colon)).toLowerCase();
+}
+
+/** Indexes the routes of `cfg`. */
+export function createRouteTable(cfg: RoutingConfiguration): RouteTable {
+	const byHost = new Map<string, readonly Route[]>();
+	for (const route of cfg.routes) {
+		const host = normalizeHost(route.host);
+		byHost.set(host, [...byHost.get(host) ?? [], route]);
+	}
+
+	for (const [host, routes] of byHost) {
+		byHost.set(host, routes.toSorted((left, right) => right.prefix.length - left.prefix.length));
+	}
+
+	return {
+		find(host, path) {
+			const query = path.indexOf('?');
+			const pathname = query === -1 ? path : path.slice(0, query);
+			return byHost.get(normalizeHost(host))?.find(route => pathname.startsWith(route.prefix));
+		},
+	};
+}
+
+/** Draws a service of the route by the weights of its shares. */
+export function drawService(route: Route, random: RandomSource): string | undefined {
+	let total = 0;
+	for (const {weight} of route.shares) {
+		total += weight;
+	}
+
+	let left = random() * total;
+	for (const {service, weight} of route.shares) {
+		left -= weight;
+		if (left < 0) {
+			return service;
+		}
+	}
+
+	return route.shares[0]?.service;
+}
