Plan the expert map beside the engines and switch it at one pass

Agents beside the engines read counts where that is free and hand orders over; the agent of rank 0 plans a few moves at a time and switches by hold, arm and release.

--- a/src/decisions/flow/flow-lane.ts
+++ b/src/decisions/flow/flow-lane.ts
@@ -135,12 +135,10 @@
 		}
 	}
 
-	function enqueue(req: FlowRequest, decide: (decision: FlowDecision) => void): Waiter {
-		const waiter = {req, arrivedAtMillis: clock.monotonicMillis(), decide};
+	function enqueue(waiter: Waiter): void {
 		noteReached();
 		waiting = [...waiting, waiter];
 		refuseHopeless();
-		return waiter;
 	}
 
 	async function refuseInTime(waiter: Waiter, signal: AbortSignal): Promise<void> {
@@ -156,19 +154,21 @@
 
 			return new Promise<FlowDecision>(resolve => {
 				const decided = new AbortController();
-				let waiter: Waiter | undefined;
+				const waiter: Waiter = {
+					req,
+					arrivedAtMillis: clock.monotonicMillis(),
+					decide(decision) {
+						signal.removeEventListener('abort', withdraw);
+						decided.abort();
+						resolve(decision);
+					},
+				};
 				const withdraw: Teardown = () => {
-					if (waiter) {
-						refuse(waiter, 'withdrawn');
-					}
+					refuse(waiter, 'withdrawn');
 				};
 
 				signal.addEventListener('abort', withdraw, {once: true});
-				waiter = enqueue(req, decision => {
-					signal.removeEventListener('abort', withdraw);
-					decided.abort();
-					resolve(decision);
-				});
+				enqueue(waiter);
 				void refuseInTime(waiter, decided.signal);
 				dispatch();
 			});
--- a/src/decisions/placement/find-change.ts
+++ b/src/decisions/placement/find-change.ts
@@ -11,7 +11,7 @@
 
 /** What the search for a change needs to know besides the layout. */
 export type ChangeRules = Readonly<{
-	/** How many loads more a slot needs when it gets an expert; may be negative. */
+	/** How many loads more a slot needs when it gets an expert; may be negative. Infinite when it must not get one. */
 	priceSlot: (slot: number, expert: number) => number;
 	/** Whether a slot must stay as it is for now. */
 	isLocked: (slot: number) => boolean;
@@ -59,6 +59,11 @@
 	let leastPotential = Number.POSITIVE_INFINITY;
 
 	function consider(slot: number, expert: number, otherSlot: number, otherExpert: number): void {
+		const loads = rules.priceSlot(slot, expert) + (otherSlot >= 0 ? rules.priceSlot(otherSlot, otherExpert) : 0);
+		if (loads === Infinity) {
+			return;
+		}
+
 		const after = layout.tryChange(slot, expert, otherSlot, otherExpert);
 		if (after >= potentialBefore) {
 			if (after < leastPotential) {
@@ -71,7 +76,6 @@
 			return;
 		}
 
-		const loads = rules.priceSlot(slot, expert) + (otherSlot >= 0 ? rules.priceSlot(otherSlot, otherExpert) : 0);
 		const progress = rootBefore - (after ** (1 / POTENTIAL_EXPONENT));
 		const gain = progress / Math.max(FREE_CHANGE_WEIGHT, loads);
 		if (progress > LEAST_PROGRESS && gain > bestGain) {
--- a/src/decisions/placement/placement-types.ts
+++ b/src/decisions/placement/placement-types.ts
@@ -28,6 +28,8 @@
 	leastSaving: number;
 	/** Largest number of loads. */
 	maxLoads: number;
+	/** Largest number of loads of each rank; without it only their sum is bounded. */
+	maxLoadsOfRank?: readonly number[];
 }>;
 
 /** A changed layer. */
--- a/src/decisions/placement/plan-layer.ts
+++ b/src/decisions/placement/plan-layer.ts
@@ -1,6 +1,6 @@
 import {findChange, findHottestRank, type ChangeRules} from './find-change.js';
 import {EMPTY_SLOT} from './initial-map.js';
-import {createLayerLayout, type SlotChange} from './layer-layout.js';
+import {createLayerLayout, type LayerLayout, type SlotChange} from './layer-layout.js';
 import type {LayerPlan, LayerState, PlanTerms} from './placement-types.js';
 
 /** Changes made in a row without a better plan before the search ends, once the best plan is even. */
@@ -19,6 +19,16 @@
 	return after.filter((expert, slot) => expert !== EMPTY_SLOT && expert !== before[slot]).length;
 }
 
+/** Slots of a rank that hold a copy which they did not hold. */
+function countRankLoads({slotsPerRank, expertAt}: LayerLayout, original: readonly number[], rank: number): number {
+	let loads = 0;
+	for (let slot = rank * slotsPerRank; slot < (rank + 1) * slotsPerRank; slot++) {
+		loads += Number(expertAt(slot) !== EMPTY_SLOT && expertAt(slot) !== original[slot]);
+	}
+
+	return loads;
+}
+
 /** Remembers which slots were changed lately, from the first change on that made the layout worse. */
 function createSlotLocks() {
 	const lockedUntil = new Map<number, number>();
@@ -45,8 +55,17 @@
 	const layout = createLayerLayout(state);
 	const locks = createSlotLocks();
 	const isLoaded = (slot: number, expert: number) => expert !== EMPTY_SLOT && expert !== original[slot];
+	/** Whether the rank of the slot has loaded as much as it may. */
+	const isRankFull = (slot: number) => {
+		const most = terms.maxLoadsOfRank?.[layout.rankOf(slot)];
+		return most !== undefined && countRankLoads(layout, original, layout.rankOf(slot)) >= most;
+	};
+
 	const rules: ChangeRules = {
-		priceSlot: (slot, expert) => Number(isLoaded(slot, expert)) - Number(isLoaded(slot, layout.expertAt(slot))),
+		priceSlot(slot, expert) {
+			const price = Number(isLoaded(slot, expert)) - Number(isLoaded(slot, layout.expertAt(slot)));
+			return price > 0 && isRankFull(slot) ? Infinity : price;
+		},
 		isLocked: locks.isLocked,
 	};
 	const measureSkew = () => layout.relativeTime(findHottestRank(layout));
--- a/src/gateway/answer-sink.ts
+++ b/src/gateway/answer-sink.ts
@@ -27,9 +27,9 @@
 /** Takes one answer. */
 export type AnswerSink = Readonly<{
 	/** False when the bytes cannot be what follows on those passed on before. */
-	take: (bytes: Buffer) => boolean;
+	take: (bytes: Uint8Array) => boolean;
 	/** Bytes of a complete answer that were not passed on; undefined when all were. */
-	finish: () => Buffer | undefined;
+	finish: () => Uint8Array | undefined;
 	/** Whether anything of this answer was passed on. */
 	hasPassed: () => boolean;
 }>;
@@ -39,7 +39,7 @@
 	const splitter: EventSplitter = createEventSplitter();
 	let hasPassed = false;
 
-	function passOn(bytes: Buffer): void {
+	function passOn(bytes: Uint8Array): void {
 		if (!reply.hasHead()) {
 			reply.writeHead(head.status, head.headers);
 		}
@@ -70,7 +70,7 @@
 				passOn(rest);
 			}
 
-			return hasPassed ? undefined : Buffer.alloc(0);
+			return hasPassed ? undefined : new Uint8Array(0);
 		},
 		hasPassed: () => hasPassed,
 	};
@@ -78,7 +78,7 @@
 
 /** Holds an answer until it is complete, unless it is large. */
 function createHoldingSink(head: AnswerHead, {reply}: SinkDeps): AnswerSink {
-	let held: Buffer[] = [];
+	let held: Uint8Array[] = [];
 	let size = 0;
 	let isPassing = (head.contentLength ?? 0) > HELD_ANSWER_BYTES;
 
--- a/src/gateway/attempt-end.ts
+++ b/src/gateway/attempt-end.ts
@@ -1,4 +1,3 @@
-import type {Buffer} from 'node:buffer';
 import type {AnswerHead} from '../ports/call-codec.js';
 
 /** What became of one attempt at one backend server. */
@@ -8,7 +7,7 @@
 	/** The backend server states that it did not run the request. */
 		| Readonly<{tag: 'not_run'; head: AnswerHead}>
 	/** A complete answer of any status, not passed on yet. */
-		| Readonly<{tag: 'answered'; head: AnswerHead; body: Buffer}>
+		| Readonly<{tag: 'answered'; head: AnswerHead; body: Uint8Array}>
 	/** A complete answer that was passed on as it came. */
 		| Readonly<{tag: 'passed'}>
 	/** Written, and no complete answer: it may have run. */
--- a/src/gateway/backend-connections.ts
+++ b/src/gateway/backend-connections.ts
@@ -1,5 +1,5 @@
 /** Connections to backend servers: each serves one request at a time and is kept for the next. */
-import type {Buffer} from 'node:buffer';
+import {Buffer} from 'node:buffer';
 import {Client, type Dispatcher} from 'undici';
 import type {Clock} from '../core/clock.js';
 import {describeError} from '../core/describe-error.js';
@@ -14,7 +14,7 @@
 	method: string;
 	path: string;
 	headers: string[];
-	body: Buffer;
+	body: Uint8Array;
 	/** Whether a connection that has been idle for long may be used, although it may be gone. */
 	allowsIdle: boolean;
 }>;
@@ -25,7 +25,7 @@
 	onSent: () => void;
 	/** False breaks the exchange off: the answer belongs to another request. */
 	onHead: (status: number, headers: RawHeaders) => boolean;
-	onData: (bytes: Buffer) => void;
+	onData: (bytes: Uint8Array) => void;
 	/** `error` is undefined after a complete answer. */
 	onEnd: (error: string | undefined) => void;
 }>;
@@ -47,8 +47,9 @@
 
 type Connection = Readonly<{client: Client; idleSinceMillis: number}>;
 
+/** The library gives names and values as bytes, one after the other. */
 function toText(headers: unknown): string[] {
-	return Array.isArray(headers) ? headers.map(item => typeof item === 'string' ? item : (item as Buffer).toString('latin1')) : [];
+	return Array.isArray(headers) ? headers.map(item => item instanceof Uint8Array ? Buffer.from(item).toString('latin1') : String(item)) : [];
 }
 
 /** Creates the connections of a process. */
@@ -145,7 +146,7 @@
 			}
 
 			client.dispatch({
-				method: req.method as Dispatcher.HttpMethod, path: req.path, headers: req.headers, body: req.body.length > 0 ? req.body : null,
+				method: req.method, path: req.path, headers: req.headers, body: req.body.length > 0 ? req.body : null,
 			}, {
 				onRequestStart(started) {
 					controller = started;
--- a/src/gateway/backend-server-list.ts
+++ b/src/gateway/backend-server-list.ts
@@ -39,7 +39,7 @@
 	function logChange(next: BackendServer, known: BackendServer | undefined): void {
 		if (known?.state !== next.state || known.incarnation !== next.incarnation) {
 			log.info('backend server', {
-				server: next.id, state: next.state, service: next.service, address: next.address, incarnation: next.incarnation,
+				server: next.id, state: next.state, service: next.service, address: next.address, startedAt: next.incarnation,
 			});
 		}
 	}
--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -1,4 +1,3 @@
-import type {Buffer} from 'node:buffer';
 import type {CallHead, RawHeaders} from '../ports/call-codec.js';
 
 /** A caller's request, read as a whole. */
@@ -9,7 +8,7 @@
 	host: string;
 	headers: RawHeaders;
 	head: CallHead;
-	body: Buffer;
+	body: Uint8Array;
 	/** Monotonic time of its arrival. */
 	arrivedAtMillis: number;
 	reply: CallReply;
@@ -20,7 +19,7 @@
 /** The way back to the caller. */
 export type CallReply = Readonly<{
 	writeHead: (status: number, headers: RawHeaders) => void;
-	write: (bytes: Buffer) => void;
+	write: (bytes: Uint8Array) => void;
 	/** Whether the caller reads more slowly than bytes come; `onDrain` tells when it has caught up. */
 	isFull: () => boolean;
 	onDrain: (resume: () => void) => void;
--- a/src/gateway/caller-listener.ts
+++ b/src/gateway/caller-listener.ts
@@ -86,11 +86,11 @@
 	let open = 0;
 	let heldBytes = 0;
 
-	async function readBody(req: IncomingMessage): Promise<Result<Buffer, BodyError>> {
-		const pieces: Buffer[] = [];
+	async function readBody(req: IncomingMessage): Promise<Result<Uint8Array, BodyError>> {
+		const pieces: Uint8Array[] = [];
 		let size = 0;
 		try {
-			for await (const piece of req as AsyncIterable<Buffer>) {
+			for await (const piece of req as AsyncIterable<Uint8Array>) {
 				size += piece.length;
 				heldBytes += piece.length;
 				pieces.push(piece);
--- a/src/gateway/configuration-in-force.ts
+++ b/src/gateway/configuration-in-force.ts
@@ -8,7 +8,7 @@
 import {STALE_CONFIGURATION_MILLIS} from './gateway-constants.js';
 
 /** A configuration with its index. */
-export type IndexedConfiguration = Readonly<{cfg: RoutingConfiguration; table: RouteTable}>;
+export type IndexedConfiguration = Readonly<{cfg: RoutingConfiguration; routes: RouteTable}>;
 
 /** Holder of the configuration; it never goes back to an older version. */
 export type ConfigurationInForce = Readonly<{
@@ -41,7 +41,7 @@
 			const cfg = read(row);
 			if (cfg && cfg.version > (current?.cfg.version ?? -1)) {
 				log.info('configuration in force', {version: cfg.version, former: current?.cfg.version, routes: cfg.routes.length});
-				current = {cfg, table: createRouteTable(cfg)};
+				current = {cfg, routes: createRouteTable(cfg)};
 				onChange(cfg);
 			}
 		}
--- a/src/gateway/event-splitter.ts
+++ b/src/gateway/event-splitter.ts
@@ -5,28 +5,28 @@
 export type StreamEvent = Readonly<{
 	/** Its id; undefined when it has none or when that is no whole number. */
 	id: number | undefined;
-	bytes: Buffer;
+	bytes: Uint8Array;
 }>;
 
 /** Collects pieces of a stream. */
 export type EventSplitter = Readonly<{
 	/** Events that are whole with this piece. */
-	push: (piece: Buffer) => readonly StreamEvent[];
+	push: (piece: Uint8Array) => readonly StreamEvent[];
 	/** Bytes behind the last whole event. */
-	rest: () => Buffer;
+	rest: () => Uint8Array;
 }>;
 
 const LINE_FEED = 0x0A;
 const CARRIAGE_RETURN = 0x0D;
 const ID_LINE = /^id:\s*(?<id>\d+)\s*$/mv;
 
-function readEventId(bytes: Buffer): number | undefined {
-	const id = ID_LINE.exec(bytes.toString('latin1'))?.groups?.['id'];
+function readEventId(bytes: Uint8Array): number | undefined {
+	const id = ID_LINE.exec(Buffer.from(bytes).toString('latin1'))?.groups?.id;
 	return id === undefined ? undefined : Number(id);
 }
 
 /** Position behind the first blank line at or after `from`; -1 when there is none. */
-function findEventEnd(bytes: Buffer, from: number): number {
+function findEventEnd(bytes: Uint8Array, from: number): number {
 	for (let feed = bytes.indexOf(LINE_FEED, from); feed !== -1; feed = bytes.indexOf(LINE_FEED, feed + 1)) {
 		const next = bytes[feed + 1] === CARRIAGE_RETURN ? feed + 2 : feed + 1;
 		if (bytes[next] === LINE_FEED) {
@@ -39,7 +39,7 @@
 
 /** Creates a splitter at the start of a stream. */
 export function createEventSplitter(): EventSplitter {
-	let pending: Buffer = Buffer.alloc(0);
+	let pending: Uint8Array = new Uint8Array(0);
 
 	return {
 		push(piece) {
--- a/src/gateway/run-attempt.ts
+++ b/src/gateway/run-attempt.ts
@@ -1,5 +1,4 @@
 /** One attempt of a call at one backend server, from the first byte to its end. */
-import {Buffer} from 'node:buffer';
 import type {AnswerHead, CallCodec} from '../ports/call-codec.js';
 import type {Clock} from '../core/clock.js';
 import type {AttemptEnd} from './attempt-end.js';
@@ -56,12 +55,11 @@
 		let head: AnswerHead | undefined;
 		let sink: AnswerSink | undefined;
 		let forced: AttemptEnd | undefined;
-		let exchange: Exchange | undefined;
 		const ended = new AbortController();
 
 		function breakOff(end: AttemptEnd): void {
 			forced ??= end;
-			exchange?.abort(end.tag);
+			exchange.abort(end.tag);
 		}
 
 		const onCallerGone = () => {
@@ -69,7 +67,7 @@
 		};
 
 		call.gone.addEventListener('abort', onCallerGone, {once: true});
-		exchange = connections.send(plan.address, {
+		const exchange: Exchange = connections.send(plan.address, {
 			method: call.method, path: call.path, headers: plan.headers, body: call.body, allowsIdle: plan.allowsIdle,
 		}, {
 			onSent() {
@@ -91,14 +89,14 @@
 					return;
 				}
 
-				if (!sink.take(Buffer.from(bytes))) {
+				if (!sink.take(bytes)) {
 					breakOff({tag: 'lost', detail: 'events are missing or repeated'});
 				}
 
 				if (call.reply.isFull()) {
-					exchange?.pause();
+					exchange.pause();
 					call.reply.onDrain(() => {
-						exchange?.resume();
+						exchange.resume();
 					});
 				}
 			},
--- a/src/gateway/serve-call.ts
+++ b/src/gateway/serve-call.ts
@@ -10,7 +10,9 @@
 import {DEFAULT_RETRY_AFTER_MILLIS, LEAST_ATTEMPT_MILLIS, RETURN_MARGIN_MILLIS} from './gateway-constants.js';
 import type {GatewayContext} from './gateway-context.js';
 import {chooseNextStep} from './next-step.js';
-import {chooseHeaders, chooseStatus, type NotRunCause, type Refusal} from './refusal.js';
+import {
+	chooseHeaders, chooseStatus, type NotRunCause, type Refusal,
+} from './refusal.js';
 import {runAttempt} from './run-attempt.js';
 import type {ServiceFlow} from './service-flows.js';
 
@@ -57,8 +59,8 @@
 		return notRun('no_configuration');
 	}
 
-	const {cfg, table} = inForce;
-	const route = table.find(call.host, call.path);
+	const {cfg, routes} = inForce;
+	const route = routes.lookUp(call.host, call.path);
 	if (!route) {
 		return ctx.configuration.isFresh() ? {tag: 'bad_call', reason: 'unknown_route'} : notRun('stale_configuration');
 	}
@@ -97,7 +99,9 @@
 export async function serveCall(ctx: GatewayContext, call: Call): Promise<void> {
 	const found = routeCall(ctx, call);
 	if (isRefusal(found)) {
-		refuse(ctx, call, found, {host: call.host, path: call.path, version: ctx.configuration.read()?.cfg.version, configurationAgeMillis: Math.round(ctx.configuration.ageMillis())});
+		refuse(ctx, call, found, {
+			host: call.host, path: call.path, version: ctx.configuration.read()?.cfg.version, configurationAgeMillis: Math.round(ctx.configuration.ageMillis()),
+		});
 		return;
 	}
 
@@ -200,7 +204,9 @@
 	}
 
 	if (progress.attempts >= route.maxAttempts || !flow.budget.take()) {
-		ctx.log.info('not repeated', {request: call.head.attemptId, after: end.tag, attempts: progress.attempts, maxAttempts: route.maxAttempts});
+		ctx.log.info('not repeated', {
+			request: call.head.attemptId, after: end.tag, attempts: progress.attempts, maxAttempts: route.maxAttempts,
+		});
 		return false;
 	}
 
@@ -318,7 +324,9 @@
 	const refusal: Refusal = progress.mayHaveRun
 		? {tag: 'unknown', reason: cause === 'deadline' ? 'late' : 'lost'}
 		: notRun(cause);
-	refuse(ctx, call, refusal, {route: routed.route.name, cause, attempts: progress.attempts, asked: [...progress.asked].join(' ')});
+	refuse(ctx, call, refusal, {
+		route: routed.route.name, cause, attempts: progress.attempts, asked: [...progress.asked].join(' '),
+	});
 }
 
 /** Gives the caller what the last attempt brought. */
@@ -344,7 +352,10 @@
 			break;
 		}
 
-		default: {
+		case 'late':
+		case 'lost':
+		case 'not_run':
+		case 'not_sent': {
 			countCall(ctx, routed, 'unknown');
 			refuse(ctx, call, {tag: 'unknown', reason: end.tag === 'late' ? 'late' : 'lost'}, {route: routed.route.name, attempts: progress.attempts});
 		}
--- a/src/gateway/start-gateway.ts
+++ b/src/gateway/start-gateway.ts
@@ -54,7 +54,7 @@
 /** Starts a gateway; the life cycle ends its tasks. */
 export async function startGateway(deps: GatewayDeps): Promise<Result<Gateway, ListenError>> {
 	const {settings, clock, log, metrics, lifeCycle, random, codec, feed} = deps;
-	let listener: CallerListener | undefined;
+	const opened: {listener?: CallerListener} = {};
 	let isStopping = false;
 	let hasServers = false;
 	const servers: BackendServerList = createBackendServerList({clock, log, read: deps.backendServers.read});
@@ -64,7 +64,7 @@
 		read: deps.configuration.read,
 		onChange(cfg) {
 			metrics.configVersion.set(cfg.version);
-			listener?.setLimits(cfg.limits);
+			opened.listener?.setLimits(cfg.limits);
 			updateFlows();
 		},
 	});
@@ -132,7 +132,7 @@
 		return listening;
 	}
 
-	listener = listening.value;
+	opened.listener = listening.value;
 	follow(deps.configuration.table, 0, configuration.listener);
 	follow(deps.backendServers.table, SERVER_LIST_PACE_MILLIS, servers.listener);
 	follow(MEMBER_TABLE, MEMBER_LIST_PACE_MILLIS, {
@@ -154,7 +154,9 @@
 		async drain() {
 			isStopping = true;
 			void members.leave();
-			return drainGateway({clock, log, listener: value, graceMillis: settings.graceMillis});
+			return drainGateway({
+				clock, log, listener: value, graceMillis: settings.graceMillis,
+			});
 		},
 	});
 }
--- /dev/null
+++ b/src/map-switch/finish-switch.ts
@@ -0,0 +1,129 @@
+/**
+ * Ends a switch that its proposer left behind, so that no rank ever runs a pass on another map than the others.
+ *
+ * A hold may be released towards the new map only when all ranks are armed with it, and towards the old one only when no rank
+ * can be armed with the new one any more. A rank that has a higher version prepared can never be armed with the lower one: it
+ * is the witness without which nobody disarms.
+ */
+import type {Clock} from '../core/clock.js';
+import type {Log} from '../observability/log.js';
+import type {GroupExperts, RankState} from '../ports/rank-engine.js';
+import {
+	isGroupState, listRanks, orderRanks, readGroupState, type GroupRanks, type GroupState,
+} from './group-ranks.js';
+import {RECOVERY_PAUSE_MILLIS, VERSIONS_PER_PROPOSAL} from './map-switch-constants.js';
+
+/** What ending a switch needs. */
+export type FinishDeps = Readonly<{
+	ranks: GroupRanks;
+	clock: Clock;
+	log: Log;
+	/** Experts in force at all ranks; undefined when they cannot be read. */
+	readExperts: () => Promise<GroupExperts | undefined>;
+}>;
+
+/** The version that fences a proposal off; its content is always the map in force. */
+export function fenceOf(version: number): number {
+	return version + 1;
+}
+
+/** Whether the version is that of a proposal and not of a fence. */
+export function isProposal(version: number): boolean {
+	return version % VERSIONS_PER_PROPOSAL === 0;
+}
+
+/** The newest proposal that any rank is armed with or has prepared. */
+function findNewestProposal({ranks}: GroupState): number | undefined {
+	const versions = ranks
+		.flatMap(({armed, preparedVersion}) => [armed?.version, preparedVersion])
+		.filter((version): version is number => version !== undefined && isProposal(version));
+	return versions.length > 0 ? Math.max(...versions) : undefined;
+}
+
+/** Whether all ranks will switch to the version as the held pass begins. */
+export function areAllArmed({ranks}: GroupState, version: number, step: number): boolean {
+	return ranks.every(({armed}) => armed?.version === version && armed.step === step);
+}
+
+/** Whether all ranks switch to one version at one pass and nothing holds the group back. */
+function isReleased({ranks}: GroupState): boolean {
+	const armed = ranks[0]?.armed;
+	return armed !== undefined && ranks.every(state =>
+		state.heldStep === undefined && state.armed?.version === armed.version && state.armed.step === armed.step);
+}
+
+/** Whether the group has something that a proposer left behind. */
+export function hasLeftover(state: GroupState): boolean {
+	return !isReleased(state) && state.ranks.some(rank => rank.heldStep !== undefined || rank.armed !== undefined);
+}
+
+/** Whether the rank can never be armed with this version or an earlier one again. */
+function isFenced({armed, preparedVersion}: RankState, version: number): boolean {
+	return armed === undefined && preparedVersion !== undefined && preparedVersion > version;
+}
+
+/** One step back to the map in force; the next look shows what it did. */
+async function takeStepBack(deps: FinishDeps, state: GroupState, version: number): Promise<void> {
+	const {ranks, log} = deps;
+	const {epoch} = state;
+	const experts = await deps.readExperts();
+	if (!experts) {
+		return;
+	}
+
+	const fence = {tag: 'prepare', version: fenceOf(version), experts} as const;
+	if (!state.ranks.some(rank => isFenced(rank, version))) {
+		const witness = listRanks(state, rank => rank.armed === undefined)[0];
+		if (witness !== undefined) {
+			log.info('fencing a map switch off', {version, epoch, witness});
+			await orderRanks(ranks, [witness], fence, epoch);
+		}
+
+		return;
+	}
+
+	await Promise.all(state.ranks.map(async ({armed}, rank) =>
+		armed && orderRanks(ranks, [rank], {tag: 'disarm', version: armed.version}, epoch)));
+	const prepared = listRanks(state, ({armed, preparedVersion}) =>
+		armed === undefined && preparedVersion !== undefined && isProposal(preparedVersion));
+	await orderRanks(ranks, prepared, fence, epoch);
+	const heldStep = state.ranks[0]?.heldStep;
+	const isAnyArmed = state.ranks.some(({armed}) => armed !== undefined);
+	if (!isAnyArmed && prepared.length === 0 && heldStep !== undefined) {
+		log.info('map switch abandoned', {version, epoch, heldStep});
+		await orderRanks(ranks, [0], {tag: 'go', step: heldStep}, epoch);
+	}
+}
+
+/** Brings the group to a state without a hold and without armed ranks; returns false when it cannot be read. */
+export async function finishSwitch(deps: FinishDeps, signal: AbortSignal): Promise<boolean> {
+	/* eslint-disable no-await-in-loop -- Each step depends on what the one before did. */
+	while (!signal.aborted) {
+		const state = await readGroupState(deps.ranks);
+		if (!isGroupState(state)) {
+			return false;
+		}
+
+		if (!hasLeftover(state)) {
+			return true;
+		}
+
+		const version = findNewestProposal(state);
+		const heldStep = state.ranks[0]?.heldStep;
+		if (heldStep !== undefined && version !== undefined && areAllArmed(state, version, heldStep)) {
+			deps.log.info('map switch completed', {version, epoch: state.epoch, heldStep});
+			await orderRanks(deps.ranks, [0], {tag: 'go', step: heldStep}, state.epoch);
+		} else if (version !== undefined) {
+			await takeStepBack(deps, state, version);
+		} else if (heldStep !== undefined) {
+			// No rank has a proposal prepared, so none can be armed.
+			deps.log.info('releasing a hold without a proposal', {epoch: state.epoch, heldStep});
+			await orderRanks(deps.ranks, [0], {tag: 'go', step: heldStep}, state.epoch);
+		}
+
+		await deps.clock.sleep(RECOVERY_PAUSE_MILLIS, signal);
+	}
+	/* eslint-enable no-await-in-loop */
+
+	return false;
+}
--- /dev/null
+++ b/src/map-switch/map-switch-constants.ts
@@ -0,0 +1,24 @@
+/** Versions that belong to one proposal: its own, and behind it the one that fences it off. */
+export const VERSIONS_PER_PROPOSAL = 2;
+/** Passes between the last one begun and the one that a switch names; two round trips to all ranks fit in one pass. */
+export const LEAD_STEPS = 2;
+/** Passes beyond the lead that are added after each hold that came too late. */
+export const LEAD_STEPS_AFTER_MISS = 2;
+/** Holds that are tried for one switch. */
+export const MAX_HOLD_TRIES = 3;
+/** Time between two looks at the ranks while an order takes effect, in milliseconds. */
+export const LOOK_MILLIS = 25;
+/** Time for copying beyond the worked-out one, in milliseconds. */
+export const PREPARE_SLACK_MILLIS = 1500;
+/** Time for all ranks to be armed, in milliseconds; the group may be standing still meanwhile. */
+export const ARM_TIMEOUT_MILLIS = 400;
+/** Time for a hold or a release to show, in milliseconds. */
+export const HOLD_TIMEOUT_MILLIS = 250;
+/** Time between two attempts to end a switch that was left behind, in milliseconds. */
+export const RECOVERY_PAUSE_MILLIS = 40;
+/** Time between two looks at a group, in milliseconds; a few passes. */
+export const OBSERVE_MILLIS = 250;
+/** Numbers that all ranks may report in a second, which bounds the traffic between agents. */
+export const MAX_COUNTS_PER_SECOND = 20_000;
+/** Pause after a look that failed, in milliseconds. */
+export const FAILURE_PAUSE_MILLIS = 500;
--- a/src/membership/entry-members.ts
+++ b/src/membership/entry-members.ts
@@ -86,7 +86,9 @@
 			}
 
 			if (after.get(row.key)?.state !== member.state) {
-				log.info('entry', {entry: row.key, state: member.state, incarnation: member.incarnation, address: member.callerAddress});
+				log.info('entry', {
+					entry: row.key, state: member.state, incarnation: member.incarnation, address: member.callerAddress,
+				});
 			}
 
 			after.set(row.key, member);
@@ -97,7 +99,9 @@
 
 	function describeSelf(): EntryMember {
 		const {id, ...rest} = self;
-		return {...rest, id, state: readState(), beatAtMillis: estimateStoreMillis() ?? 0};
+		return {
+			...rest, id, state: readState(), beatAtMillis: estimateStoreMillis() ?? 0,
+		};
 	}
 
 	async function write(): Promise<boolean> {
@@ -139,7 +143,7 @@
 		},
 		async keep(signal) {
 			/* eslint-disable no-await-in-loop -- One heartbeat after the other. */
-			while (!signal.aborted && !isLeaving) {
+			while (!signal.aborted && readState() !== 'leaving') {
 				const state = readState();
 				if (contact) {
 					await write();
--- a/src/observability/metrics-listener.ts
+++ b/src/observability/metrics-listener.ts
@@ -1,10 +1,10 @@
 import {Hono} from 'hono';
+import type {Registry} from 'prom-client';
 import {listenHttp} from '../http/http-listener.js';
 import type {Clock} from '../core/clock.js';
 import type {LifeCycle} from '../core/life-cycle.js';
 import type {ListenError} from '../core/listen-error.js';
 import type {Result} from '../core/result.js';
-import type {Registry} from 'prom-client';
 
 const OK = 200;
 const UNAVAILABLE = 503;
--- /dev/null
+++ b/src/rank-agent/group-planner.ts
@@ -0,0 +1,171 @@
+/** Plans the expert map of one group: looks at its ranks, decides on moves, and switches. Runs beside rank 0. */
+import type {Clock} from '../core/clock.js';
+import {createLoadTracker, type LoadTracker} from '../decisions/placement/load-tracker.js';
+import {planMoves, type MovesPlan} from '../decisions/placement/plan-moves.js';
+import {finishSwitch, hasLeftover} from '../map-switch/finish-switch.js';
+import {
+	isGroupState, readGroupState, type GroupRanks, type GroupState,
+} from '../map-switch/group-ranks.js';
+import {FAILURE_PAUSE_MILLIS, MAX_COUNTS_PER_SECOND, OBSERVE_MILLIS} from '../map-switch/map-switch-constants.js';
+import {switchMap, type SwitchDeps} from '../map-switch/switch-map.js';
+import type {Log} from '../observability/log.js';
+import type {GroupExperts} from '../ports/rank-engine.js';
+import type {ExpertLayout} from '../routing/routing-configuration.js';
+import {MAX_COPIES_PER_RANK} from './rank-agent-constants.js';
+
+/** What a planner needs. */
+export type GroupPlannerDeps = Readonly<{
+	clock: Clock;
+	log: Log;
+	/** Access to all ranks; undefined while not all are known. */
+	readRanks: () => GroupRanks | undefined;
+	/** Shape of the group; undefined until a configuration is known. */
+	readLayout: () => ExpertLayout | undefined;
+	versions: Pick<SwitchDeps, 'takeVersion' | 'reserveStep'>;
+}>;
+
+const MILLIS_PER_SECOND = 1000;
+
+/** What is known of the load since the group formed. */
+type Observation = Readonly<{
+	epoch: number;
+	trackers: readonly LoadTracker[];
+	/** Counts of each rank at the last look. */
+	counts: ReadonlyArray<readonly number[]>;
+	step: number;
+}>;
+
+function readSettled<T>(results: ReadonlyArray<Readonly<{ok: true; value: T}> | Readonly<{ok: false}>>): readonly T[] | undefined {
+	const values: T[] = [];
+	for (const result of results) {
+		if (!result.ok) {
+			return undefined;
+		}
+
+		values.push(result.value);
+	}
+
+	return values;
+}
+
+/** Experts in force: by layer, then by rank. */
+async function readGroupExperts(ranks: GroupRanks): Promise<GroupExperts | undefined> {
+	const lists = readSettled(await Promise.all(ranks.map(async rank => rank.readExperts())));
+	return lists && (lists[0] ?? []).map((_, layer) => lists.map(list => list[layer] ?? []));
+}
+
+/** Tokens of each expert of a layer, over all ranks, since the last look. */
+function sumNew(layer: number, experts: number, counts: ReadonlyArray<readonly number[]>, before: ReadonlyArray<readonly number[]>): readonly number[] {
+	return Array.from({length: experts}, (_, expert) => {
+		const index = (layer * experts) + expert;
+		let sum = 0;
+		for (const [rank, list] of counts.entries()) {
+			sum += Math.max(0, (list[index] ?? 0) - (before[rank]?.[index] ?? 0));
+		}
+
+		return sum;
+	});
+}
+
+/** Plans until the signal aborts. */
+export async function planGroup(deps: GroupPlannerDeps, signal: AbortSignal): Promise<void> {
+	const {clock, log} = deps;
+	let observation: Observation | undefined;
+	let experts: GroupExperts | undefined;
+
+	function observe(state: GroupState, counts: ReadonlyArray<readonly number[]>, layout: ExpertLayout): void {
+		const step = state.ranks[0]?.step ?? 0;
+		if (observation?.epoch !== state.epoch) {
+			experts = undefined;
+			observation = {
+				epoch: state.epoch, trackers: Array.from({length: layout.layers}, () => createLoadTracker(layout.experts)), counts, step,
+			};
+			return;
+		}
+
+		const steps = step - observation.step;
+		if (steps <= 0) {
+			return;
+		}
+
+		for (const [layer, tracker] of observation.trackers.entries()) {
+			tracker.observe(sumNew(layer, layout.experts, counts, observation.counts), steps);
+		}
+
+		observation = {...observation, counts, step};
+	}
+
+	function plan(state: GroupState, layout: ExpertLayout): MovesPlan | undefined {
+		if (!observation || !experts || observation.trackers.some(tracker => tracker.isEmpty())) {
+			return undefined;
+		}
+
+		return planMoves({
+			experts,
+			slotsPerRank: layout.slotsPerRank,
+			loads: observation.trackers.map(tracker => tracker.readLoads()),
+			slowFactors: state.ranks.map(({pace}) => Math.max(1, pace)),
+			maxCopiesPerRank: MAX_COPIES_PER_RANK,
+			maxCopiesPerRankAndLayer: Math.min(MAX_COPIES_PER_RANK, layout.maxLoadsPerRank),
+		});
+	}
+
+	async function carryOut(ranks: GroupRanks, state: GroupState, moves: MovesPlan, layout: ExpertLayout): Promise<void> {
+		const outcome = await switchMap({
+			ranks, clock, log, ...deps.versions,
+		}, {epoch: state.epoch, experts: moves.experts, copyMillis: moves.mostCopies * layout.copyMillis});
+		log.info('map switch', {
+			outcome: outcome.tag,
+			reason: 'reason' in outcome ? outcome.reason : undefined,
+			version: 'version' in outcome ? outcome.version : undefined,
+			step: 'step' in outcome ? outcome.step : undefined,
+			tookMillis: 'tookMillis' in outcome ? Math.round(outcome.tookMillis) : undefined,
+			epoch: state.epoch,
+			copies: moves.copies,
+			skewBefore: moves.skewBefore,
+			skewAfter: moves.skewAfter,
+		});
+		experts = outcome.tag === 'switched' ? moves.experts : undefined;
+	}
+
+	/** One look at the group and what follows; the time until the next look. */
+	async function look(ranks: GroupRanks, layout: ExpertLayout): Promise<number> {
+		const state = await readGroupState(ranks);
+		if (!isGroupState(state)) {
+			log.debug('group cannot be planned', {reason: state.tag, rank: state.rank});
+			return FAILURE_PAUSE_MILLIS;
+		}
+
+		if (hasLeftover(state)) {
+			experts = undefined;
+			await finishSwitch({
+				ranks, clock, log, readExperts: async () => readGroupExperts(ranks),
+			}, signal);
+			return 0;
+		}
+
+		const counts = readSettled(await Promise.all(ranks.map(async rank => rank.readCounts())));
+		if (!counts) {
+			return FAILURE_PAUSE_MILLIS;
+		}
+
+		observe(state, counts, layout);
+		experts ??= await readGroupExperts(ranks);
+		const moves = plan(state, layout);
+		if (moves) {
+			await carryOut(ranks, state, moves, layout);
+			return 0;
+		}
+
+		const numbers = layout.layers * layout.experts * ranks.length;
+		return Math.max(OBSERVE_MILLIS, numbers * MILLIS_PER_SECOND / MAX_COUNTS_PER_SECOND);
+	}
+
+	/* eslint-disable no-await-in-loop -- One look after the other. */
+	while (!signal.aborted) {
+		const ranks = deps.readRanks();
+		const layout = deps.readLayout();
+		await clock.sleep(ranks && layout ? await look(ranks, layout) : FAILURE_PAUSE_MILLIS, signal);
+	}
+	/* eslint-enable no-await-in-loop */
+}
--- /dev/null
+++ b/src/rank-agent/rank-service.ts
@@ -0,0 +1,70 @@
+/** Serves the engine beside this agent to the agents of the other ranks. */
+import {status, type sendUnaryData, type ServerUnaryCall} from '@grpc/grpc-js';
+import type {LinkAccess} from '../access/link-access.js';
+import type {LinkService} from '../agent/link-server.js';
+import type {Log} from '../observability/log.js';
+import type {RankEngine} from '../ports/rank-engine.js';
+import {
+	RankAgentService, type OrderOutcome, type RankOrder, type RankReading, type ReadRank,
+} from '../wire/generated/rank.js';
+import {fromOrderMessage, toReading} from './rank-messages.js';
+
+/** What the service needs. */
+export type RankServiceDeps = Readonly<{engine: RankEngine; access: LinkAccess; log: Log}>;
+
+/** Creates the service. */
+export function createRankService({engine, access, log}: RankServiceDeps): LinkService {
+	async function read({withCounts, withExperts}: ReadRank): Promise<RankReading | undefined> {
+		const state = await engine.readState();
+		const counts = withCounts ? await engine.readCounts() : undefined;
+		const experts = withExperts ? await engine.readExperts() : undefined;
+		if (!state.ok || counts?.ok === false || experts?.ok === false) {
+			return undefined;
+		}
+
+		return toReading(state.value, counts?.value ?? [], experts?.value ?? []);
+	}
+
+	async function carryOut(message: RankOrder): Promise<OrderOutcome> {
+		const order = fromOrderMessage(message);
+		if (!order) {
+			return {outcome: 'refused', detail: 'no order'};
+		}
+
+		const {tag, detail} = await engine.order(order, message.epoch);
+		log.info('map order', {
+			order: order.tag, version: 'version' in order ? order.version : undefined, step: 'step' in order ? order.step : undefined, epoch: message.epoch, outcome: tag, detail,
+		});
+		return {outcome: tag, detail};
+	}
+
+	return {
+		definition: RankAgentService,
+		implementation: {
+			read(call: ServerUnaryCall<ReadRank, RankReading>, reply: sendUnaryData<RankReading>) {
+				if (!access.isAuthorised(call.metadata)) {
+					reply({code: status.UNAUTHENTICATED, details: 'no valid token'});
+					return;
+				}
+
+				void read(call.request).then(reading => {
+					if (reading) {
+						reply(null, reading);
+					} else {
+						reply({code: status.UNAVAILABLE, details: 'the engine does not answer'});
+					}
+				});
+			},
+			order(call: ServerUnaryCall<RankOrder, OrderOutcome>, reply: sendUnaryData<OrderOutcome>) {
+				if (!access.isAuthorised(call.metadata)) {
+					reply({code: status.UNAUTHENTICATED, details: 'no valid token'});
+					return;
+				}
+
+				void carryOut(call.request).then(outcome => {
+					reply(null, outcome);
+				});
+			},
+		},
+	};
+}
--- /dev/null
+++ b/src/rank-agent/remote-rank.ts
@@ -0,0 +1,89 @@
+/** A rank of the group through the agent beside its engine. */
+import {status} from '@grpc/grpc-js';
+import type {LinkAccess} from '../access/link-access.js';
+import type {Clock} from '../core/clock.js';
+import {fail, succeed, type Result} from '../core/result.js';
+import type {RankEngine, RankReadError} from '../ports/rank-engine.js';
+import {RankAgentClient, type RankReading} from '../wire/generated/rank.js';
+import {fromOutcome, fromReading, toOrderMessage} from './rank-messages.js';
+import {RANK_CALL_TIMEOUT_MILLIS} from './rank-agent-constants.js';
+
+const CHANNEL_OPTIONS = {
+	'grpc.enable_retries': 0,
+	'grpc.initial_reconnect_backoff_ms': 100,
+	'grpc.max_reconnect_backoff_ms': 1000,
+};
+
+/** A remote rank whose connection is closed by `close`. */
+export type RemoteRank = RankEngine & Readonly<{close: () => void}>;
+
+/** Codes of a call that never reached the agent. */
+const NOT_SENT: ReadonlySet<number> = new Set([status.UNAUTHENTICATED, status.UNIMPLEMENTED]);
+
+/** Opens access to the agent at `address`. A connection that failed a call is replaced, as it may have gone silent. */
+export function openRemoteRank(address: string, access: LinkAccess, clock: Clock): RemoteRank {
+	let client: RankAgentClient | undefined;
+
+	function readClient(): RankAgentClient {
+		client ??= new RankAgentClient(address, access.channel, CHANNEL_OPTIONS);
+		return client;
+	}
+
+	function drop(failed: RankAgentClient): void {
+		failed.close();
+		if (client === failed) {
+			client = undefined;
+		}
+	}
+
+	function readDeadline(): Date {
+		return new Date(clock.now().getTime() + RANK_CALL_TIMEOUT_MILLIS);
+	}
+
+	async function read(withCounts: boolean, withExperts: boolean): Promise<Result<RankReading, RankReadError>> {
+		const used = readClient();
+		return new Promise(resolve => {
+			used.read({withCounts, withExperts}, access.createMetadata(), {deadline: readDeadline()}, (err, reading) => {
+				if (err) {
+					drop(used);
+					resolve(fail({tag: 'unavailable', detail: err.details}));
+					return;
+				}
+
+				resolve(succeed(reading));
+			});
+		});
+	}
+
+	return {
+		async readState() {
+			const reading = await read(false, false);
+			return reading.ok ? succeed(fromReading(reading.value)) : reading;
+		},
+		async readCounts() {
+			const reading = await read(true, false);
+			return reading.ok ? succeed(reading.value.counts) : reading;
+		},
+		async readExperts() {
+			const reading = await read(false, true);
+			return reading.ok ? succeed(reading.value.experts.map(({experts}) => experts)) : reading;
+		},
+		async order(order, epoch) {
+			const used = readClient();
+			return new Promise(resolve => {
+				used.order(toOrderMessage(order, epoch), access.createMetadata(), {deadline: readDeadline()}, (err, outcome) => {
+					if (err) {
+						drop(used);
+						resolve({tag: NOT_SENT.has(err.code) ? 'refused' : 'unknown', detail: err.details});
+						return;
+					}
+
+					resolve(fromOutcome(outcome));
+				});
+			});
+		},
+		close() {
+			client?.close();
+		},
+	};
+}
--- /dev/null
+++ b/src/rank-agent/start-rank-agent.ts
@@ -0,0 +1,137 @@
+/** An agent beside an engine of a rank group: gives it orders, and plans the group's expert map where the engine is rank 0. */
+import type {LinkAccess} from '../access/link-access.js';
+import {openLinkServer} from '../agent/link-server.js';
+import type {Clock} from '../core/clock.js';
+import type {Incarnation} from '../core/ids.js';
+import type {LifeCycle} from '../core/life-cycle.js';
+import type {ListenError} from '../core/listen-error.js';
+import {succeed, type Result} from '../core/result.js';
+import type {RandomSource} from '../decisions/random.js';
+import {followTable, type TableListener} from '../feeds/follow-table.js';
+import type {BackendServer} from '../gateway/backend-server.js';
+import {createBackendServerList, type ReadBackendServer} from '../gateway/backend-server-list.js';
+import type {GroupRanks} from '../map-switch/group-ranks.js';
+import {createVersionSource} from '../map-switch/version-row.js';
+import type {Log} from '../observability/log.js';
+import type {RankEngine} from '../ports/rank-engine.js';
+import type {TableFeed} from '../ports/table-feed.js';
+import type {TableStore} from '../ports/table-store.js';
+import type {ExpertLayout, RoutingConfiguration} from '../routing/routing-configuration.js';
+import {planGroup} from './group-planner.js';
+import {RANK_LIST_WAIT_MILLIS} from './rank-agent-constants.js';
+import {createRankService} from './rank-service.js';
+import {openRemoteRank, type RemoteRank} from './remote-rank.js';
+
+/** What a deployment's adapter gives to an agent. */
+export type RankAgentDeps = Readonly<{
+	incarnation: Incarnation;
+	clock: Clock;
+	log: Log;
+	lifeCycle: LifeCycle;
+	random: RandomSource;
+	access: LinkAccess;
+	/** Where agents of other ranks connect, as `IP:port`; all agents listen on the same port. */
+	listen: string;
+	/** `IP:port` of the engine beside the agent. */
+	engineAddress: string;
+	service: string;
+	engine: RankEngine;
+	feed: TableFeed;
+	table: TableStore;
+	backendServers: Readonly<{table: string; read: ReadBackendServer}>;
+	configuration: Readonly<{table: string; read: (row: Parameters<TableListener['onSnapshot']>[0][number]) => RoutingConfiguration | undefined}>;
+}>;
+
+/** Pause before an agent looks again whether its engine has become rank 0, in milliseconds. */
+const ROLE_CHECK_MILLIS = 500;
+
+/** Starts an agent; the life cycle ends it. */
+export async function startRankAgent(deps: RankAgentDeps): Promise<Result<undefined, ListenError>> {
+	const {clock, log, lifeCycle, access, engine} = deps;
+	const server = await openLinkServer(access, clock, deps.listen, [createRankService({engine, access, log})]);
+	if (!server.ok) {
+		return server;
+	}
+
+	lifeCycle.own('rank listener', server.value.close);
+	const port = deps.listen.slice(deps.listen.lastIndexOf(':') + 1);
+	const servers = createBackendServerList({clock, log, read: deps.backendServers.read});
+	const remotes = new Map<string, RemoteRank>();
+	let cfg: RoutingConfiguration | undefined;
+	lifeCycle.own('other ranks', () => {
+		for (const remote of remotes.values()) {
+			remote.close();
+		}
+	});
+
+	function openRank({address}: BackendServer): RankEngine {
+		if (address === deps.engineAddress) {
+			return engine;
+		}
+
+		const agentAddress = `${address.slice(0, address.lastIndexOf(':'))}:${port}`;
+		const remote = remotes.get(agentAddress) ?? openRemoteRank(agentAddress, access, clock);
+		remotes.set(agentAddress, remote);
+		return remote;
+	}
+
+	function readRanks(): GroupRanks | undefined {
+		const own = [...servers.servers.read().values()].find(({address}) => address === deps.engineAddress)?.group;
+		if (!own) {
+			return undefined;
+		}
+
+		const members = [...servers.servers.read().values()].filter(({group}) => group?.name === own.name);
+		const byRank = new Map(members.map(member => [member.group?.rank, member]));
+		const ranks = Array.from({length: own.size}, (_, rank) => byRank.get(rank));
+		const known = ranks.filter(rank => rank !== undefined);
+		return known.length === own.size ? known.map(rank => openRank(rank)) : undefined;
+	}
+
+	function readLayout(): ExpertLayout | undefined {
+		return cfg?.services.get(deps.service)?.engine?.experts;
+	}
+
+	function takeConfiguration(rows: Parameters<TableListener['onSnapshot']>[0]): void {
+		for (const row of rows) {
+			const read = deps.configuration.read(row);
+			if (read && read.version > (cfg?.version ?? -1)) {
+				cfg = read;
+			}
+		}
+	}
+
+	function follow(table: string, listener: TableListener, signal: AbortSignal): void {
+		void followTable({
+			feed: deps.feed, table, clock, log, random: deps.random, signal, waitMillis: RANK_LIST_WAIT_MILLIS, paceMillis: ROLE_CHECK_MILLIS, listener,
+		});
+	}
+
+	/** Waits until the engine beside this agent is rank 0 of a group, and then plans that group. */
+	async function planWhenAnchor(): Promise<void> {
+		/* eslint-disable no-await-in-loop -- One look after the other. */
+		for (;;) {
+			const state = await engine.readState();
+			if (lifeCycle.signal.aborted) {
+				return;
+			}
+
+			if (state.ok && state.value.group.rank === 0) {
+				const {name} = state.value.group;
+				log.info('plans the group', {group: name, epoch: state.value.group.epoch});
+				follow(deps.backendServers.table, servers.listener, lifeCycle.signal);
+				follow(deps.configuration.table, {onSnapshot: takeConfiguration, onChanges: takeConfiguration}, lifeCycle.signal);
+				await planGroup({
+					clock, log, readRanks, readLayout, versions: createVersionSource(deps.table, log, name, deps.incarnation),
+				}, lifeCycle.signal);
+				return;
+			}
+
+			await clock.sleep(ROLE_CHECK_MILLIS, lifeCycle.signal);
+		}
+		/* eslint-enable no-await-in-loop */
+	}
+
+	void planWhenAnchor();
+	return succeed(undefined);
+}
--- a/src/routing/route-table.ts
+++ b/src/routing/route-table.ts
@@ -4,7 +4,7 @@
 /** Index of the routes of one configuration version. */
 export type RouteTable = Readonly<{
 	/** The route of this host with the longest prefix that begins the path. */
-	find: (host: string, path: string) => Route | undefined;
+	lookUp: (host: string, path: string) => Route | undefined;
 }>;
 
 /** Host names are compared without case and port. */
@@ -26,7 +26,7 @@
 	}
 
 	return {
-		find(host, path) {
+		lookUp(host, path) {
 			const query = path.indexOf('?');
 			const pathname = query === -1 ? path : path.slice(0, query);
 			return byHost.get(normalizeHost(host))?.find(route => pathname.startsWith(route.prefix));
