--- a/src/decisions/flow/flow-constants.ts
+++ b/src/decisions/flow/flow-constants.ts
@@ -2,26 +2,30 @@
 export const LIMIT_INTERVAL_MILLIS = 400;
 /** Pauses that a change of a limit rests on at least. */
 export const LEAST_PAUSES = 8;
-/** Quantile of the pauses that is compared with the target. */
-export const PAUSE_QUANTILE = 0.9;
-/** Pause over its target from which on a limit goes down; leaves room for the variation between passes. */
-export const HIGH_PAUSE_RATIO = 0.95;
-/** Pause over its target below which a limit that was reached goes up. */
-export const LOW_PAUSE_RATIO = 0.85;
+/** Quantile of the pauses that is compared with the target; one late pause makes a whole stream late. */
+export const PAUSE_QUANTILE = 0.93;
+/** Pause over its target that is aimed at; leaves room for the variation between passes. */
+export const AIMED_PAUSE_RATIO = 0.9;
+/** Part of a pass that does not grow with the requests in it: weights are read once for all of them. */
+export const FIXED_PASS_SHARE = 0.3;
+/** Largest growth of a limit in one change. */
+export const MAX_INCREASE_FACTOR = 1.2;
 /** Smallest factor of one decrease. */
 export const MIN_DECREASE_FACTOR = 0.75;
-/** Part of a limit that is added when there is room. */
-export const INCREASE_SHARE = 0.06;
 /** Part of the batch places of a service that may be used at first. */
 export const INITIAL_BATCH_SHARE = 0.6;
 /** Part of the batch places below which a limit never falls, so that it can see pauses at all. */
-export const LEAST_BATCH_SHARE = 0.2;
+export const LEAST_BATCH_SHARE = 0.3;
 /** Requests that each slot of a plain service may hold, queue included; the service sheds beyond its own queue. */
 export const PLAIN_REQUESTS_PER_SLOT = 2;
 /** Weight of the latest request in the mean time that a request holds its place. */
 export const HOLD_WEIGHT = 0.05;
-/** Part of a latency target that a request may wait for a place. */
-export const WAIT_SHARE = 0.35;
+/** Longest wait of a request that comes for the first time, over its latency target; beyond the target it is still worth half. */
+export const FIRST_WAIT_SHARE = 1.2;
+/** Longest wait of a request that was refused before, over its latency target; a second refusal costs its caller most. */
+export const RETURN_WAIT_SHARE = 3;
+/** Part of the time that callers usually give, below which a request is taken for one that was refused before. */
+export const RETURN_DEADLINE_SHARE = 0.98;
 /** Largest number of requests of a service that wait at one process. */
 export const MAX_WAITING = 512;
 /** Shortest time after which a refused caller is asked back, in milliseconds. */
--- a/src/decisions/flow/flow-lane.ts
+++ b/src/decisions/flow/flow-lane.ts
@@ -1,6 +1,7 @@
 /**
- * Answers bursts and lasting overload of one service: requests wait only as long as they can still be on time, in order of
- * priority and of what their account has in flight; the others are refused at once and told when to come back.
+ * Answers bursts and lasting overload of one service: requests that can still be on time go first, in order of priority and of
+ * what their account has in flight; those that are late already take the room that is left. Whoever would wait too long is
+ * refused at once and told when to come back.
  */
 import type {Clock} from '../../core/clock.js';
 import type {Teardown} from '../../core/teardown.js';
@@ -14,6 +15,8 @@
 	account: string;
 	/** 0 is served first. */
 	priority: number;
+	/** Longest wait with which its answer is still on time, in milliseconds. */
+	onTimeWaitMillis: number;
 	/** Longest time that it may wait for a place, in milliseconds. */
 	maxWaitMillis: number;
 }>;
@@ -39,7 +42,6 @@
 	clock: Clock;
 	random: RandomSource;
 	readLimit: () => number;
-	noteReached: () => void;
 }>;
 
 type Waiter = Readonly<{
@@ -49,7 +51,7 @@
 }>;
 
 /** Creates the lane of one service. */
-export function createFlowLane({clock, random, readLimit, noteReached}: FlowLaneDeps): FlowLane {
+export function createFlowLane({clock, random, readLimit}: FlowLaneDeps): FlowLane {
 	const inFlightByAccount = new Map<string, number>();
 	let inFlight = 0;
 	let meanHoldMillis = 0;
@@ -59,10 +61,14 @@
 		return inFlightByAccount.get(account) ?? 0;
 	}
 
-	function compare(left: Waiter, right: Waiter): number {
-		return left.req.priority - right.req.priority
+	function listInOrder(): readonly Waiter[] {
+		const nowMillis = clock.monotonicMillis();
+		const isLate = ({req, arrivedAtMillis}: Waiter) => nowMillis - arrivedAtMillis > req.onTimeWaitMillis;
+		return waiting.toSorted((left, right) =>
+			left.req.priority - right.req.priority
+			|| Number(isLate(left)) - Number(isLate(right))
 			|| countOf(left.req.account) - countOf(right.req.account)
-			|| left.arrivedAtMillis - right.arrivedAtMillis;
+			|| left.arrivedAtMillis - right.arrivedAtMillis);
 	}
 
 	/** Time until the request at this place of the queue gets its turn, in milliseconds. */
@@ -106,7 +112,7 @@
 
 	function dispatch(): void {
 		while (waiting.length > 0 && inFlight + 1 <= readLimit()) {
-			const next = waiting.toSorted(compare)[0];
+			const [next] = listInOrder();
 			waiting = waiting.filter(waiter => waiter !== next);
 			if (next) {
 				next.decide(take(next.req));
@@ -125,7 +131,7 @@
 	function refuseHopeless(): void {
 		const nowMillis = clock.monotonicMillis();
 		let place = 0;
-		for (const waiter of waiting.toSorted(compare)) {
+		for (const waiter of listInOrder()) {
 			const leftMillis = waiter.arrivedAtMillis + waiter.req.maxWaitMillis - nowMillis;
 			if (estimateWaitMillis(place) > leftMillis || place >= MAX_WAITING) {
 				refuse(waiter, 'overload');
@@ -136,7 +142,6 @@
 	}
 
 	function enqueue(waiter: Waiter): void {
-		noteReached();
 		waiting = [...waiting, waiter];
 		refuseHopeless();
 	}
--- a/src/decisions/flow/pause-limit.ts
+++ b/src/decisions/flow/pause-limit.ts
@@ -3,7 +3,7 @@
  * requests in flight alone do not show it. The limit follows the pauses between events.
  */
 import {
-	HIGH_PAUSE_RATIO, INCREASE_SHARE, INITIAL_BATCH_SHARE, LEAST_BATCH_SHARE, LEAST_PAUSES, LIMIT_INTERVAL_MILLIS, LOW_PAUSE_RATIO,
+	AIMED_PAUSE_RATIO, FIXED_PASS_SHARE, INITIAL_BATCH_SHARE, LEAST_BATCH_SHARE, LEAST_PAUSES, LIMIT_INTERVAL_MILLIS, MAX_INCREASE_FACTOR,
 	MIN_DECREASE_FACTOR, PAUSE_QUANTILE,
 } from './flow-constants.js';
 
@@ -11,10 +11,8 @@
 export type PauseLimit = Readonly<{
 	/** Places in the batches of all engines that are this process's share. */
 	setPlaces: (places: number) => void;
-	/** Takes the time between two events, over the time that is on time. */
-	notePause: (ratio: number, nowMillis: number) => void;
-	/** A request had to wait since the last change. */
-	noteReached: () => void;
+	/** Takes the time between two events, over the time that is on time, and the requests in flight then. */
+	notePause: (ratio: number, inFlight: number, nowMillis: number) => void;
 	read: () => number;
 }>;
 
@@ -23,42 +21,40 @@
 	return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * quantile))] ?? 0;
 }
 
+/** Requests in flight at which the pauses would be as aimed at, when `inFlight` make them `ratio` of their target. */
+export function predictLimit(ratio: number, inFlight: number): number {
+	return inFlight * Math.max(0, (AIMED_PAUSE_RATIO / ratio) - FIXED_PASS_SHARE) / (1 - FIXED_PASS_SHARE);
+}
+
 /** Creates a limit for a service about whose load nothing is known. */
 export function createPauseLimit(): PauseLimit {
 	let places = 0;
 	/** Limit as a share of the places, so that it keeps its meaning while engines and processes come and go. */
 	let share = INITIAL_BATCH_SHARE;
-	let wasReached = false;
 	let ratios: number[] = [];
+	let inFlightSum = 0;
 	let changedAtMillis = -Infinity;
 
 	function change(): void {
-		const ratio = readQuantile(ratios, PAUSE_QUANTILE);
-		if (ratio > HIGH_PAUSE_RATIO) {
-			share *= Math.max(MIN_DECREASE_FACTOR, HIGH_PAUSE_RATIO / ratio);
-		} else if (ratio < LOW_PAUSE_RATIO && wasReached) {
-			share *= 1 + INCREASE_SHARE;
-		}
-
-		share = Math.min(1, Math.max(LEAST_BATCH_SHARE, share));
-		wasReached = false;
+		const wanted = predictLimit(readQuantile(ratios, PAUSE_QUANTILE), inFlightSum / ratios.length) / Math.max(1, places);
+		const bounded = Math.min(share * MAX_INCREASE_FACTOR, Math.max(share * MIN_DECREASE_FACTOR, wanted));
+		share = Math.min(1, Math.max(LEAST_BATCH_SHARE, bounded));
 		ratios = [];
+		inFlightSum = 0;
 	}
 
 	return {
 		setPlaces(next) {
 			places = next;
 		},
-		notePause(ratio, nowMillis) {
+		notePause(ratio, inFlight, nowMillis) {
 			ratios.push(ratio);
+			inFlightSum += inFlight;
 			if (ratios.length >= LEAST_PAUSES && nowMillis - changedAtMillis >= LIMIT_INTERVAL_MILLIS) {
 				changedAtMillis = nowMillis;
 				change();
 			}
 		},
-		noteReached() {
-			wasReached = true;
-		},
 		read: () => Math.max(1, places * share),
 	};
 }
--- /dev/null
+++ b/src/gateway/__tests__/next-step.test.ts
@@ -0,0 +1,63 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import type {AnswerHead} from '../../ports/call-codec.js';
+import type {RepeatRule} from '../../routing/routing-configuration.js';
+import type {AttemptEnd} from '../attempt-end.js';
+import {chooseNextStep, type NextStep} from '../next-step.js';
+import {chooseStatus} from '../refusal.js';
+
+function head(status: number): AnswerHead {
+	return {
+		status, attemptId: 'a', isNotRun: false, isSigned: true, isEncoded: false, contentLength: 0, load: undefined, faultyServer: undefined, headers: [],
+	};
+}
+
+const answered = (status: number): AttemptEnd => ({tag: 'answered', head: head(status), body: new Uint8Array(0)});
+
+/** What is proven about an attempt, and what may follow for work that may run once, again, or go on elsewhere. */
+const table: ReadonlyArray<Readonly<{what: string; end: AttemptEnd; once: NextStep; idempotent: NextStep; resumable: NextStep}>> = [
+	{
+		what: 'nothing was written', end: {tag: 'not_sent', detail: 'ECONNREFUSED'}, once: 'repeat', idempotent: 'repeat', resumable: 'repeat',
+	},
+	{
+		what: 'the backend server states that it did not run', end: {tag: 'not_run', head: head(503)}, once: 'repeat', idempotent: 'repeat', resumable: 'repeat',
+	},
+	{
+		what: 'written, no complete answer', end: {tag: 'lost', detail: 'ECONNRESET'}, once: 'tell_unknown', idempotent: 'repeat', resumable: 'repeat',
+	},
+	{
+		what: 'the time is over', end: {tag: 'late'}, once: 'tell_unknown', idempotent: 'tell_unknown', resumable: 'tell_unknown',
+	},
+	{
+		what: 'a complete answer', end: answered(200), once: 'deliver', idempotent: 'deliver', resumable: 'deliver',
+	},
+	{
+		what: 'a complete refusal of the caller', end: answered(404), once: 'deliver', idempotent: 'deliver', resumable: 'deliver',
+	},
+	{
+		what: 'a complete failure', end: answered(500), once: 'deliver', idempotent: 'repeat', resumable: 'repeat',
+	},
+	{
+		what: 'a failure at the deadline', end: answered(504), once: 'deliver', idempotent: 'deliver', resumable: 'deliver',
+	},
+	{
+		what: 'a stream passed on to its end', end: {tag: 'passed'}, once: 'deliver', idempotent: 'deliver', resumable: 'deliver',
+	},
+	{
+		what: 'the caller left', end: {tag: 'caller_left'}, once: 'drop', idempotent: 'drop', resumable: 'drop',
+	},
+];
+
+for (const {what, end, ...steps} of table) {
+	for (const [rule, step] of [['at_most_once', steps.once], ['idempotent', steps.idempotent], ['resumable', steps.resumable]] as ReadonlyArray<[RepeatRule, NextStep]>) {
+		void test(`${what}, ${rule}: ${step}`, () => {
+			assert.equal(chooseNextStep(end, rule), step);
+		});
+	}
+}
+
+void test('only what is proven not to have run is told with a status that promises it', () => {
+	assert.equal(chooseStatus({tag: 'not_run', reason: 'overload', retryAfterMillis: 1}), 503);
+	assert.equal(chooseStatus({tag: 'unknown', reason: 'lost'}), 502);
+	assert.equal(chooseStatus({tag: 'unknown', reason: 'late'}), 504);
+});
--- a/src/gateway/serve-call.ts
+++ b/src/gateway/serve-call.ts
@@ -1,6 +1,7 @@
 /** Serves one call: finds its route, waits for a place, and asks backend servers until there is an answer to give. */
 import {Buffer} from 'node:buffer';
-import {WAIT_SHARE} from '../decisions/flow/flow-constants.js';
+import {FIRST_WAIT_SHARE, RETURN_DEADLINE_SHARE, RETURN_WAIT_SHARE} from '../decisions/flow/flow-constants.js';
+import type {FlowRequest} from '../decisions/flow/flow-lane.js';
 import {drawService} from '../routing/route-table.js';
 import type {RoutedAccount, Route, RoutingConfiguration} from '../routing/routing-configuration.js';
 import type {AttemptEnd} from './attempt-end.js';
@@ -26,6 +27,8 @@
 	/** Monotonic time by which the call is over. */
 	deadlineMillis: number;
 	flow: ServiceFlow;
+	/** Time that it waited for a place. */
+	waitedMillis: number;
 }>;
 
 function notRun(reason: NotRunCause, retryAfterMillis = DEFAULT_RETRY_AFTER_MILLIS): Refusal {
@@ -36,7 +39,13 @@
 function refuse(ctx: GatewayContext, call: Call, refusal: Refusal, detail: Readonly<Record<string, string | number | boolean | undefined>> = {}): void {
 	ctx.metrics.refusals.inc({reason: refusal.reason});
 	ctx.log.info('refused', {
-		request: call.head.attemptId, outcome: refusal.tag, reason: refusal.reason, elapsedMillis: elapsed(ctx, call), broken: call.reply.hasHead(), ...detail,
+		request: call.head.attemptId,
+		deadlineMillis: call.head.deadlineMillis,
+		outcome: refusal.tag,
+		reason: refusal.reason,
+		elapsedMillis: elapsed(ctx, call),
+		broken: call.reply.hasHead(),
+		...detail,
 	});
 	if (call.reply.hasHead()) {
 		call.reply.breakOff();
@@ -81,7 +90,7 @@
 
 	const limitMillis = Math.min(route.timeoutMillis, call.head.deadlineMillis ?? Infinity);
 	return {
-		call, cfg, route, service, account: route.isPublic ? undefined : account, deadlineMillis: call.arrivedAtMillis + limitMillis, flow: ctx.flows.read(service),
+		call, cfg, route, service, account: route.isPublic ? undefined : account, deadlineMillis: call.arrivedAtMillis + limitMillis, flow: ctx.flows.read(service), waitedMillis: 0,
 	};
 }
 
@@ -95,6 +104,20 @@
 		server.service === service && server.state === 'ready' && server.group?.isOpen !== false && !asked.has(server.id));
 }
 
+/** How long the call may wait for a place. Callers that were refused before have less time left than others. */
+function describeWait(ctx: GatewayContext, {call, route, account, flow}: RoutedCall): FlowRequest {
+	const deadlineMillis = call.head.deadlineMillis ?? Infinity;
+	const usualMillis = ctx.usualDeadlines.note(route.name, deadlineMillis);
+	const isReturn = deadlineMillis < usualMillis * RETURN_DEADLINE_SHARE;
+	const expectedMillis = flow.firstByte.read(ctx.clock.monotonicMillis());
+	return {
+		account: account?.name ?? '',
+		priority: account?.priority ?? route.priority,
+		onTimeWaitMillis: isReturn ? 0 : Math.max(0, route.targetLatencyMillis - expectedMillis),
+		maxWaitMillis: Math.min(deadlineMillis / 3, route.targetLatencyMillis * (isReturn ? RETURN_WAIT_SHARE : FIRST_WAIT_SHARE)),
+	};
+}
+
 /** Serves the call to its end. Never rejects. */
 export async function serveCall(ctx: GatewayContext, call: Call): Promise<void> {
 	const found = routeCall(ctx, call);
@@ -105,11 +128,9 @@
 		return;
 	}
 
-	const {route, flow, account} = found;
+	const {route, flow} = found;
 	flow.budget.noteRequest();
-	const placed = await flow.lane.admit({
-		account: account?.name ?? '', priority: account?.priority ?? route.priority, maxWaitMillis: route.targetLatencyMillis * WAIT_SHARE,
-	}, call.gone);
+	const placed = await flow.lane.admit(describeWait(ctx, found), call.gone);
 	if (placed.tag === 'refused') {
 		if (!call.gone.aborted) {
 			refuse(ctx, call, notRun('overload', placed.retryAfterMillis), {
@@ -121,7 +142,7 @@
 	}
 
 	try {
-		await askBackendServers(ctx, found);
+		await askBackendServers(ctx, {...found, waitedMillis: ctx.clock.monotonicMillis() - call.arrivedAtMillis});
 	} finally {
 		placed.release();
 	}
@@ -245,7 +266,7 @@
 			onEvent(pauseMillis) {
 				firstByteMillis ??= ctx.clock.monotonicMillis() - startedAtMillis;
 				if (pauseMillis !== undefined && route.maxPauseMillis !== undefined) {
-					flow.limit.notePause(pauseMillis / route.maxPauseMillis, ctx.clock.monotonicMillis());
+					flow.limit.notePause(pauseMillis / route.maxPauseMillis, flow.lane.countInFlight(), ctx.clock.monotonicMillis());
 				}
 			},
 		},
@@ -256,6 +277,10 @@
 			}
 		},
 	});
+	if (firstByteMillis !== undefined) {
+		flow.firstByte.note(firstByteMillis, firstByteMillis > route.targetLatencyMillis, ctx.clock.monotonicMillis());
+	}
+
 	progress.attempts += end.tag === 'not_sent' ? 0 : 1;
 	noteOutcome(ctx, server, end, firstByteMillis);
 	if (end.tag !== 'passed' && !(end.tag === 'answered' && end.head.status < 400)) {
@@ -311,7 +336,7 @@
 function finishWithout(ctx: GatewayContext, routed: RoutedCall, progress: Progress, cause: NotRunCause): void {
 	const {call} = routed;
 	if (call.gone.aborted) {
-		countCall(ctx, routed, 'caller_left');
+		countCall(ctx, routed, progress, 'caller_left');
 		return;
 	}
 
@@ -320,7 +345,7 @@
 		return;
 	}
 
-	countCall(ctx, routed, progress.mayHaveRun ? 'unknown' : 'not_run');
+	countCall(ctx, routed, progress, progress.mayHaveRun ? 'unknown' : 'not_run');
 	const refusal: Refusal = progress.mayHaveRun
 		? {tag: 'unknown', reason: cause === 'deadline' ? 'late' : 'lost'}
 		: notRun(cause);
@@ -334,7 +359,7 @@
 	const {call} = routed;
 	switch (end.tag) {
 		case 'answered': {
-			countCall(ctx, routed, 'answered');
+			countCall(ctx, routed, progress, 'answered');
 			call.reply.writeHead(end.head.status, end.head.headers);
 			call.reply.write(end.body);
 			call.reply.end();
@@ -342,13 +367,13 @@
 		}
 
 		case 'passed': {
-			countCall(ctx, routed, 'answered');
+			countCall(ctx, routed, progress, 'answered');
 			call.reply.end();
 			break;
 		}
 
 		case 'caller_left': {
-			countCall(ctx, routed, 'caller_left');
+			countCall(ctx, routed, progress, 'caller_left');
 			break;
 		}
 
@@ -356,15 +381,28 @@
 		case 'lost':
 		case 'not_run':
 		case 'not_sent': {
-			countCall(ctx, routed, 'unknown');
+			countCall(ctx, routed, progress, 'unknown');
 			refuse(ctx, call, {tag: 'unknown', reason: end.tag === 'late' ? 'late' : 'lost'}, {route: routed.route.name, attempts: progress.attempts});
 		}
 	}
 }
 
-function countCall(ctx: GatewayContext, {call, route}: RoutedCall, outcome: string): void {
+/** Counts a call and logs how it was decided. */
+function countCall(ctx: GatewayContext, {call, cfg, route, service, account, waitedMillis}: RoutedCall, {asked, attempts, answer}: Progress, outcome: string): void {
 	ctx.metrics.calls.inc({kind: route.isStreaming ? 'stream' : route.repeat, outcome});
 	ctx.log.debug('call', {
-		request: call.head.attemptId, route: route.name, outcome, elapsedMillis: elapsed(ctx, call),
+		request: call.head.attemptId,
+		deadlineMillis: call.head.deadlineMillis,
+		route: route.name,
+		service,
+		account: account?.name,
+		version: cfg.version,
+		configurationAgeMillis: Math.round(ctx.configuration.ageMillis()),
+		waitedMillis: Math.round(waitedMillis),
+		servers: [...asked].join(' '),
+		attempts,
+		lastEventId: answer.lastEventId,
+		outcome,
+		elapsedMillis: elapsed(ctx, call),
 	});
 }
--- a/src/gateway/service-flows.ts
+++ b/src/gateway/service-flows.ts
@@ -1,5 +1,6 @@
 /** Limits, queues and retry budgets, one of each for a service. */
 import type {Clock} from '../core/clock.js';
+import {createFirstByteEstimate, type FirstByteEstimate} from '../decisions/admission/first-byte-estimate.js';
 import {createFlowLane, type FlowLane} from '../decisions/flow/flow-lane.js';
 import {PLAIN_REQUESTS_PER_SLOT} from '../decisions/flow/flow-constants.js';
 import {createPauseLimit, type PauseLimit} from '../decisions/flow/pause-limit.js';
@@ -14,6 +15,8 @@
 	lane: FlowLane;
 	limit: PauseLimit;
 	budget: SharedRetryBudget;
+	/** Time from sending a request to the first byte of its answer. */
+	firstByte: FirstByteEstimate;
 }>;
 
 /** The flows of all services. */
@@ -32,6 +35,9 @@
 	countEntries: () => number;
 }>;
 
+/** Share of answers whose first byte may come later than estimated. */
+const ACCEPTED_LATE_SHARE = 0.1;
+
 function countSlots(servers: readonly BackendServer[]): number {
 	let slots = 0;
 	for (const server of servers) {
@@ -50,9 +56,11 @@
 	function create(service: string): ServiceFlow {
 		const limit = createPauseLimit();
 		const lane = createFlowLane({
-			clock, random, readLimit: () => plainLimits.get(service) ?? limit.read(), noteReached: limit.noteReached,
+			clock, random, readLimit: () => plainLimits.get(service) ?? limit.read(),
 		});
-		return {lane, limit, budget: createSharedRetryBudget(clock, budgetTerms, countEntries)};
+		return {
+			lane, limit, budget: createSharedRetryBudget(clock, budgetTerms, countEntries), firstByte: createFirstByteEstimate(ACCEPTED_LATE_SHARE),
+		};
 	}
 
 	function read(service: string): ServiceFlow {
--- a/src/map-switch/__tests__/fake-rank-group.ts
+++ b/src/map-switch/__tests__/fake-rank-group.ts
@@ -207,7 +207,7 @@
 				await reach();
 				return succeed(shown);
 			},
-			async readCounts() {
+			async readLoad() {
 				await reach();
 				return fail({tag: 'unavailable', detail: 'no counts here'});
 			},
--- a/src/map-switch/group-ranks.ts
+++ b/src/map-switch/group-ranks.ts
@@ -1,5 +1,6 @@
+import {succeed, type Result} from '../core/result.js';
 import type {
-	OrderOutcome, RankEngine, RankOrder, RankState,
+	OrderOutcome, RankEngine, RankOrder, RankReadError, RankState,
 } from '../ports/rank-engine.js';
 
 /** Access to all ranks of a group, in rank order. Rank 0 is the anchor, which holds the group before a switch. */
@@ -14,9 +15,8 @@
 	/** The group is broken, or its ranks are not in one epoch. */
 		| Readonly<{tag: 'not_formed'; rank: number}>;
 
-/** Reads all ranks at once. */
-export async function readGroupState(ranks: GroupRanks): Promise<GroupState | GroupStateError> {
-	const readings = await Promise.all(ranks.map(async rank => rank.readState()));
+/** Puts the states of all ranks together, if they are of one open group in one epoch. */
+function joinStates(readings: ReadonlyArray<Result<RankState, RankReadError>>): GroupState | GroupStateError {
 	const states: RankState[] = [];
 	for (const [rank, reading] of readings.entries()) {
 		if (!reading.ok) {
@@ -34,6 +34,20 @@
 	return {epoch: states[0]?.group.epoch ?? 0, ranks: states};
 }
 
+/** Reads all ranks at once. */
+export async function readGroupState(ranks: GroupRanks): Promise<GroupState | GroupStateError> {
+	return joinStates(await Promise.all(ranks.map(async rank => rank.readState())));
+}
+
+/** Reads all ranks at once, with the counts of each. */
+export async function readGroupLoad(ranks: GroupRanks): Promise<Readonly<{state: GroupState | GroupStateError; counts: ReadonlyArray<readonly number[]>}>> {
+	const loads = await Promise.all(ranks.map(async rank => rank.readLoad()));
+	return {
+		state: joinStates(loads.map(load => load.ok ? succeed(load.value.state) : load)),
+		counts: loads.map(load => load.ok ? load.value.counts : []),
+	};
+}
+
 /** Whether a reading is the state of a group. */
 export function isGroupState(reading: GroupState | GroupStateError): reading is GroupState {
 	return 'epoch' in reading;
--- a/src/map-switch/map-switch-constants.ts
+++ b/src/map-switch/map-switch-constants.ts
@@ -20,5 +20,5 @@
 export const OBSERVE_MILLIS = 250;
 /** Numbers that all ranks may report in a second, which bounds the traffic between agents. */
 export const MAX_COUNTS_PER_SECOND = 20_000;
-/** Pause after a look that failed, in milliseconds. */
+/** Pause after a look that failed or that found the group idle, in milliseconds. */
 export const FAILURE_PAUSE_MILLIS = 500;
--- a/src/observability/log.ts
+++ b/src/observability/log.ts
@@ -1,4 +1,4 @@
-import process from 'node:process';
+import {openBoundedOutput} from './bounded-output.js';
 import {ROARR, Roarr} from './enabled-roarr.js';
 
 /** Context of a log line: ids, reasons, figures. Never bodies or credentials. */
@@ -43,12 +43,8 @@
 	};
 }
 
-function writeToStandardError(line: string): void {
-	process.stderr.write(`${line}\n`);
-}
-
-/** The log of a process; `write` takes each line, without its end. */
-export function createProcessLog(ctx: LogContext, write: (line: string) => void = writeToStandardError): Log {
+/** The log of a process; `write` takes each line, without its end. Standard output by default. */
+export function createProcessLog(ctx: LogContext, write: (line: string) => void = openBoundedOutput().write): Log {
 	ROARR.write = write;
 	return wrap(ctx);
 }
--- a/src/ports/rank-engine.ts
+++ b/src/ports/rank-engine.ts
@@ -25,6 +25,13 @@
 	pace: number;
 }>;
 
+/** State of one rank with its load. */
+export type RankLoad = Readonly<{
+	state: RankState;
+	/** How often each expert was chosen since the engine started, layer by layer in one list. */
+	counts: readonly number[];
+}>;
+
 /** One order about the expert map. */
 export type RankOrder
 	/** Copy the experts that the rank lacks. */
@@ -45,8 +52,7 @@
 /** Access to one rank. Each call has a timeout and is never repeated inside. */
 export type RankEngine = Readonly<{
 	readState: () => Promise<Result<RankState, RankReadError>>;
-	/** How often each expert was chosen since the engine started, layer by layer in one list. */
-	readCounts: () => Promise<Result<readonly number[], RankReadError>>;
+	readLoad: () => Promise<Result<RankLoad, RankReadError>>;
 	/** Experts in force at this rank. */
 	readExperts: () => Promise<Result<RankExperts, RankReadError>>;
 	/** The engine refuses an order of another epoch than its group's. */
--- a/src/rank-agent/group-planner.ts
+++ b/src/rank-agent/group-planner.ts
@@ -4,7 +4,7 @@
 import {planMoves, type MovesPlan} from '../decisions/placement/plan-moves.js';
 import {finishSwitch, hasLeftover} from '../map-switch/finish-switch.js';
 import {
-	isGroupState, readGroupState, type GroupRanks, type GroupState,
+	isGroupState, readGroupLoad, type GroupRanks, type GroupState,
 } from '../map-switch/group-ranks.js';
 import {FAILURE_PAUSE_MILLIS, MAX_COUNTS_PER_SECOND, OBSERVE_MILLIS} from '../map-switch/map-switch-constants.js';
 import {switchMap, type SwitchDeps} from '../map-switch/switch-map.js';
@@ -26,7 +26,7 @@
 
 const MILLIS_PER_SECOND = 1000;
 /** Scenarios that a plan rests on at least. */
-const LEAST_SCENARIOS = 8;
+const LEAST_SCENARIOS = 5;
 
 /** What is known of the load since the group formed. */
 type Observation = Readonly<{
@@ -61,7 +61,7 @@
 	return counts.map((count, i) => Math.max(0, count - (before[i] ?? 0)));
 }
 
-/** Plans until the signal aborts. */
+/** Plans until the signal aborts; a switch that has begun is carried out first. */
 export async function planGroup(deps: GroupPlannerDeps, signal: AbortSignal): Promise<void> {
 	const {clock, log} = deps;
 	let observation: Observation | undefined;
@@ -119,7 +119,7 @@
 
 	/** One look at the group and what follows; the time until the next look. */
 	async function look(ranks: GroupRanks, layout: ExpertLayout): Promise<number> {
-		const state = await readGroupState(ranks);
+		const {state, counts} = await readGroupLoad(ranks);
 		if (!isGroupState(state)) {
 			log.debug('group cannot be planned', {reason: state.tag, rank: state.rank});
 			return FAILURE_PAUSE_MILLIS;
@@ -133,11 +133,6 @@
 			return 0;
 		}
 
-		const counts = readSettled(await Promise.all(ranks.map(async rank => rank.readCounts())));
-		if (!counts) {
-			return FAILURE_PAUSE_MILLIS;
-		}
-
 		observe(state, counts, layout);
 		experts ??= await readGroupExperts(ranks);
 		const moves = plan(state, layout);
--- a/src/rank-agent/rank-service.ts
+++ b/src/rank-agent/rank-service.ts
@@ -15,14 +15,14 @@
 /** Creates the service. */
 export function createRankService({engine, access, log}: RankServiceDeps): LinkService {
 	async function read({withCounts, withExperts}: ReadRank): Promise<RankReading | undefined> {
-		const state = await engine.readState();
-		const counts = withCounts ? await engine.readCounts() : undefined;
-		const experts = withExperts ? await engine.readExperts() : undefined;
-		if (!state.ok || counts?.ok === false || experts?.ok === false) {
-			return undefined;
+		if (withCounts) {
+			const load = await engine.readLoad();
+			return load.ok ? toReading(load.value.state, load.value.counts, []) : undefined;
 		}
 
-		return toReading(state.value, counts?.value ?? [], experts?.value ?? []);
+		const state = await engine.readState();
+		const experts = withExperts ? await engine.readExperts() : undefined;
+		return state.ok && experts?.ok !== false ? toReading(state.value, [], experts?.value ?? []) : undefined;
 	}
 
 	async function carryOut(message: RankOrder): Promise<OrderOutcome> {
--- a/src/rank-agent/remote-rank.ts
+++ b/src/rank-agent/remote-rank.ts
@@ -60,9 +60,9 @@
 			const reading = await read(false, false);
 			return reading.ok ? succeed(fromReading(reading.value)) : reading;
 		},
-		async readCounts() {
+		async readLoad() {
 			const reading = await read(true, false);
-			return reading.ok ? succeed(reading.value.counts) : reading;
+			return reading.ok ? succeed({state: fromReading(reading.value), counts: reading.value.counts}) : reading;
 		},
 		async readExperts() {
 			const reading = await read(false, true);
--- a/src/rank-agent/start-rank-agent.ts
+++ b/src/rank-agent/start-rank-agent.ts
@@ -45,8 +45,17 @@
 /** Pause before an agent looks again whether its engine has become rank 0, in milliseconds. */
 const ROLE_CHECK_MILLIS = 500;
 
+/** Longest wait for a switch to end when the agent stops, in milliseconds: copying, and the pass that it names. */
+const DRAIN_MILLIS = 2500;
+
+/** An agent that runs. */
+export type RankAgent = Readonly<{
+	/** Stops planning behind the switch that has begun, if any. */
+	drain: () => Promise<void>;
+}>;
+
 /** Starts an agent; the life cycle ends it. */
-export async function startRankAgent(deps: RankAgentDeps): Promise<Result<undefined, ListenError>> {
+export async function startRankAgent(deps: RankAgentDeps): Promise<Result<RankAgent, ListenError>> {
 	const {clock, log, lifeCycle, access, engine} = deps;
 	const server = await openLinkServer(access, clock, deps.listen, [createRankService({engine, access, log})]);
 	if (!server.ok) {
@@ -57,6 +66,7 @@
 	const port = deps.listen.slice(deps.listen.lastIndexOf(':') + 1);
 	const servers = createBackendServerList({clock, log, read: deps.backendServers.read});
 	const remotes = new Map<string, RemoteRank>();
+	const stopping = new AbortController();
 	let cfg: RoutingConfiguration | undefined;
 	lifeCycle.own('other ranks', () => {
 		for (const remote of remotes.values()) {
@@ -112,7 +122,7 @@
 		/* eslint-disable no-await-in-loop -- One look after the other. */
 		for (;;) {
 			const state = await engine.readState();
-			if (lifeCycle.signal.aborted) {
+			if (stopping.signal.aborted) {
 				return;
 			}
 
@@ -123,15 +133,20 @@
 				follow(deps.configuration.table, {onSnapshot: takeConfiguration, onChanges: takeConfiguration}, lifeCycle.signal);
 				await planGroup({
 					clock, log, readRanks, readLayout, versions: createVersionSource(deps.table, log, name, deps.incarnation),
-				}, lifeCycle.signal);
+				}, stopping.signal);
 				return;
 			}
 
-			await clock.sleep(ROLE_CHECK_MILLIS, lifeCycle.signal);
+			await clock.sleep(ROLE_CHECK_MILLIS, stopping.signal);
 		}
 		/* eslint-enable no-await-in-loop */
 	}
 
-	void planWhenAnchor();
-	return succeed(undefined);
+	const planning = planWhenAnchor();
+	return succeed({
+		async drain() {
+			stopping.abort();
+			await Promise.race([planning, clock.sleep(DRAIN_MILLIS)]);
+		},
+	});
 }
