--- a/src/decisions/flow/flow-constants.ts
+++ b/src/decisions/flow/flow-constants.ts
@@ -3,15 +3,15 @@
 /** Pauses that a change of a limit rests on at least. */
 export const LEAST_PAUSES = 8;
 /** Quantile of the pauses that is compared with the target; one late pause makes a whole stream late. */
-export const PAUSE_QUANTILE = 0.93;
+export const PAUSE_QUANTILE = 0.95;
 /** Pause over its target that is aimed at; leaves room for the variation between passes. */
-export const AIMED_PAUSE_RATIO = 0.9;
+export const AIMED_PAUSE_RATIO = 0.86;
 /** Part of a pass that does not grow with the requests in it: weights are read once for all of them. */
 export const FIXED_PASS_SHARE = 0.3;
 /** Largest growth of a limit in one change. */
 export const MAX_INCREASE_FACTOR = 1.2;
 /** Smallest factor of one decrease. */
-export const MIN_DECREASE_FACTOR = 0.75;
+export const MIN_DECREASE_FACTOR = 0.6;
 /** Part of the batch places of a service that may be used at first. */
 export const INITIAL_BATCH_SHARE = 0.6;
 /** Part of the batch places below which a limit never falls, so that it can see pauses at all. */
--- a/src/gateway/serve-call.ts
+++ b/src/gateway/serve-call.ts
@@ -156,6 +156,10 @@
 	/** Whether an attempt may have run. */
 	mayHaveRun: boolean;
 	lastCause: NotRunCause;
+	/** Time from arrival to the first byte of an answer; undefined before it. */
+	firstByteMillis: number | undefined;
+	/** Longest time between two events. */
+	longestPauseMillis: number;
 	/** Failure answer of a backend server, given when no other attempt is made. */
 	failure: Extract<AttemptEnd, {tag: 'answered'}> | undefined;
 };
@@ -163,7 +167,7 @@
 async function askBackendServers(ctx: GatewayContext, routed: RoutedCall): Promise<void> {
 	const {call, route} = routed;
 	const progress: Progress = {
-		asked: new Set(), answer: {lastEventId: readLastEventId(call), lastEventAtMillis: undefined}, attempts: 0, mayHaveRun: false, lastCause: 'no_backend_server', failure: undefined,
+		asked: new Set(), answer: {lastEventId: readLastEventId(call), lastEventAtMillis: undefined}, attempts: 0, mayHaveRun: false, lastCause: 'no_backend_server', failure: undefined, firstByteMillis: undefined, longestPauseMillis: 0,
 	};
 	/* eslint-disable no-await-in-loop -- One attempt after the other. */
 	for (;;) {
@@ -265,6 +269,8 @@
 			progress: answer,
 			onEvent(pauseMillis) {
 				firstByteMillis ??= ctx.clock.monotonicMillis() - startedAtMillis;
+				progress.firstByteMillis ??= ctx.clock.monotonicMillis() - call.arrivedAtMillis;
+				progress.longestPauseMillis = Math.max(progress.longestPauseMillis, pauseMillis ?? 0);
 				if (pauseMillis !== undefined && route.maxPauseMillis !== undefined) {
 					flow.limit.notePause(pauseMillis / route.maxPauseMillis, flow.lane.countInFlight(), ctx.clock.monotonicMillis());
 				}
@@ -388,7 +394,7 @@
 }
 
 /** Counts a call and logs how it was decided. */
-function countCall(ctx: GatewayContext, {call, cfg, route, service, account, waitedMillis}: RoutedCall, {asked, attempts, answer}: Progress, outcome: string): void {
+function countCall(ctx: GatewayContext, {call, cfg, route, service, account, waitedMillis, flow}: RoutedCall, {asked, attempts, answer, firstByteMillis, longestPauseMillis}: Progress, outcome: string): void {
 	ctx.metrics.calls.inc({kind: route.isStreaming ? 'stream' : route.repeat, outcome});
 	ctx.log.debug('call', {
 		request: call.head.attemptId,
@@ -402,6 +408,10 @@
 		servers: [...asked].join(' '),
 		attempts,
 		lastEventId: answer.lastEventId,
+		firstByteMillis: firstByteMillis === undefined ? undefined : Math.round(firstByteMillis),
+		longestPauseMillis: Math.round(longestPauseMillis),
+		inFlight: flow.lane.countInFlight(),
+		limit: Math.round(flow.limit.read()),
 		outcome,
 		elapsedMillis: elapsed(ctx, call),
 	});
--- a/src/map-switch/map-switch-constants.ts
+++ b/src/map-switch/map-switch-constants.ts
@@ -9,11 +9,13 @@
 /** Time between two looks at the ranks while an order takes effect, in milliseconds. */
 export const LOOK_MILLIS = 25;
 /** Time for copying beyond the worked-out one, in milliseconds. */
-export const PREPARE_SLACK_MILLIS = 1500;
-/** Time for all ranks to be armed, in milliseconds; the group may be standing still meanwhile. */
-export const ARM_TIMEOUT_MILLIS = 400;
-/** Time for a hold or a release to show, in milliseconds. */
-export const HOLD_TIMEOUT_MILLIS = 250;
+export const PREPARE_SLACK_MILLIS = 1200;
+/** Time for all ranks to be armed, in milliseconds: a few orders without an answer. The group may be standing still meanwhile. */
+export const ARM_TIMEOUT_MILLIS = 500;
+/** Time for a release to show, in milliseconds: a few orders without an answer. */
+export const RELEASE_TIMEOUT_MILLIS = 500;
+/** Time for a hold to show, in milliseconds. */
+export const HOLD_TIMEOUT_MILLIS = 300;
 /** Time between two attempts to end a switch that was left behind, in milliseconds. */
 export const RECOVERY_PAUSE_MILLIS = 40;
 /** Time between two looks at a group, in milliseconds; a few passes. */
--- a/src/map-switch/switch-map.ts
+++ b/src/map-switch/switch-map.ts
@@ -1,12 +1,13 @@
 /** Puts a new expert map into force at all ranks of a group at the same pass. */
 import type {Clock} from '../core/clock.js';
+import {invariant} from '../core/invariant.js';
 import type {Log} from '../observability/log.js';
-import type {GroupExperts, OrderOutcome, RankState} from '../ports/rank-engine.js';
+import type {
+	GroupExperts, RankEngine, RankOrder, RankState,
+} from '../ports/rank-engine.js';
+import type {GroupRanks} from './group-ranks.js';
 import {
-	isGroupState, listRanks, orderRanks, readGroupState, type GroupRanks, type GroupState,
-} from './group-ranks.js';
-import {
-	ARM_TIMEOUT_MILLIS, HOLD_TIMEOUT_MILLIS, LEAD_STEPS, LEAD_STEPS_AFTER_MISS, LOOK_MILLIS, MAX_HOLD_TRIES, PREPARE_SLACK_MILLIS,
+	ARM_TIMEOUT_MILLIS, HOLD_TIMEOUT_MILLIS, LEAD_STEPS, LEAD_STEPS_AFTER_MISS, LOOK_MILLIS, MAX_HOLD_TRIES, PREPARE_SLACK_MILLIS, RELEASE_TIMEOUT_MILLIS,
 } from './map-switch-constants.js';
 
 /** What a switch needs. */
@@ -34,33 +35,52 @@
 	copyMillis: number;
 }>;
 
-function isRefused(outcomes: readonly OrderOutcome[]): boolean {
-	return outcomes.some(({tag}) => tag === 'refused');
-}
+/** How an order ended at a rank: its effect was seen, it was refused, or neither came in time. */
+type Carried = 'done' | 'refused' | 'late';
+
+/** What is expected of an order. */
+type Expectation = Readonly<{
+	epoch: number;
+	timeoutMillis: number;
+	/** Time that the order takes at least, in milliseconds. */
+	leastMillis?: number;
+	isDone: (state: RankState) => boolean;
+}>;
 
-/** Looks at the group until all ranks meet the condition; undefined when they do not in time or the epoch changes. */
-async function waitForRanks(
-	{ranks, clock}: SwitchDeps,
-	epoch: number,
-	timeoutMillis: number,
-	condition: (state: RankState, rank: number) => boolean,
-): Promise<GroupState | undefined> {
+/**
+ * Gives an order to a rank, again while it is not answered, until the rank shows its effect. An order without an answer may be
+ * carried out at any later time, which does no harm: each names a version or a pass of its own.
+ */
+async function carryOut({clock}: SwitchDeps, engine: RankEngine, order: RankOrder, expected: Expectation): Promise<Carried> {
+	const {epoch, timeoutMillis, leastMillis = 0, isDone} = expected;
 	const dueMillis = clock.monotonicMillis() + timeoutMillis;
-	/* eslint-disable no-await-in-loop -- One look after the other. */
+	let isAccepted = false;
+	let mayBeCarriedOut = false;
+	/* eslint-disable no-await-in-loop -- One step after the other. */
 	for (;;) {
-		const state = await readGroupState(ranks);
-		if (isGroupState(state)) {
-			if (state.epoch !== epoch) {
-				return undefined;
+		if (!isAccepted) {
+			const {tag} = await engine.order(order, epoch);
+			// Where an earlier one may have been carried out, a refusal may mean that it was.
+			if (tag === 'refused' && !mayBeCarriedOut) {
+				return 'refused';
 			}
 
-			if (state.ranks.every((rank, index) => condition(rank, index))) {
-				return state;
-			}
+			isAccepted = tag === 'accepted';
+			mayBeCarriedOut = true;
+			await clock.sleep(leastMillis);
+		}
+
+		const state = await engine.readState();
+		if (state.ok && state.value.group.epoch !== epoch) {
+			return 'refused';
+		}
+
+		if (state.ok && isDone(state.value)) {
+			return 'done';
 		}
 
 		if (clock.monotonicMillis() >= dueMillis) {
-			return undefined;
+			return 'late';
 		}
 
 		await clock.sleep(LOOK_MILLIS);
@@ -68,85 +88,85 @@
 	/* eslint-enable no-await-in-loop */
 }
 
+/** The same at all ranks at once; the worst of their ends. */
+async function carryOutAtAll(deps: SwitchDeps, order: RankOrder, expected: Expectation): Promise<Carried> {
+	const ends = await Promise.all(deps.ranks.map(async engine => carryOut(deps, engine, order, expected)));
+	return (['refused', 'late'] as const).find(end => ends.includes(end)) ?? 'done';
+}
+
 type Held = Readonly<{tag: 'held'; step: number}> | Readonly<{tag: 'not_held'; mayHold: boolean}>;
 
 /** Holds the anchor rank at a pass that no proposal has named before. */
-async function holdAnchor(deps: SwitchDeps, epoch: number): Promise<Held> {
+async function holdAnchor(deps: SwitchDeps, anchor: RankEngine, epoch: number): Promise<Held> {
 	let lead = LEAD_STEPS;
 	/* eslint-disable no-await-in-loop -- A later pass is tried only when the one before came too late. */
 	for (let i = 0; i < MAX_HOLD_TRIES; i++) {
-		const anchor = await deps.ranks[0]?.readState();
-		if (!anchor?.ok || anchor.value.group.epoch !== epoch || anchor.value.heldStep !== undefined) {
+		const state = await anchor.readState();
+		if (!state.ok || state.value.group.epoch !== epoch || state.value.heldStep !== undefined) {
 			return {tag: 'not_held', mayHold: false};
 		}
 
-		const step = anchor.value.step + lead;
+		const step = state.value.step + lead;
 		if (!await deps.reserveStep(epoch, step)) {
 			return {tag: 'not_held', mayHold: false};
 		}
 
-		const [outcome] = await orderRanks(deps.ranks, [0], {tag: 'hold', step}, epoch);
-		if (outcome?.tag === 'refused') {
-			lead += LEAD_STEPS_AFTER_MISS;
-			continue;
+		const end = await carryOut(deps, anchor, {tag: 'hold', step}, {
+			epoch, timeoutMillis: HOLD_TIMEOUT_MILLIS, isDone: ({heldStep}) => heldStep === step,
+		});
+		if (end === 'done') {
+			return {tag: 'held', step};
 		}
 
-		const state = await waitForRanks(deps, epoch, HOLD_TIMEOUT_MILLIS, (rank, index) => index > 0 || rank.heldStep === step);
-		return state ? {tag: 'held', step} : {tag: 'not_held', mayHold: true};
+		if (end === 'late') {
+			return {tag: 'not_held', mayHold: true};
+		}
+
+		lead += LEAD_STEPS_AFTER_MISS;
 	}
 	/* eslint-enable no-await-in-loop */
 
 	return {tag: 'not_held', mayHold: false};
 }
 
-/** Copies the experts to all ranks; why not, otherwise. */
-async function prepareRanks(deps: SwitchDeps, plan: SwitchPlan, version: number): Promise<string | undefined> {
-	const all = deps.ranks.map((_, rank) => rank);
-	const outcomes = await orderRanks(deps.ranks, all, {tag: 'prepare', version, experts: plan.experts}, plan.epoch);
-	if (isRefused(outcomes)) {
-		return `prepare refused: ${outcomes.find(({tag}) => tag === 'refused')?.detail ?? ''}`;
-	}
-
-	const prepared = await waitForRanks(deps, plan.epoch, plan.copyMillis + PREPARE_SLACK_MILLIS, rank => rank.preparedVersion === version);
-	return prepared ? undefined : 'not prepared in time';
-}
-
 /** Runs a switch to its end or to the first step that fails. */
 export async function switchMap(deps: SwitchDeps, plan: SwitchPlan): Promise<SwitchOutcome> {
-	const {ranks, clock, log} = deps;
-	const {epoch} = plan;
+	const {clock, log, ranks: [anchor]} = deps;
+	const {epoch, experts, copyMillis} = plan;
+	invariant(anchor, 'a group has a rank 0');
 	const startedAtMillis = clock.monotonicMillis();
 	const version = await deps.takeVersion();
 	if (version === undefined) {
 		return {tag: 'not_begun', reason: 'no version'};
 	}
 
-	const notPrepared = await prepareRanks(deps, plan, version);
-	if (notPrepared !== undefined) {
-		return {tag: 'not_begun', reason: notPrepared};
+	const prepared = await carryOutAtAll(deps, {tag: 'prepare', version, experts}, {
+		epoch, timeoutMillis: copyMillis + PREPARE_SLACK_MILLIS, leastMillis: copyMillis, isDone: ({preparedVersion}) => preparedVersion === version,
+	});
+	if (prepared !== 'done') {
+		return {tag: 'not_begun', reason: `prepare ${prepared}`};
 	}
 
 	const preparedAtMillis = clock.monotonicMillis();
-	const held = await holdAnchor(deps, epoch);
+	const held = await holdAnchor(deps, anchor, epoch);
 	if (held.tag === 'not_held') {
 		return held.mayHold ? {tag: 'unfinished', version, reason: 'hold not confirmed'} : {tag: 'not_begun', reason: 'no hold'};
 	}
 
 	const {step} = held;
-	const all = ranks.map((_, rank) => rank);
-	const outcomes = await orderRanks(ranks, all, {tag: 'arm', version, step}, epoch);
-	if (isRefused(outcomes)) {
-		return {tag: 'unfinished', version, reason: 'arm refused'};
-	}
-
-	const armed = await waitForRanks(deps, epoch, ARM_TIMEOUT_MILLIS, ({armed: own}) => own?.version === version && own.step === step);
-	if (!armed || listRanks(armed, rank => rank.armed === undefined).length > 0) {
-		return {tag: 'unfinished', version, reason: 'not armed in time'};
+	const armed = await carryOutAtAll(deps, {tag: 'arm', version, step}, {
+		epoch, timeoutMillis: ARM_TIMEOUT_MILLIS, isDone: ({armed: own}) => own?.version === version && own.step === step,
+	});
+	if (armed !== 'done') {
+		return {tag: 'unfinished', version, reason: `arm ${armed}`};
 	}
 
-	const [released] = await orderRanks(ranks, [0], {tag: 'go', step}, epoch);
-	if (released?.tag !== 'accepted') {
-		return {tag: 'unfinished', version, reason: 'release not confirmed'};
+	// Every rank was seen armed, so none can be the witness that somebody would need to end the switch otherwise.
+	const released = await carryOut(deps, anchor, {tag: 'go', step}, {
+		epoch, timeoutMillis: RELEASE_TIMEOUT_MILLIS, isDone: ({heldStep}) => heldStep !== step,
+	});
+	if (released !== 'done') {
+		return {tag: 'unfinished', version, reason: `release ${released}`};
 	}
 
 	const nowMillis = clock.monotonicMillis();
--- a/src/rank-agent/remote-rank.ts
+++ b/src/rank-agent/remote-rank.ts
@@ -6,7 +6,7 @@
 import type {RankEngine, RankReadError} from '../ports/rank-engine.js';
 import {RankAgentClient, type RankReading} from '../wire/generated/rank.js';
 import {fromOutcome, fromReading, toOrderMessage} from './rank-messages.js';
-import {RANK_CALL_TIMEOUT_MILLIS} from './rank-agent-constants.js';
+import {RANK_CALL_TIMEOUT_MILLIS, RANK_ORDER_TIMEOUT_MILLIS} from './rank-agent-constants.js';
 
 const CHANNEL_OPTIONS = {
 	'grpc.enable_retries': 0,
@@ -36,14 +36,15 @@
 		}
 	}
 
-	function readDeadline(): Date {
-		return new Date(clock.now().getTime() + RANK_CALL_TIMEOUT_MILLIS);
+	/** Deadline of a call in the wall time that the library counts in. */
+	function readDeadline(millis: number): Date {
+		return new Date(clock.now().getTime() + millis);
 	}
 
 	async function read(withCounts: boolean, withExperts: boolean): Promise<Result<RankReading, RankReadError>> {
 		const used = readClient();
 		return new Promise(resolve => {
-			used.read({withCounts, withExperts}, access.createMetadata(), {deadline: readDeadline()}, (err, reading) => {
+			used.read({withCounts, withExperts}, access.createMetadata(), {deadline: readDeadline(RANK_CALL_TIMEOUT_MILLIS)}, (err, reading) => {
 				if (err) {
 					drop(used);
 					resolve(fail({tag: 'unavailable', detail: err.details}));
@@ -71,7 +72,7 @@
 		async order(order, epoch) {
 			const used = readClient();
 			return new Promise(resolve => {
-				used.order(toOrderMessage(order, epoch), access.createMetadata(), {deadline: readDeadline()}, (err, outcome) => {
+				used.order(toOrderMessage(order, epoch), access.createMetadata(), {deadline: readDeadline(RANK_ORDER_TIMEOUT_MILLIS)}, (err, outcome) => {
 					if (err) {
 						drop(used);
 						resolve({tag: NOT_SENT.has(err.code) ? 'refused' : 'unknown', detail: err.details});
