--- a/src/decisions/flow/flow-constants.ts
+++ b/src/decisions/flow/flow-constants.ts
@@ -3,15 +3,15 @@
 /** Pauses that a change of a limit rests on at least. */
 export const LEAST_PAUSES = 8;
 /** Quantile of the pauses that is compared with the target; one late pause makes a whole stream late. */
-export const PAUSE_QUANTILE = 0.95;
+export const PAUSE_QUANTILE = 0.92;
 /** Pause over its target that is aimed at; leaves room for the variation between passes. */
-export const AIMED_PAUSE_RATIO = 0.86;
+export const AIMED_PAUSE_RATIO = 0.88;
 /** Part of a pass that does not grow with the requests in it: weights are read once for all of them. */
 export const FIXED_PASS_SHARE = 0.3;
-/** Largest growth of a limit in one change. */
-export const MAX_INCREASE_FACTOR = 1.2;
-/** Smallest factor of one decrease. */
-export const MIN_DECREASE_FACTOR = 0.6;
+/** Part of the way to a larger predicted limit that one change makes; requests admitted now slow the group for seconds. */
+export const INCREASE_STEP = 0.12;
+/** Part of the way to a smaller predicted limit that one change makes. */
+export const DECREASE_STEP = 0.35;
 /** Part of the batch places of a service that may be used at first. */
 export const INITIAL_BATCH_SHARE = 0.6;
 /** Part of the batch places below which a limit never falls, so that it can see pauses at all. */
@@ -20,12 +20,8 @@
 export const PLAIN_REQUESTS_PER_SLOT = 2;
 /** Weight of the latest request in the mean time that a request holds its place. */
 export const HOLD_WEIGHT = 0.05;
-/** Longest wait of a request that comes for the first time, over its latency target; beyond the target it is still worth half. */
-export const FIRST_WAIT_SHARE = 1.2;
-/** Longest wait of a request that was refused before, over its latency target; a second refusal costs its caller most. */
-export const RETURN_WAIT_SHARE = 3;
-/** Part of the time that callers usually give, below which a request is taken for one that was refused before. */
-export const RETURN_DEADLINE_SHARE = 0.98;
+/** Longest wait of a request over its latency target; a little beyond what is on time, as a late answer is worth something. */
+export const MAX_WAIT_SHARE = 0.6;
 /** Largest number of requests of a service that wait at one process. */
 export const MAX_WAITING = 512;
 /** Shortest time after which a refused caller is asked back, in milliseconds. */
--- a/src/decisions/flow/pause-limit.ts
+++ b/src/decisions/flow/pause-limit.ts
@@ -3,8 +3,7 @@
  * requests in flight alone do not show it. The limit follows the pauses between events.
  */
 import {
-	AIMED_PAUSE_RATIO, FIXED_PASS_SHARE, INITIAL_BATCH_SHARE, LEAST_BATCH_SHARE, LEAST_PAUSES, LIMIT_INTERVAL_MILLIS, MAX_INCREASE_FACTOR,
-	MIN_DECREASE_FACTOR, PAUSE_QUANTILE,
+	AIMED_PAUSE_RATIO, FIXED_PASS_SHARE, DECREASE_STEP, INCREASE_STEP, INITIAL_BATCH_SHARE, LEAST_BATCH_SHARE, LEAST_PAUSES, LIMIT_INTERVAL_MILLIS, PAUSE_QUANTILE,
 } from './flow-constants.js';
 
 /** Requests that this process may have in flight at the engines of one service. */
@@ -36,9 +35,9 @@
 	let changedAtMillis = -Infinity;
 
 	function change(): void {
-		const wanted = predictLimit(readQuantile(ratios, PAUSE_QUANTILE), inFlightSum / ratios.length) / Math.max(1, places);
-		const bounded = Math.min(share * MAX_INCREASE_FACTOR, Math.max(share * MIN_DECREASE_FACTOR, wanted));
-		share = Math.min(1, Math.max(LEAST_BATCH_SHARE, bounded));
+		const predicted = predictLimit(readQuantile(ratios, PAUSE_QUANTILE), inFlightSum / ratios.length);
+		const wanted = Math.min(1, Math.max(LEAST_BATCH_SHARE, predicted / Math.max(1, places)));
+		share += (wanted - share) * (wanted > share ? INCREASE_STEP : DECREASE_STEP);
 		ratios = [];
 		inFlightSum = 0;
 	}
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -8,7 +8,6 @@
 import type {ConfigurationInForce} from './configuration-in-force.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import type {ServiceFlows} from './service-flows.js';
-import type {UsualDeadlines} from './usual-deadlines.js';
 
 /** What serving a call needs. */
 export type GatewayContext = Readonly<{
@@ -22,5 +21,4 @@
 	readServers: () => BackendServers;
 	picker: ServerPicker;
 	flows: ServiceFlows;
-	usualDeadlines: UsualDeadlines;
 }>;
--- a/src/gateway/serve-call.ts
+++ b/src/gateway/serve-call.ts
@@ -1,6 +1,6 @@
 /** Serves one call: finds its route, waits for a place, and asks backend servers until there is an answer to give. */
 import {Buffer} from 'node:buffer';
-import {FIRST_WAIT_SHARE, RETURN_DEADLINE_SHARE, RETURN_WAIT_SHARE} from '../decisions/flow/flow-constants.js';
+import {MAX_WAIT_SHARE} from '../decisions/flow/flow-constants.js';
 import type {FlowRequest} from '../decisions/flow/flow-lane.js';
 import {drawService} from '../routing/route-table.js';
 import type {RoutedAccount, Route, RoutingConfiguration} from '../routing/routing-configuration.js';
@@ -104,17 +104,14 @@
 		server.service === service && server.state === 'ready' && server.group?.isOpen !== false && !asked.has(server.id));
 }
 
-/** How long the call may wait for a place. Callers that were refused before have less time left than others. */
+/** How long the call may wait for a place. */
 function describeWait(ctx: GatewayContext, {call, route, account, flow}: RoutedCall): FlowRequest {
-	const deadlineMillis = call.head.deadlineMillis ?? Infinity;
-	const usualMillis = ctx.usualDeadlines.note(route.name, deadlineMillis);
-	const isReturn = deadlineMillis < usualMillis * RETURN_DEADLINE_SHARE;
 	const expectedMillis = flow.firstByte.read(ctx.clock.monotonicMillis());
 	return {
 		account: account?.name ?? '',
 		priority: account?.priority ?? route.priority,
-		onTimeWaitMillis: isReturn ? 0 : Math.max(0, route.targetLatencyMillis - expectedMillis),
-		maxWaitMillis: Math.min(deadlineMillis / 3, route.targetLatencyMillis * (isReturn ? RETURN_WAIT_SHARE : FIRST_WAIT_SHARE)),
+		onTimeWaitMillis: Math.max(0, route.targetLatencyMillis - expectedMillis),
+		maxWaitMillis: Math.min((call.head.deadlineMillis ?? Infinity) / 2, route.targetLatencyMillis * MAX_WAIT_SHARE),
 	};
 }
 
--- a/src/gateway/start-gateway.ts
+++ b/src/gateway/start-gateway.ts
@@ -25,7 +25,6 @@
 import type {GatewaySettings} from './gateway-settings.js';
 import {serveCall} from './serve-call.js';
 import {createServiceFlows} from './service-flows.js';
-import {createUsualDeadlines} from './usual-deadlines.js';
 
 /** What a deployment's adapter gives to a gateway. */
 export type GatewayDeps = Readonly<{
@@ -118,7 +117,7 @@
 	}
 
 	const ctx: GatewayContext = {
-		clock, log, random, metrics, codec, connections, configuration, readServers: servers.servers.read, picker, flows, usualDeadlines: createUsualDeadlines(),
+		clock, log, random, metrics, codec, connections, configuration, readServers: servers.servers.read, picker, flows,
 	};
 	const listening = await listenForCallers({
 		address: settings.callerListen,
