--- a/src/feeds/follow-table.ts
+++ b/src/feeds/follow-table.ts
@@ -38,9 +38,16 @@
 	onContact?: () => void;
 }>;
 
-type Position = Readonly<{version: number | undefined; failures: number}>;
+type Position = Readonly<{
+	/** Version up to which all changes are known; undefined when all rows must be read. */
+	version: number | undefined;
+	/** Calls without rows since the last one that gave some. */
+	failures: number;
+	/** Whether the store answered the last call. */
+	isAnswered: boolean;
+}>;
 
-const START: Position = {version: undefined, failures: 0};
+const START: Position = {version: undefined, failures: 0, isAnswered: true};
 
 /** Exponential backoff with jitter over the upper half. */
 function chooseRetryMillis(failures: number, random: RandomSource): number {
@@ -50,21 +57,22 @@
 function noteFailure(options: FollowOptions, before: Position, err: FeedError): Position {
 	if (err.tag === 'history_lost') {
 		options.log.info('history of the table dropped; reading all rows', {table: options.table, version: before.version});
-		return {version: undefined, failures: before.failures};
+		return {version: undefined, failures: before.failures, isAnswered: true};
 	}
 
 	if (before.failures === 0) {
 		options.log.warn('lost the table', {table: options.table, detail: err.detail, version: before.version});
 	}
 
-	return {version: before.version, failures: before.failures + 1};
+	return {version: before.version, failures: before.failures + 1, isAnswered: false};
 }
 
 async function step(options: FollowOptions, before: Position): Promise<Position> {
 	const {feed, table, listener} = options;
 	const page = before.version === undefined
 		? await feed.readAll(table)
-		: await feed.readChanges(table, before.version, options.waitMillis);
+		// After an outage the first answer is wanted at once, so that it is known what has changed since.
+		: await feed.readChanges(table, before.version, before.failures > 0 ? 0 : options.waitMillis);
 	if (!page.ok) {
 		return noteFailure(options, before, page.error);
 	}
@@ -82,7 +90,7 @@
 		listener.onChanges(rows, contact);
 	}
 
-	return {version: Math.max(version, before.version ?? 0), failures: 0};
+	return {version: Math.max(version, before.version ?? 0), failures: 0, isAnswered: true};
 }
 
 /** Follows the table until the signal aborts; errors are logged and retried. */
@@ -94,9 +102,9 @@
 		const startedAtMillis = clock.monotonicMillis();
 		position = await step(options, position);
 		const elapsedMillis = clock.monotonicMillis() - startedAtMillis;
-		const pauseMillis = position.failures > 0
-			? chooseRetryMillis(position.failures - 1, random)
-			: Math.max(0, paceMillis - elapsedMillis);
+		const pauseMillis = position.isAnswered
+			? Math.max(0, paceMillis - elapsedMillis)
+			: chooseRetryMillis(position.failures - 1, random);
 		await clock.sleep(pauseMillis, signal);
 	}
 	/* eslint-enable no-await-in-loop */
