--- a/src/decisions/flow/flow-constants.ts
+++ b/src/decisions/flow/flow-constants.ts
@@ -40,3 +40,11 @@
 export const LATENCY_WEIGHT = 0.15;
 /** Factor on the cost of a backend server that is slow after its start. */
 export const COLD_FACTOR = 2;
+/** Time within which another backend server must have sent something for silence to be that of one alone, in milliseconds. */
+export const OTHERS_ALIVE_MILLIS = 400;
+/** Silence before the first event of a stream after which it is asked for elsewhere, in milliseconds; callers give up after 2 s. */
+export const FIRST_EVENT_SILENCE_MILLIS = 1000;
+/** Silence between events, over the longest pause that is on time, after which a stream goes on elsewhere. */
+export const PAUSE_SILENCE_FACTOR = 6;
+/** Silence of a plain backend server, over the latency target, after which work that may be repeated is asked for elsewhere. */
+export const PLAIN_SILENCE_FACTOR = 2;
--- a/src/decisions/flow/flow-lane.ts
+++ b/src/decisions/flow/flow-lane.ts
@@ -33,6 +33,8 @@
 	admit: (req: FlowRequest, signal: AbortSignal) => Promise<FlowDecision>;
 	countInFlight: () => number;
 	countWaiting: () => number;
+	/** Requests that may be in flight now. */
+	readLimit: () => number;
 	/** Looks again for room, after the limit has changed. */
 	dispatch: () => void;
 }>;
@@ -180,6 +182,7 @@
 		},
 		countInFlight: () => inFlight,
 		countWaiting: () => waiting.length,
+		readLimit,
 		dispatch,
 	};
 }
--- /dev/null
+++ b/src/gateway/answer-caller.ts
@@ -0,0 +1,118 @@
+/** Tells callers how their calls ended. */
+import {Buffer} from 'node:buffer';
+import type {LogContext} from '../observability/log.js';
+import type {AttemptEnd} from './attempt-end.js';
+import type {Call} from './call.js';
+import type {CallProgress} from './call-progress.js';
+import type {GatewayContext} from './gateway-context.js';
+import {
+	chooseHeaders, chooseStatus, notRun, type NotRunCause, type Refusal,
+} from './refusal.js';
+import type {RoutedCall} from './routed-call.js';
+
+function elapsed(ctx: GatewayContext, call: Call): number {
+	return Math.round(ctx.clock.monotonicMillis() - call.arrivedAtMillis);
+}
+
+/** Gives an answer of this process's own, or breaks off an answer that has begun. */
+export function refuse(ctx: GatewayContext, call: Call, refusal: Refusal, detail: LogContext = {}): void {
+	ctx.metrics.refusals.inc({reason: refusal.reason});
+	ctx.log.info('refused', {
+		request: call.head.attemptId,
+		deadlineMillis: call.head.deadlineMillis,
+		outcome: refusal.tag,
+		reason: refusal.reason,
+		elapsedMillis: elapsed(ctx, call),
+		broken: call.reply.hasHead(),
+		...detail,
+	});
+	if (call.reply.hasHead()) {
+		call.reply.breakOff();
+		return;
+	}
+
+	call.reply.writeHead(chooseStatus(refusal), chooseHeaders(refusal));
+	call.reply.write(Buffer.from(`${JSON.stringify({outcome: refusal.tag, reason: refusal.reason})}\n`));
+	call.reply.end();
+}
+
+/** Tells the caller about attempts of which none brought an answer. */
+export function finishWithout(ctx: GatewayContext, routed: RoutedCall, progress: CallProgress, cause: NotRunCause): void {
+	const {call} = routed;
+	if (call.gone.aborted) {
+		countCall(ctx, routed, progress, 'caller_left');
+		return;
+	}
+
+	if (progress.failure && !call.reply.hasHead()) {
+		finish(ctx, routed, progress, progress.failure);
+		return;
+	}
+
+	countCall(ctx, routed, progress, progress.mayHaveRun ? 'unknown' : 'not_run');
+	const refusal: Refusal = progress.mayHaveRun
+		? {tag: 'unknown', reason: cause === 'deadline' ? 'late' : 'lost'}
+		: notRun(cause);
+	refuse(ctx, call, refusal, {
+		route: routed.route.name, cause, attempts: progress.attempts, asked: [...progress.asked].join(' '),
+	});
+}
+
+/** Gives the caller what the last attempt brought. */
+export function finish(ctx: GatewayContext, routed: RoutedCall, progress: CallProgress, end: AttemptEnd): void {
+	const {call} = routed;
+	switch (end.tag) {
+		case 'answered': {
+			countCall(ctx, routed, progress, 'answered');
+			call.reply.writeHead(end.head.status, end.head.headers);
+			call.reply.write(end.body);
+			call.reply.end();
+			break;
+		}
+
+		case 'passed': {
+			countCall(ctx, routed, progress, 'answered');
+			call.reply.end();
+			break;
+		}
+
+		case 'caller_left': {
+			countCall(ctx, routed, progress, 'caller_left');
+			break;
+		}
+
+		case 'late':
+		case 'lost':
+		case 'not_run':
+		case 'not_sent': {
+			countCall(ctx, routed, progress, 'unknown');
+			refuse(ctx, call, {tag: 'unknown', reason: end.tag === 'late' ? 'late' : 'lost'}, {route: routed.route.name, attempts: progress.attempts});
+		}
+	}
+}
+
+/** Counts a call and logs how it was decided. */
+function countCall(ctx: GatewayContext, routed: RoutedCall, progress: CallProgress, outcome: string): void {
+	const {call, cfg, route, service, account, waitedMillis, flow} = routed;
+	const {asked, attempts, answer, firstByteMillis, longestPauseMillis} = progress;
+	ctx.metrics.calls.inc({kind: route.isStreaming ? 'stream' : route.repeat, outcome});
+	ctx.log.debug('call', {
+		request: call.head.attemptId,
+		deadlineMillis: call.head.deadlineMillis,
+		route: route.name,
+		service,
+		account: account?.name,
+		version: cfg.version,
+		configurationAgeMillis: Math.round(ctx.configuration.ageMillis()),
+		waitedMillis: Math.round(waitedMillis),
+		servers: [...asked].join(' '),
+		attempts,
+		lastEventId: answer.lastEventId,
+		firstByteMillis: firstByteMillis === undefined ? undefined : Math.round(firstByteMillis),
+		longestPauseMillis: Math.round(longestPauseMillis),
+		inFlight: flow.lane.countInFlight(),
+		limit: Math.round(flow.lane.readLimit()),
+		outcome,
+		elapsedMillis: elapsed(ctx, call),
+	});
+}
--- /dev/null
+++ b/src/gateway/ask-backend-server.ts
@@ -0,0 +1,122 @@
+/** Asks one backend server, and learns from what became of it. */
+import {FIRST_EVENT_SILENCE_MILLIS, PAUSE_SILENCE_FACTOR, PLAIN_SILENCE_FACTOR} from '../decisions/flow/flow-constants.js';
+import type {AttemptEnd} from './attempt-end.js';
+import type {BackendServer} from './backend-server.js';
+import type {CallProgress} from './call-progress.js';
+import type {GatewayContext} from './gateway-context.js';
+import type {RoutedCall} from './routed-call.js';
+import {runAttempt, type SilenceLimit} from './run-attempt.js';
+
+/** How long the backend server may be silent before work that may be repeated goes on elsewhere. */
+function describeSilence(ctx: GatewayContext, {route, service}: RoutedCall, server: BackendServer): SilenceLimit {
+	const plainMillis = route.targetLatencyMillis * PLAIN_SILENCE_FACTOR;
+	const pauseMillis = route.maxPauseMillis === undefined ? plainMillis : route.maxPauseMillis * PAUSE_SILENCE_FACTOR;
+	return {
+		firstMillis: route.isStreaming ? FIRST_EVENT_SILENCE_MILLIS : plainMillis,
+		pauseMillis,
+		isOtherAlive: () => ctx.progress.isOtherAlive(service, server.id, ctx.clock.monotonicMillis()),
+	};
+}
+
+/** Whom to ask, and how much time is left. */
+export type Target = Readonly<{server: BackendServer; leftMillis: number}>;
+
+/** Sends the call to the backend server and passes on what can be passed on. */
+export async function askBackendServer(ctx: GatewayContext, routed: RoutedCall, progress: CallProgress, {server, leftMillis}: Target): Promise<AttemptEnd> {
+	const {call, route, flow, account, service} = routed;
+	const {answer} = progress;
+	const startedAtMillis = ctx.clock.monotonicMillis();
+	let firstByteMillis: number | undefined;
+	progress.asked.add(server.id);
+	ctx.picker.noteStart(server.id);
+	const end = await runAttempt(ctx, call, {
+		address: server.address,
+		headers: ctx.codec.forwardHeaders(call.headers, {
+			serverId: server.id,
+			account,
+			deadlineMillis: Math.max(1, Math.floor(leftMillis)),
+			lastEventId: answer.lastEventId === undefined ? call.head.lastEventId : String(answer.lastEventId),
+			priority: account?.priority ?? route.priority,
+		}),
+		allowsIdle: route.repeat !== 'at_most_once',
+		limitMillis: leftMillis,
+		silence: route.repeat === 'at_most_once' ? undefined : describeSilence(ctx, routed, server),
+		onProgress() {
+			ctx.progress.note(service, server.id, ctx.clock.monotonicMillis());
+		},
+		sink: {
+			reply: call.reply,
+			clock: ctx.clock,
+			isStreaming: route.isStreaming,
+			progress: answer,
+			onEvent(pauseMillis) {
+				firstByteMillis ??= ctx.clock.monotonicMillis() - startedAtMillis;
+				progress.firstByteMillis ??= ctx.clock.monotonicMillis() - call.arrivedAtMillis;
+				progress.longestPauseMillis = Math.max(progress.longestPauseMillis, pauseMillis ?? 0);
+				if (pauseMillis !== undefined && route.maxPauseMillis !== undefined) {
+					flow.limit.notePause(pauseMillis / route.maxPauseMillis, flow.lane.countInFlight(), ctx.clock.monotonicMillis());
+				}
+			},
+		},
+		onHead(head) {
+			firstByteMillis ??= ctx.clock.monotonicMillis() - startedAtMillis;
+			if (head.load) {
+				ctx.picker.noteLoad(server.id, head.load);
+			}
+		},
+	});
+	if (firstByteMillis !== undefined) {
+		flow.firstByte.note(firstByteMillis, firstByteMillis > route.targetLatencyMillis, ctx.clock.monotonicMillis());
+	}
+
+	progress.attempts += end.tag === 'not_sent' ? 0 : 1;
+	noteOutcome(ctx, server, end, firstByteMillis);
+	if (end.tag !== 'passed' && !(end.tag === 'answered' && end.head.status < 400)) {
+		ctx.log.info('attempt failed', {
+			request: call.head.attemptId,
+			server: server.id,
+			end: end.tag,
+			detail: 'detail' in end ? end.detail : undefined,
+			status: 'head' in end ? end.head.status : undefined,
+			faultyServer: 'head' in end ? end.head.faultyServer : undefined,
+			lastEventId: answer.lastEventId,
+			tookMillis: Math.round(ctx.clock.monotonicMillis() - startedAtMillis),
+		});
+	}
+
+	return end;
+}
+
+function noteOutcome(ctx: GatewayContext, server: BackendServer, end: AttemptEnd, firstByteMillis: number | undefined): void {
+	switch (end.tag) {
+		case 'passed':
+		case 'answered': {
+			const isFailure = end.tag === 'answered' && end.head.status >= 500;
+			ctx.picker.noteEnd(server.id, isFailure ? 'failed' : 'served', firstByteMillis);
+			break;
+		}
+
+		case 'not_run': {
+			ctx.picker.noteEnd(server.id, 'refused');
+			break;
+		}
+
+		case 'not_sent':
+		case 'lost': {
+			ctx.connections.forget(server.address);
+			ctx.picker.noteEnd(server.id, 'failed');
+			break;
+		}
+
+		case 'late': {
+			ctx.picker.noteEnd(server.id, firstByteMillis === undefined ? 'failed' : 'served');
+			break;
+		}
+
+		case 'caller_left': {
+			ctx.picker.noteEnd(server.id, 'served');
+			break;
+		}
+	}
+}
+
--- a/src/gateway/gateway-constants.ts
+++ b/src/gateway/gateway-constants.ts
@@ -46,3 +46,5 @@
 export const GRACE_MARGIN_MILLIS = 500;
 /** Time between two looks whether calls are still under way, in milliseconds. */
 export const DRAIN_CHECK_MILLIS = 50;
+/** Backend servers that a call tries to reach at most; what was not sent is no attempt. */
+export const MAX_UNSENT_ATTEMPTS = 4;
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -1,4 +1,5 @@
 import type {Clock} from '../core/clock.js';
+import type {ProgressWatch} from '../decisions/flow/progress-watch.js';
 import type {ServerPicker} from '../decisions/flow/server-picker.js';
 import type {RandomSource} from '../decisions/random.js';
 import type {Log} from '../observability/log.js';
@@ -21,4 +22,5 @@
 	readServers: () => BackendServers;
 	picker: ServerPicker;
 	flows: ServiceFlows;
+	progress: ProgressWatch;
 }>;
--- a/src/gateway/refusal.ts
+++ b/src/gateway/refusal.ts
@@ -1,5 +1,6 @@
 /** Why a process answers a call itself, and how. */
 import {match} from 'ts-pattern';
+import {DEFAULT_RETRY_AFTER_MILLIS} from './gateway-constants.js';
 
 /** An answer of this process's own. Each reason has its own counter. */
 export type Refusal
@@ -17,9 +18,12 @@
 		| 'overload'
 		| 'deadline'
 		| 'refused_by_backend_server'
-		| 'not_sent'
-		| 'memory'
-		| 'stopping';
+		| 'not_sent';
+
+/** A refusal of a call that did not run; the caller may come back after `retryAfterMillis`. */
+export function notRun(reason: NotRunCause, retryAfterMillis = DEFAULT_RETRY_AFTER_MILLIS): Refusal {
+	return {tag: 'not_run', reason, retryAfterMillis};
+}
 
 /** Status of an answer of this process's own. */
 export function chooseStatus(refusal: Refusal): number {
--- /dev/null
+++ b/src/gateway/routed-call.ts
@@ -0,0 +1,60 @@
+/** Finds out what a call is: its route, its client account and the service that takes it. */
+import {drawService} from '../routing/route-table.js';
+import type {RoutedAccount, Route, RoutingConfiguration} from '../routing/routing-configuration.js';
+import type {Call} from './call.js';
+import type {GatewayContext} from './gateway-context.js';
+import {notRun, type Refusal} from './refusal.js';
+import type {ServiceFlow} from './service-flows.js';
+
+/** A call with everything that was found out about it. */
+export type RoutedCall = Readonly<{
+	call: Call;
+	cfg: RoutingConfiguration;
+	route: Route;
+	service: string;
+	account: RoutedAccount | undefined;
+	/** Monotonic time by which the call is over. */
+	deadlineMillis: number;
+	flow: ServiceFlow;
+	/** Time that it waited for a place. */
+	waitedMillis: number;
+}>;
+
+/** Finds route, account and service of a call, or why it cannot be served. */
+export function routeCall(ctx: GatewayContext, call: Call): RoutedCall | Refusal {
+	const inForce = ctx.configuration.read();
+	if (!inForce) {
+		return notRun('no_configuration');
+	}
+
+	const {cfg, routes} = inForce;
+	const route = routes.lookUp(call.host, call.path);
+	if (!route) {
+		return ctx.configuration.isFresh() ? {tag: 'bad_call', reason: 'unknown_route'} : notRun('stale_configuration');
+	}
+
+	const account = call.head.credential === undefined ? undefined : cfg.accounts?.get(call.head.credential);
+	if (cfg.accounts && !route.isPublic && !account) {
+		return ctx.configuration.isFresh() ? {tag: 'bad_call', reason: 'unknown_credential'} : notRun('stale_configuration');
+	}
+
+	if (call.head.attemptId === undefined) {
+		return {tag: 'bad_call', reason: 'no_attempt_id'};
+	}
+
+	const service = drawService(route, ctx.random);
+	if (service === undefined) {
+		return notRun('no_backend_server');
+	}
+
+	const limitMillis = Math.min(route.timeoutMillis, call.head.deadlineMillis ?? Infinity);
+	return {
+		call, cfg, route, service, account: route.isPublic ? undefined : account, deadlineMillis: call.arrivedAtMillis + limitMillis, flow: ctx.flows.read(service), waitedMillis: 0,
+	};
+}
+
+/** Whether a call cannot be served. */
+export function isRefusal(found: RoutedCall | Refusal): found is Refusal {
+	return 'tag' in found;
+}
+
--- a/src/gateway/run-attempt.ts
+++ b/src/gateway/run-attempt.ts
@@ -6,6 +6,18 @@
 import type {BackendConnections, Exchange} from './backend-connections.js';
 import type {Call} from './call.js';
 
+/** How long a backend server may be silent while others work. */
+export type SilenceLimit = Readonly<{
+	/** Before the first byte of the answer, in milliseconds. */
+	firstMillis: number;
+	/** Between two pieces of it, in milliseconds. */
+	pauseMillis: number;
+	isOtherAlive: () => boolean;
+}>;
+
+/** Time between two looks whether others work, in milliseconds. */
+const SILENCE_CHECK_MILLIS = 100;
+
 /** What an attempt needs besides its call. */
 export type AttemptPlan = Readonly<{
 	address: string;
@@ -14,6 +26,10 @@
 	/** Time until the attempt is broken off, in milliseconds. */
 	limitMillis: number;
 	sink: SinkDeps;
+	/** When silence ends the attempt; undefined when it never does. */
+	silence: SilenceLimit | undefined;
+	/** Called with each sign of life of the backend server. */
+	onProgress: () => void;
 	/** Called with the head of each answer to this attempt. */
 	onHead: (head: AnswerHead) => void;
 }>;
@@ -55,8 +71,29 @@
 		let head: AnswerHead | undefined;
 		let sink: AnswerSink | undefined;
 		let forced: AttemptEnd | undefined;
+		let heardAtMillis = clock.monotonicMillis();
 		const ended = new AbortController();
 
+		function noteProgress(): void {
+			heardAtMillis = clock.monotonicMillis();
+			plan.onProgress();
+		}
+
+		/** Breaks the attempt off once the backend server has been silent for too long while others were not. */
+		async function watchSilence({firstMillis, pauseMillis, isOtherAlive}: SilenceLimit): Promise<void> {
+			while (!ended.signal.aborted) {
+				const limitMillis = head ? pauseMillis : firstMillis;
+				const leftMillis = heardAtMillis + limitMillis - clock.monotonicMillis();
+				if (leftMillis <= 0 && isOtherAlive()) {
+					breakOff({tag: 'lost', detail: `silent for ${limitMillis} ms while others work`});
+					return;
+				}
+
+				// eslint-disable-next-line no-await-in-loop -- One look after the other.
+				await clock.sleep(Math.max(SILENCE_CHECK_MILLIS, leftMillis), ended.signal);
+			}
+		}
+
 		function breakOff(end: AttemptEnd): void {
 			forced ??= end;
 			exchange.abort(end.tag);
@@ -80,11 +117,13 @@
 					return false;
 				}
 
+				noteProgress();
 				plan.onHead(head);
 				sink = createAnswerSink(head, plan.sink);
 				return true;
 			},
 			onData(bytes) {
+				noteProgress();
 				if (!head || !sink || isUnusable(head)) {
 					return;
 				}
@@ -112,6 +151,10 @@
 				}
 			},
 		});
+		if (plan.silence) {
+			void watchSilence(plan.silence);
+		}
+
 		void clock.sleep(plan.limitMillis, ended.signal).then(() => {
 			if (!ended.signal.aborted) {
 				breakOff({tag: 'late'});
--- a/src/gateway/start-gateway.ts
+++ b/src/gateway/start-gateway.ts
@@ -4,6 +4,7 @@
 import type {LifeCycle} from '../core/life-cycle.js';
 import type {ListenError} from '../core/listen-error.js';
 import {succeed, type Result} from '../core/result.js';
+import {createProgressWatch} from '../decisions/flow/progress-watch.js';
 import {createServerPicker} from '../decisions/flow/server-picker.js';
 import type {RandomSource} from '../decisions/random.js';
 import {followTable, type TableListener} from '../feeds/follow-table.js';
@@ -84,6 +85,7 @@
 		clock, random, budgetTerms: settings.retryBudget, countEntries: () => Math.max(1, members.listReady().length),
 	});
 	const picker = createServerPicker({clock, random});
+	const progress = createProgressWatch();
 	const connections = createBackendConnections({clock, lifeCycle});
 
 	function updateFlows(): void {
@@ -94,6 +96,7 @@
 		hasServers ||= after.size > 0;
 		updateFlows();
 		picker.retain(id => after.has(id));
+		progress.retain(id => after.has(id));
 		for (const [id, server] of before) {
 			if (after.get(id)?.incarnation !== server.incarnation) {
 				connections.forget(server.address);
@@ -117,7 +120,7 @@
 	}
 
 	const ctx: GatewayContext = {
-		clock, log, random, metrics, codec, connections, configuration, readServers: servers.servers.read, picker, flows,
+		clock, log, random, metrics, codec, connections, configuration, readServers: servers.servers.read, picker, flows, progress,
 	};
 	const listening = await listenForCallers({
 		address: settings.callerListen,
