--- a/src/gateway/gateway-constants.ts
+++ b/src/gateway/gateway-constants.ts
@@ -25,11 +25,11 @@
 /** Least time between two reads of the backend servers' entries, in milliseconds; a tenth of the time that a leaving one still serves. */
 export const SERVER_LIST_PACE_MILLIS = 200;
 /** Largest time between two heartbeats of an entry, in milliseconds; a store call is paid for. */
-export const HEARTBEAT_MILLIS = 2000;
-/** Age of a heartbeat from which on an entry is taken for dead, in milliseconds; two missed heartbeats and the pace of reading. */
-export const MEMBER_TIMEOUT_MILLIS = 6500;
+export const HEARTBEAT_MILLIS = 1000;
+/** Age of a heartbeat from which on an entry is taken for dead, in milliseconds; two missed heartbeats and a slow store. */
+export const MEMBER_TIMEOUT_MILLIS = 2800;
 /** Least time between two reads of the entries' heartbeats, in milliseconds. */
-export const MEMBER_LIST_PACE_MILLIS = 2000;
+export const MEMBER_LIST_PACE_MILLIS = 800;
 /** Time that callers may keep an address answer, in milliseconds. */
 export const ADDRESS_LIFETIME_MILLIS = 3000;
 /** Most addresses in one answer; the platform's callers use no more. */
