--- a/fakes/__tests__/rank-group.test.ts
+++ b/fakes/__tests__/rank-group.test.ts
@@ -66,6 +66,17 @@
 	return untilState(engine, holds);
 }
 
+/** Waits until the group has recorded so many maps in force, the first one included. */
+async function untilSwitches(group: StandIn, count: number): Promise<z.infer<typeof recordsSchema>> {
+	const records = await readRecords(group.url, recordsSchema);
+	if (records.switches.length >= count) {
+		return records;
+	}
+
+	await systemClock.sleep(POLL_MILLIS);
+	return untilSwitches(group, count);
+}
+
 async function orderAll(engines: readonly ModelEngine[], order: EngineOrder): Promise<void> {
 	const results = await Promise.all(engines.map(async engine => engine.order(order, 1)));
 	assert.ok(results.every(result => result.ok), JSON.stringify(results));
@@ -90,7 +101,8 @@
 	});
 	group.faults.reset();
 	await Promise.all(engines.map(async engine => untilState(engine, state => state.mapEpoch === EPOCH)));
-	const {mixedSteps, switches} = await readRecords(group.url, recordsSchema);
+	// The group's record of a switch comes after the engines' own state.
+	const {mixedSteps, switches} = await untilSwitches(group, 2);
 	assert.deepEqual(mixedSteps, []);
 	assert.deepEqual(switches.map(({epoch, firstStep}) => [epoch, firstStep]), [[0, 0], [EPOCH, fromStep]]);
 });
--- a/src/dispatch/candidates.ts
+++ b/src/dispatch/candidates.ts
@@ -1,6 +1,6 @@
 import type {PlannedStop} from '../configuration/configuration.js';
 import type {InstanceId} from '../core/ids.js';
-import type {AgentLink} from '../entry/agent-link-types.js';
+import type {AgentLink} from '../ports/agent-link.js';
 import type {DispatchContext} from './dispatch-context.js';
 
 /** Whether an announced stop names the instance or its failure domain. */
--- a/src/dispatch/claimed-run.ts
+++ b/src/dispatch/claimed-run.ts
@@ -1,7 +1,7 @@
 /** State of a request with a claimed key, and the steps that lead to its outcome. */
 import type {ClaimRow} from '../claims/claim.js';
 import type {InstanceId} from '../core/ids.js';
-import type {AgentLink} from '../entry/agent-link-types.js';
+import type {AgentLink} from '../ports/agent-link.js';
 import type {CallRequest, KeyUse} from './call-request.js';
 import type {DispatchContext} from './dispatch-context.js';
 import type {AgentIncarnation} from './settle-late.js';
--- a/src/dispatch/create-deciders.ts
+++ b/src/dispatch/create-deciders.ts
@@ -9,7 +9,7 @@
 import {createLoadView, type AttemptExpectation} from '../decisions/routing/load-view.js';
 import type {PrefixNews} from '../decisions/routing/prefix-belief.js';
 import type {LoadReportInput} from '../decisions/routing/server-record.js';
-import type {LinkObserver} from '../entry/agent-link-types.js';
+import type {LinkObserver} from '../ports/agent-link.js';
 import type {LoadReport} from '../wire/generated/link.js';
 import type {CallRequest} from './call-request.js';
 import type {Deciders} from './deciders.js';
--- a/src/dispatch/deciders.ts
+++ b/src/dispatch/deciders.ts
@@ -1,7 +1,7 @@
 import type {AdmissionDecision} from '../decisions/admission/admission-request.js';
 import type {RetryDecision} from '../decisions/retry/retry-budget.js';
 import type {TrackedAttempt} from '../decisions/routing/server-record.js';
-import type {AgentLink} from '../entry/agent-link-types.js';
+import type {AgentLink} from '../ports/agent-link.js';
 import type {CallRequest} from './call-request.js';
 
 /** The decisions that dispatch asks for. */
--- a/src/dispatch/dispatch-bound.ts
+++ b/src/dispatch/dispatch-bound.ts
@@ -5,7 +5,7 @@
  * first answer again. No table is asked. Once the incarnation is gone, only the ledger it handed over can tell.
  */
 import {createId, type AttemptId} from '../core/ids.js';
-import type {AgentLink} from '../entry/agent-link-types.js';
+import type {AgentLink} from '../ports/agent-link.js';
 import {notRun} from '../core/outcome.js';
 import {createBodyCollector} from './answer-collectors.js';
 import type {CallRequest, KeyUse} from './call-request.js';
--- a/src/dispatch/dispatch-claimed.ts
+++ b/src/dispatch/dispatch-claimed.ts
@@ -9,7 +9,7 @@
 import {readClaim, writeClaim, type Claim} from '../claims/claim.js';
 import {createId} from '../core/ids.js';
 import {notRun} from '../core/outcome.js';
-import type {AgentLink} from '../entry/agent-link-types.js';
+import type {AgentLink} from '../ports/agent-link.js';
 import {digestKey} from '../ledger/key-digest.js';
 import type {CallRequest} from './call-request.js';
 import {findCandidates} from './candidates.js';
--- a/src/dispatch/dispatch-context.ts
+++ b/src/dispatch/dispatch-context.ts
@@ -1,12 +1,12 @@
 import type {AuditRecorder} from '../audit/audit-record.js';
 import type {ConfigurationHolder} from '../configuration/configuration-holder.js';
 import type {Clock} from '../core/clock.js';
-import type {ClassStatistics} from '../entry/class-statistics.js';
-import type {LinkSet} from '../entry/link-set.js';
+import type {AgentLinks} from '../ports/agent-link.js';
 import type {Log} from '../observability/log.js';
 import type {Metrics} from '../observability/metrics.js';
 import type {ObjectStore} from '../ports/object-store.js';
 import type {TableStore} from '../ports/table-store.js';
+import type {ClassStatistics} from './class-statistics.js';
 import type {Deciders} from './deciders.js';
 
 /** What dispatch needs of its process. */
@@ -16,7 +16,7 @@
 	metrics: Metrics;
 	audit: AuditRecorder;
 	configuration: ConfigurationHolder;
-	links: LinkSet;
+	links: AgentLinks;
 	table: TableStore;
 	objects: ObjectStore;
 	deciders: Deciders;
--- a/src/dispatch/dispatch-repeatable.ts
+++ b/src/dispatch/dispatch-repeatable.ts
@@ -1,6 +1,6 @@
 /** Requests that may run more than once: another attempt follows one that failed, within the budget of the class. */
 import {createId, type InstanceId} from '../core/ids.js';
-import type {AgentLink} from '../entry/agent-link-types.js';
+import type {AgentLink} from '../ports/agent-link.js';
 import {notRun} from '../core/outcome.js';
 import type {AnswerCollector} from './answer-collectors.js';
 import type {CallRequest} from './call-request.js';
--- a/src/dispatch/inspect-claim.ts
+++ b/src/dispatch/inspect-claim.ts
@@ -3,7 +3,7 @@
 import type {ClaimRow} from '../claims/claim.js';
 import {createId} from '../core/ids.js';
 import {notRun} from '../core/outcome.js';
-import type {AgentLink} from '../entry/agent-link-types.js';
+import type {AgentLink} from '../ports/agent-link.js';
 import {createBodyCollector} from './answer-collectors.js';
 import type {CallRequest} from './call-request.js';
 import {
--- a/src/dispatch/run-attempt.ts
+++ b/src/dispatch/run-attempt.ts
@@ -6,7 +6,7 @@
 } from '../answer/frame-assembly.js';
 import type {CountUnits} from '../answer/payload-units.js';
 import type {AttemptId, Incarnation} from '../core/ids.js';
-import type {AgentLink} from '../entry/agent-link-types.js';
+import type {AgentLink} from '../ports/agent-link.js';
 import type {StartAttempt} from '../wire/generated/link.js';
 import type {CallRequest} from './call-request.js';
 import {ADMITTED_PRIORITY} from './dispatch-constants.js';
--- a/src/dispatch/run-claimed.ts
+++ b/src/dispatch/run-claimed.ts
@@ -2,7 +2,7 @@
 import {match} from 'ts-pattern';
 import {readClaim, type ClaimRow} from '../claims/claim.js';
 import {notRun} from '../core/outcome.js';
-import type {AgentLink} from '../entry/agent-link-types.js';
+import type {AgentLink} from '../ports/agent-link.js';
 import {createBodyCollector} from './answer-collectors.js';
 import {done, type ClaimedRun, type ClaimedStep} from './claimed-run.js';
 import {waitForConfiguration} from './configuration-wait.js';
--- a/src/dispatch/settle-late.ts
+++ b/src/dispatch/settle-late.ts
@@ -4,7 +4,7 @@
 	createId, type AttemptId, type Incarnation, type InstanceId,
 } from '../core/ids.js';
 import {fail, succeed, type Result} from '../core/result.js';
-import type {AgentLink} from '../entry/agent-link-types.js';
+import type {AgentLink} from '../ports/agent-link.js';
 import type {CallRequest} from './call-request.js';
 import type {DispatchContext} from './dispatch-context.js';
 
--- a/src/dispatch/wait-for-link.ts
+++ b/src/dispatch/wait-for-link.ts
@@ -1,4 +1,4 @@
-import type {AgentLink} from '../entry/agent-link-types.js';
+import type {AgentLink} from '../ports/agent-link.js';
 import type {CallRequest} from './call-request.js';
 import {LINK_POLL_MILLIS, LINK_WAIT_MILLIS} from './dispatch-constants.js';
 import type {DispatchContext} from './dispatch-context.js';
--- a/src/entry/address-book.ts
+++ b/src/entry/address-book.ts
@@ -9,7 +9,7 @@
 import type {RandomSource} from '../decisions/random.js';
 import {isStopPlanned} from '../dispatch/candidates.js';
 import type {Instance} from '../ports/instance-list.js';
-import type {AgentLink} from './agent-link-types.js';
+import type {AgentLink} from '../ports/agent-link.js';
 
 /** The answer to `GET /v1/addresses`. */
 export type AddressResponse = Readonly<{
--- a/src/entry/agent-link.ts
+++ b/src/entry/agent-link.ts
@@ -22,8 +22,8 @@
 } from '../wire/generated/link.js';
 import type {
 	AgentLink, LinkContext, LinkError, ReceivedLoad,
-} from './agent-link-types.js';
-import type {AttemptEvent} from './attempt-event.js';
+} from '../ports/agent-link.js';
+import type {AttemptEvent} from '../ports/attempt-event.js';
 import {createAttemptMailboxes} from './attempt-mailboxes.js';
 import {createLinkQuestions} from './link-questions.js';
 import {startVersionExchange} from './version-exchange.js';
--- a/src/entry/attempt-mailboxes.ts
+++ b/src/entry/attempt-mailboxes.ts
@@ -1,6 +1,6 @@
 import type {AttemptId} from '../core/ids.js';
 import {createMailbox, type Mailbox} from '../core/mailbox.js';
-import type {AttemptEvent} from './attempt-event.js';
+import type {AttemptEvent} from '../ports/attempt-event.js';
 
 /** Mailboxes of the attempts on one link. */
 export type AttemptMailboxes = Readonly<{
--- a/src/entry/link-peer.ts
+++ b/src/entry/link-peer.ts
@@ -1,13 +1,10 @@
 /** The task that keeps a link to one agent: dials, waits for the link's end, rests, and dials again. */
 import type {InstanceId} from '../core/ids.js';
-import {fail, type Result} from '../core/result.js';
+import {fail} from '../core/result.js';
+import type {AgentLink, LinkContext, LinkOutcome} from '../ports/agent-link.js';
 import {openAgentLink} from './agent-link.js';
-import type {AgentLink, LinkContext, LinkError} from './agent-link-types.js';
 import {REDIAL_MAX_MILLIS, REDIAL_MIN_MILLIS} from './link-constants.js';
 
-/** Outcome of one try to open a link. */
-export type LinkOutcome = Result<AgentLink, LinkError>;
-
 /** A running task. */
 export type LinkPeer = Readonly<{
 	/** Settles with the outcome of the next try, which begins at once unless one is under way. */
--- a/src/entry/link-set.ts
+++ b/src/entry/link-set.ts
@@ -9,26 +9,12 @@
 import {fail, succeed, type Result} from '../core/result.js';
 import {createSnapshotStore} from '../core/snapshot-store.js';
 import type {Instance, InstanceList} from '../ports/instance-list.js';
+import type {
+	AgentAddress, AgentLink, AgentLinks, LinkContext, LinkError, LinkOutcome,
+} from '../ports/agent-link.js';
 import {openAgentLink} from './agent-link.js';
-import type {AgentLink, LinkContext, LinkError} from './agent-link-types.js';
 import {INSTANCE_POLL_MILLIS} from './link-constants.js';
-import {startLinkPeer, type LinkOutcome, type LinkPeer} from './link-peer.js';
-
-/** Where an agent is reached. */
-export type AgentAddress = Readonly<{
-	agentId: InstanceId;
-	/** `host:port`, used while the instance list does not name the agent; empty when only the list is to be trusted. */
-	linkAddress: string;
-}>;
-
-/** The open links of this entry. */
-export type LinkSet = {
-	readonly links: () => readonly AgentLink[];
-	/** An open link to the agent, or else the outcome of the next try to open one, waited for at most `millis`. */
-	readonly connect: (agent: AgentAddress, millis: number) => Promise<LinkOutcome>;
-	/** The instance list as last read; empty until then. */
-	readonly instances: () => readonly Instance[];
-};
+import {startLinkPeer, type LinkPeer} from './link-peer.js';
 
 /** What decides how many links there are and how long a failed one rests. */
 export type LinkPolicy = Readonly<{
@@ -44,7 +30,7 @@
 }
 
 /** Starts the tasks; they end with the life cycle. */
-export function startLinkSet(ctx: LinkContext, instanceList: InstanceList, lifeCycle: LifeCycle, policy: LinkPolicy): LinkSet {
+export function startLinkSet(ctx: LinkContext, instanceList: InstanceList, lifeCycle: LifeCycle, policy: LinkPolicy): AgentLinks {
 	const {clock} = ctx;
 	const listed = createSnapshotStore<readonly Instance[]>([]);
 	const open = createSnapshotStore<ReadonlyMap<InstanceId, AgentLink>>(new Map());
--- a/src/entry/status-document.ts
+++ b/src/entry/status-document.ts
@@ -1,7 +1,7 @@
 /** Answer to `GET /v1/status`. */
 import type {Configuration} from '../configuration/configuration.js';
 import type {Metrics} from '../observability/metrics.js';
-import type {ClassStatistics} from './class-statistics.js';
+import type {ClassStatistics} from '../dispatch/class-statistics.js';
 import type {InstanceView} from './system-view.js';
 
 type GaugeValues = ReadonlyArray<Readonly<{value: number; labels: Readonly<Partial<Record<string, string | number>>>}>>;
--- a/src/entry/system-view.ts
+++ b/src/entry/system-view.ts
@@ -1,9 +1,8 @@
 /** What this entry knows of all instances: their configuration version, whether they leave, what they work on. */
 import type {ConfigVersion, InstanceId} from '../core/ids.js';
 import type {Instance} from '../ports/instance-list.js';
-import type {AgentLink} from './agent-link-types.js';
+import {type AgentLink, type AgentLinks} from '../ports/agent-link.js';
 import type {EntryPeers} from './entry-peers.js';
-import type {LinkSet} from './link-set.js';
 
 /** One instance as this entry sees it. */
 export type InstanceView = Readonly<{
@@ -19,7 +18,7 @@
 }>;
 
 /** What the view is made from. */
-export type SystemViewDeps = Readonly<{links: LinkSet; peers: EntryPeers; failureDomain: string}>;
+export type SystemViewDeps = Readonly<{links: AgentLinks; peers: EntryPeers; failureDomain: string}>;
 
 function viewAgent(instance: Instance, link: AgentLink | undefined): InstanceView {
 	return {
--- a/src/entry/agent-link-types.ts
+++ b/src/ports/agent-link.ts
@@ -6,12 +6,14 @@
 	AttemptId, ConfigVersion, Incarnation, InstanceId,
 } from '../core/ids.js';
 import type {Mailbox} from '../core/mailbox.js';
+import type {Result} from '../core/result.js';
 import type {Log} from '../observability/log.js';
 import type {Metrics} from '../observability/metrics.js';
 import type {
 	AgentHello, AttemptQuery, AttemptStatus, LoadReport, StartAttempt, TombstoneReply,
 } from '../wire/generated/link.js';
 import type {AttemptEvent} from './attempt-event.js';
+import type {Instance} from './instance-list.js';
 
 /** A report of the agent's load and the monotonic time it came, in milliseconds. */
 export type ReceivedLoad = Readonly<{report: LoadReport; atMillis: number}>;
@@ -46,6 +48,25 @@
 	close: (cause: string) => void;
 }>;
 
+/** Outcome of one try to open a link. */
+export type LinkOutcome = Result<AgentLink, LinkError>;
+
+/** Where an agent is reached. */
+export type AgentAddress = Readonly<{
+	agentId: InstanceId;
+	/** `host:port`, used while the instance list does not name the agent; empty when only the list is to be trusted. */
+	linkAddress: string;
+}>;
+
+/** The open links of this entry. */
+export type AgentLinks = {
+	readonly links: () => readonly AgentLink[];
+	/** An open link to the agent, or else the outcome of the next try to open one, waited for at most `millis`. */
+	readonly connect: (agent: AgentAddress, millis: number) => Promise<LinkOutcome>;
+	/** The instance list as last read; empty until then. */
+	readonly instances: () => readonly Instance[];
+};
+
 /** What a link needs of its process. */
 export type LinkContext = Readonly<{
 	instanceId: InstanceId;
