End a switch from beside another rank when its planner stops

The agent of rank 1 looks at its own engine and, after 0.6 s without a pass, ends the switch by the same rules, asking the engines directly as the planner's agent may be frozen. The test fails without it.

--- a/src/map-switch/__tests__/fake-rank-group.ts
+++ b/src/map-switch/__tests__/fake-rank-group.ts
@@ -169,6 +169,7 @@
 			armed: rank.armed,
 			heldStep: rank.heldStep,
 			pace: 1,
+			hasWork: true,
 		};
 	}
 
--- a/src/map-switch/__tests__/map-switch.test.ts
+++ b/src/map-switch/__tests__/map-switch.test.ts
@@ -5,6 +5,7 @@
 import {silentLog} from '../../observability/log.js';
 import type {GroupExperts} from '../../ports/rank-engine.js';
 import type {Row, TableStore} from '../../ports/table-store.js';
+import {watchSwitch} from '../../rank-agent/watch-switch.js';
 import {finishSwitch, hasLeftover} from '../finish-switch.js';
 import {isGroupState, readGroupState, type GroupRanks} from '../group-ranks.js';
 import {switchMap} from '../switch-map.js';
@@ -13,6 +14,8 @@
 
 const RANKS = 3;
 const SEEDS = 40;
+/** Longest time that a planner which stopped may hold the group, in milliseconds of the fake group, whose calls take long. */
+const MAX_HELD_MILLIS = 4000;
 /** Turns of the group in one randomized run. */
 const RUN_TURNS = 600;
 
@@ -190,3 +193,34 @@
 		assert.ok(switches > 0, 'no run has switched at all');
 	});
 }
+
+void test('a planner that stops at any moment of a switch holds the group for a bounded time', async () => {
+	let longestMillis = 0;
+	for (let seed = 1; seed <= SEEDS; seed++) {
+		const random = createSeededRandom(seed);
+		const group = createFakeRankGroup(RANKS, createExperts(0), random);
+		const stop = new AbortController();
+		const planner = createPlanner(group, createTable(), 'a');
+		const {ranks} = group.openAccess();
+		void planner.run(stop.signal);
+		void watchSwitch({
+			clock: group.clock, log: silentLog, engine: ranks[1]!, readRanks: () => ranks,
+		}, stop.signal);
+		/* eslint-disable no-await-in-loop -- One run after the other. */
+		await takeTurns(group, Math.floor(random() * RUN_TURNS / 2));
+		planner.kill();
+		const stoppedAtMillis = group.clock.monotonicMillis();
+		while (group.readHeldStep() !== undefined && group.clock.monotonicMillis() - stoppedAtMillis < MAX_HELD_MILLIS) {
+			await group.turn();
+		}
+
+		longestMillis = Math.max(longestMillis, group.clock.monotonicMillis() - stoppedAtMillis);
+		stop.abort();
+		await takeTurns(group, 40);
+		/* eslint-enable no-await-in-loop */
+		assert.equal(group.readHeldStep(), undefined, `seed ${seed}: still held`);
+		assert.deepEqual(group.readMixedPasses(), [], `seed ${seed}: passes on two maps`);
+	}
+
+	assert.ok(longestMillis < MAX_HELD_MILLIS, `held for ${longestMillis} ms`);
+});
--- a/src/ports/rank-engine.ts
+++ b/src/ports/rank-engine.ts
@@ -23,6 +23,8 @@
 	heldStep: number | undefined;
 	/** Time of its own part of a pass over the usual one. */
 	pace: number;
+	/** Whether it has requests, running or waiting. */
+	hasWork: boolean;
 }>;
 
 /** State of one rank with its load. */
--- a/src/rank-agent/group-planner.ts
+++ b/src/rank-agent/group-planner.ts
@@ -12,6 +12,7 @@
 import type {GroupExperts} from '../ports/rank-engine.js';
 import type {ExpertLayout} from '../routing/routing-configuration.js';
 import {MAX_COPIES_PER_RANK} from './rank-agent-constants.js';
+import {readGroupExperts} from './read-group-experts.js';
 
 /** What a planner needs. */
 export type GroupPlannerDeps = Readonly<{
@@ -37,25 +38,6 @@
 	step: number;
 }>;
 
-function readSettled<T>(results: ReadonlyArray<Readonly<{ok: true; value: T}> | Readonly<{ok: false}>>): readonly T[] | undefined {
-	const values: T[] = [];
-	for (const result of results) {
-		if (!result.ok) {
-			return undefined;
-		}
-
-		values.push(result.value);
-	}
-
-	return values;
-}
-
-/** Experts in force: by layer, then by rank. */
-async function readGroupExperts(ranks: GroupRanks): Promise<GroupExperts | undefined> {
-	const lists = readSettled(await Promise.all(ranks.map(async rank => rank.readExperts())));
-	return lists && (lists[0] ?? []).map((_, layer) => lists.map(list => list[layer] ?? []));
-}
-
 /** How often each expert was chosen since the look before; the counts of an engine that started anew begin at 0. */
 function subtract(counts: readonly number[], before: readonly number[]): readonly number[] {
 	return counts.map((count, i) => Math.max(0, count - (before[i] ?? 0)));
--- a/src/rank-agent/rank-agent-constants.ts
+++ b/src/rank-agent/rank-agent-constants.ts
@@ -1,8 +1,12 @@
 /** Longest wait for an answer of another rank's agent, in milliseconds; the engine's own time included. */
-export const RANK_CALL_TIMEOUT_MILLIS = 800;
+export const RANK_CALL_TIMEOUT_MILLIS = 600;
 /** Longest wait for the answer to an order, in milliseconds; its agent gives up on the engine before. */
 export const RANK_ORDER_TIMEOUT_MILLIS = 250;
 /** Longest wait for a change of the backend servers' entries in one call, in milliseconds. */
 export const RANK_LIST_WAIT_MILLIS = 5000;
 /** Experts that a rank copies for one switch at most, over all layers; more delay the gain by their copy times. */
 export const MAX_COPIES_PER_RANK = 1;
+/** Time between two looks at the engine for a switch left behind, in milliseconds; the look is free beside the engine. */
+export const WATCH_MILLIS = 150;
+/** Time without a pass after which a switch is taken for left behind, in milliseconds; several passes of a loaded group. */
+export const LEFT_BEHIND_MILLIS = 600;
--- a/src/rank-agent/rank-messages.ts
+++ b/src/rank-agent/rank-messages.ts
@@ -24,6 +24,7 @@
 		armedStep: state.armed?.step ?? 0,
 		heldStep: state.heldStep ?? NO_STEP,
 		pace: state.pace,
+		hasWork: state.hasWork,
 		counts: [...counts],
 		experts: experts.map(layer => ({experts: [...layer]})),
 	};
@@ -41,6 +42,7 @@
 		armed: reading.armedVersion === 0 ? undefined : {version: reading.armedVersion, step: reading.armedStep},
 		heldStep: reading.heldStep === NO_STEP ? undefined : reading.heldStep,
 		pace: reading.pace,
+		hasWork: reading.hasWork,
 	};
 }
 
--- a/src/rank-agent/start-rank-agent.ts
+++ b/src/rank-agent/start-rank-agent.ts
@@ -21,6 +21,7 @@
 import {RANK_LIST_WAIT_MILLIS} from './rank-agent-constants.js';
 import {createRankService} from './rank-service.js';
 import {openRemoteRank, type RemoteRank} from './remote-rank.js';
+import {watchSwitch} from './watch-switch.js';
 
 /** What a deployment's adapter gives to an agent. */
 export type RankAgentDeps = Readonly<{
@@ -36,13 +37,17 @@
 	engineAddress: string;
 	service: string;
 	engine: RankEngine;
+	/** Access to the engine at an address that does not lead over its agent. */
+	openEngine: (address: string) => RankEngine;
 	feed: TableFeed;
 	table: TableStore;
 	backendServers: Readonly<{table: string; read: ReadBackendServer}>;
 	configuration: Readonly<{table: string; read: (row: Parameters<TableListener['onSnapshot']>[0][number]) => RoutingConfiguration | undefined}>;
 }>;
 
-/** Pause before an agent looks again whether its engine has become rank 0, in milliseconds. */
+/** Rank whose agent watches for switches that the planner beside rank 0 leaves behind. */
+const WATCHING_RANK = 1;
+/** Pause before an agent looks again at the rank of its engine, in milliseconds. */
 const ROLE_CHECK_MILLIS = 500;
 
 /** Longest wait for a switch to end when the agent stops, in milliseconds: copying, and the pass that it names. */
@@ -66,6 +71,7 @@
 	const port = deps.listen.slice(deps.listen.lastIndexOf(':') + 1);
 	const servers = createBackendServerList({clock, log, read: deps.backendServers.read});
 	const remotes = new Map<string, RemoteRank>();
+	const directs = new Map<string, RankEngine>();
 	const stopping = new AbortController();
 	let cfg: RoutingConfiguration | undefined;
 	lifeCycle.own('other ranks', () => {
@@ -74,6 +80,7 @@
 		}
 	});
 
+	/** A rank through the agent beside it, which costs nothing. */
 	function openRank({address}: BackendServer): RankEngine {
 		if (address === deps.engineAddress) {
 			return engine;
@@ -85,17 +92,24 @@
 		return remote;
 	}
 
-	function readRanks(): GroupRanks | undefined {
-		const own = [...servers.servers.read().values()].find(({address}) => address === deps.engineAddress)?.group;
+	/** A rank without its agent, which may have stopped. */
+	function openDirectRank({address}: BackendServer): RankEngine {
+		const direct = directs.get(address) ?? deps.openEngine(address);
+		directs.set(address, direct);
+		return direct;
+	}
+
+	/** All ranks of the group of the engine beside this agent; undefined while not all are known. */
+	function readRanks(open: (server: BackendServer) => RankEngine): GroupRanks | undefined {
+		const listed = [...servers.servers.read().values()];
+		const own = listed.find(({address}) => address === deps.engineAddress)?.group;
 		if (!own) {
 			return undefined;
 		}
 
-		const members = [...servers.servers.read().values()].filter(({group}) => group?.name === own.name);
-		const byRank = new Map(members.map(member => [member.group?.rank, member]));
-		const ranks = Array.from({length: own.size}, (_, rank) => byRank.get(rank));
-		const known = ranks.filter(rank => rank !== undefined);
-		return known.length === own.size ? known.map(rank => openRank(rank)) : undefined;
+		const byRank = new Map(listed.filter(({group}) => group?.name === own.name).map(server => [server.group?.rank, server]));
+		const ranks = Array.from({length: own.size}, (_, rank) => byRank.get(rank)).filter(rank => rank !== undefined);
+		return ranks.length === own.size ? ranks.map(rank => open(rank)) : undefined;
 	}
 
 	function readLayout(): ExpertLayout | undefined {
@@ -117,23 +131,27 @@
 		});
 	}
 
-	/** Waits until the engine beside this agent is rank 0 of a group, and then plans that group. */
-	async function planWhenAnchor(): Promise<void> {
+	async function planOwnGroup(group: string): Promise<void> {
+		log.info('plans the group', {group});
+		follow(deps.configuration.table, {onSnapshot: takeConfiguration, onChanges: takeConfiguration}, lifeCycle.signal);
+		await planGroup({
+			clock, log, readRanks: () => readRanks(openRank), readLayout, versions: createVersionSource(deps.table, log, group, deps.incarnation),
+		}, stopping.signal);
+	}
+
+	/** Waits until the engine beside this agent is in a group, and then does what falls to its rank. */
+	async function takeRole(): Promise<void> {
 		/* eslint-disable no-await-in-loop -- One look after the other. */
-		for (;;) {
+		while (!stopping.signal.aborted) {
 			const state = await engine.readState();
-			if (stopping.signal.aborted) {
-				return;
-			}
-
-			if (state.ok && state.value.group.rank === 0) {
-				const {name} = state.value.group;
-				log.info('plans the group', {group: name, epoch: state.value.group.epoch});
+			if (state.ok && state.value.group.rank <= WATCHING_RANK) {
+				const {name, rank} = state.value.group;
 				follow(deps.backendServers.table, servers.listener, lifeCycle.signal);
-				follow(deps.configuration.table, {onSnapshot: takeConfiguration, onChanges: takeConfiguration}, lifeCycle.signal);
-				await planGroup({
-					clock, log, readRanks, readLayout, versions: createVersionSource(deps.table, log, name, deps.incarnation),
-				}, stopping.signal);
+				await (rank === 0
+					? planOwnGroup(name)
+					: watchSwitch({
+						clock, log, engine, readRanks: () => readRanks(openDirectRank),
+					}, stopping.signal));
 				return;
 			}
 
@@ -142,7 +160,7 @@
 		/* eslint-enable no-await-in-loop */
 	}
 
-	const planning = planWhenAnchor();
+	const planning = takeRole();
 	return succeed({
 		async drain() {
 			stopping.abort();
