--- /dev/null
+++ b/src/gateway/__tests__/service-flows.test.ts
@@ -0,0 +1,48 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {createManualClock} from '../../core/manual-clock.js';
+import type {BackendService, RoutingConfiguration} from '../../routing/routing-configuration.js';
+import type {BackendServer} from '../backend-server.js';
+import {createServiceFlows} from '../service-flows.js';
+
+const PLAIN: BackendService = {
+	name: 'plain', healthPath: '/health', maxConnections: 100, engine: undefined,
+};
+
+const cfg: RoutingConfiguration = {
+	version: 1,
+	routes: [],
+	services: new Map([['plain', PLAIN]]),
+	accounts: undefined,
+	limits: {
+		maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMillis: 1, idleTimeoutMillis: 1,
+	},
+};
+
+function createServer(id: string): BackendServer {
+	return {
+		id, incarnation: 1, service: 'plain', address: `${id}:1`, failureDomain: 'a', slots: 6, state: 'ready', coldLeftMillis: 0, sequence: 1, group: undefined,
+	};
+}
+
+function createFlows(entries: number) {
+	const flows = createServiceFlows({
+		clock: createManualClock(), random: () => 0, budgetTerms: {ratio: 0.2, extra: 10, windowMillis: 1000}, countEntries: () => entries,
+	});
+	flows.update(new Map(['a', 'b', 'c'].map(id => [id, createServer(id)])), cfg);
+	return flows.read('plain');
+}
+
+for (const entries of [1, 6, 34, 350]) {
+	void test(`${entries} entries together keep no more idle connections than a backend server accepts`, () => {
+		const {readMaxIdle} = createFlows(entries);
+		assert.ok(readMaxIdle() >= 1);
+		assert.ok(entries > PLAIN.maxConnections || readMaxIdle() * entries <= PLAIN.maxConnections);
+	});
+
+	void test(`${entries} entries share the requests that a plain service may hold`, () => {
+		const {lane} = createFlows(entries);
+		assert.ok(lane.readLimit() >= 2, 'each may send at least two');
+		assert.ok(lane.readLimit() <= Math.max(2, 36 / entries));
+	});
+}
--- a/src/gateway/ask-backend-server.ts
+++ b/src/gateway/ask-backend-server.ts
@@ -39,6 +39,7 @@
 			priority: account?.priority ?? route.priority,
 		}),
 		allowsIdle: route.repeat !== 'at_most_once',
+		maxIdle: flow.readMaxIdle(),
 		limitMillis: leftMillis,
 		silence: route.repeat === 'at_most_once' ? undefined : describeSilence(ctx, routed, server),
 		onProgress() {
--- a/src/gateway/backend-connections.ts
+++ b/src/gateway/backend-connections.ts
@@ -17,6 +17,8 @@
 	body: Uint8Array;
 	/** Whether a connection that has been idle for long may be used, although it may be gone. */
 	allowsIdle: boolean;
+	/** Idle connections to the address that are kept at most. */
+	maxIdle: number;
 }>;
 
 /** What happens to a request, in order; `onEnd` is last. */
@@ -119,9 +121,12 @@
 		return openConnection(address);
 	}
 
-	function keep(address: string, connection: Connection): void {
-		if (!connection.client.closed && !connection.client.destroyed) {
-			idle.set(address, [...idle.get(address) ?? [], {...connection, idleSinceMillis: clock.monotonicMillis()}]);
+	function keep(address: string, connection: Connection, maxIdle: number): void {
+		const kept = idle.get(address) ?? [];
+		if (kept.length >= maxIdle) {
+			close(connection.client);
+		} else if (!connection.client.closed && !connection.client.destroyed) {
+			idle.set(address, [...kept, {...connection, idleSinceMillis: clock.monotonicMillis()}]);
 		}
 	}
 
@@ -140,7 +145,7 @@
 
 				hasEnded = true;
 				if (error === undefined) {
-					keep(address, connection);
+					keep(address, connection, req.maxIdle);
 				} else {
 					close(client);
 				}
--- a/src/gateway/run-attempt.ts
+++ b/src/gateway/run-attempt.ts
@@ -23,6 +23,8 @@
 	address: string;
 	headers: string[];
 	allowsIdle: boolean;
+	/** Idle connections to the address that are kept at most. */
+	maxIdle: number;
 	/** Time until the attempt is broken off, in milliseconds. */
 	limitMillis: number;
 	sink: SinkDeps;
@@ -105,7 +107,7 @@
 
 		call.gone.addEventListener('abort', onCallerGone, {once: true});
 		const exchange: Exchange = connections.send(plan.address, {
-			method: call.method, path: call.path, headers: plan.headers, body: call.body, allowsIdle: plan.allowsIdle,
+			method: call.method, path: call.path, headers: plan.headers, body: call.body, allowsIdle: plan.allowsIdle, maxIdle: plan.maxIdle,
 		}, {
 			onSent() {
 				wasSent = true;
--- a/src/gateway/service-flows.ts
+++ b/src/gateway/service-flows.ts
@@ -17,6 +17,8 @@
 	budget: SharedRetryBudget;
 	/** Time from sending a request to the first byte of its answer. */
 	firstByte: FirstByteEstimate;
+	/** Idle connections to one backend server that this process may keep. */
+	readMaxIdle: () => number;
 }>;
 
 /** The flows of all services. */
@@ -35,6 +37,8 @@
 	countEntries: () => number;
 }>;
 
+/** Part of the connections that a backend server accepts which all entries together keep idle. */
+const IDLE_CONNECTION_SHARE = 0.6;
 /** Share of answers whose first byte may come later than estimated. */
 const ACCEPTED_LATE_SHARE = 0.1;
 
@@ -50,6 +54,8 @@
 /** Creates flows; a service gets its own when it is first asked for. */
 export function createServiceFlows({clock, random, budgetTerms, countEntries}: Deps): ServiceFlows {
 	const flows = new Map<string, ServiceFlow>();
+	/** Idle connections to one backend server of each service. */
+	const maxIdle = new Map<string, number>();
 	/** Requests that the process may send to each plain service. */
 	const plainLimits = new Map<string, number>();
 
@@ -59,7 +65,7 @@
 			clock, random, readLimit: () => plainLimits.get(service) ?? limit.read(),
 		});
 		return {
-			lane, limit, budget: createSharedRetryBudget(clock, budgetTerms, countEntries), firstByte: createFirstByteEstimate(ACCEPTED_LATE_SHARE),
+			lane, limit, budget: createSharedRetryBudget(clock, budgetTerms, countEntries), firstByte: createFirstByteEstimate(ACCEPTED_LATE_SHARE), readMaxIdle: () => maxIdle.get(service) ?? 1,
 		};
 	}
 
@@ -78,7 +84,8 @@
 		read,
 		update(servers, cfg) {
 			const entries = Math.max(1, countEntries());
-			for (const [name, {engine}] of cfg?.services ?? []) {
+			for (const [name, {engine, maxConnections}] of cfg?.services ?? []) {
+				maxIdle.set(name, Math.max(1, Math.floor(maxConnections * IDLE_CONNECTION_SHARE / entries)));
 				const ready = [...servers.values()].filter(server => server.service === name && server.state === 'ready');
 				const slots = countSlots(ready);
 				const {limit, lane} = read(name);
