Keep a stopping gateway open to the callers that still have its address

It now takes short calls for three quarters of the grace and streams for a third, and addresses live 2 s.

--- a/src/decisions/flow/flow-constants.ts
+++ b/src/decisions/flow/flow-constants.ts
@@ -20,8 +20,8 @@
 export const PLAIN_REQUESTS_PER_SLOT = 2;
 /** Weight of the latest request in the mean time that a request holds its place. */
 export const HOLD_WEIGHT = 0.05;
-/** Longest wait of a request over its latency target; a little beyond what is on time, as a late answer is worth something. */
-export const MAX_WAIT_SHARE = 0.6;
+/** Longest wait of a request over its latency target; whoever would wait longer is refused while the refusal is still early. */
+export const MAX_WAIT_SHARE = 0.3;
 /** Largest number of requests of a service that wait at one process. */
 export const MAX_WAITING = 512;
 /** Shortest time after which a refused caller is asked back, in milliseconds. */
--- a/src/gateway/drain-gateway.ts
+++ b/src/gateway/drain-gateway.ts
@@ -1,7 +1,9 @@
 import type {Clock} from '../core/clock.js';
 import type {Log} from '../observability/log.js';
 import type {CallerListener} from './caller-listener.js';
-import {DRAIN_CHECK_MILLIS, GRACE_MARGIN_MILLIS, STOP_LISTENING_MILLIS} from './gateway-constants.js';
+import {
+	DRAIN_CHECK_MILLIS, GRACE_SHARE_LISTENING, GRACE_SHARE_STREAMS, GRACE_SHARE_WORKING,
+} from './gateway-constants.js';
 
 /** What a drain needs. */
 export type DrainDeps = Readonly<{
@@ -10,19 +12,25 @@
 	listener: CallerListener;
 	/** Time until the process must have ended, in milliseconds. */
 	graceMillis: number;
+	/** Called once streams that begin now would not end in time. */
+	onStreamsOver: () => void;
 }>;
 
 /**
- * Stops a gateway: connections end behind their answers, then no new ones are taken, and calls under way get the rest of the
- * grace. Resolves to the number of calls broken off.
+ * Stops a gateway while callers still have its address: connections end behind their answers, later only short calls are taken,
+ * then no connections, and calls under way get the rest of the grace. Resolves to the number of calls broken off.
  */
-export async function drainGateway({clock, log, listener, graceMillis}: DrainDeps): Promise<number> {
+export async function drainGateway({clock, log, listener, graceMillis, onStreamsOver}: DrainDeps): Promise<number> {
 	const startedAtMillis = clock.monotonicMillis();
+	const sleepUntil = async (share: number) => clock.sleep(startedAtMillis + (graceMillis * share) - clock.monotonicMillis());
 	listener.closeBetweenCalls();
-	await clock.sleep(Math.min(STOP_LISTENING_MILLIS, graceMillis / 3));
+	await sleepUntil(GRACE_SHARE_STREAMS);
+	onStreamsOver();
+	log.info('takes no streams any more', {open: listener.countOpen()});
+	await sleepUntil(GRACE_SHARE_LISTENING);
 	listener.stopListening();
 	log.info('listens no more', {open: listener.countOpen()});
-	while (listener.countOpen() > 0 && clock.monotonicMillis() - startedAtMillis < graceMillis - GRACE_MARGIN_MILLIS) {
+	while (listener.countOpen() > 0 && clock.monotonicMillis() - startedAtMillis < graceMillis * GRACE_SHARE_WORKING) {
 		// eslint-disable-next-line no-await-in-loop -- One look after the other.
 		await clock.sleep(DRAIN_CHECK_MILLIS);
 	}
--- a/src/gateway/gateway-constants.ts
+++ b/src/gateway/gateway-constants.ts
@@ -30,8 +30,8 @@
 export const MEMBER_TIMEOUT_MILLIS = 2800;
 /** Least time between two reads of the entries' heartbeats, in milliseconds. */
 export const MEMBER_LIST_PACE_MILLIS = 800;
-/** Time that callers may keep an address answer, in milliseconds. */
-export const ADDRESS_LIFETIME_MILLIS = 3000;
+/** Time that callers may keep an address answer, in milliseconds; three of them pass while a stopping gateway listens. */
+export const ADDRESS_LIFETIME_MILLIS = 2000;
 /** Most addresses in one answer; the platform's callers use no more. */
 export const MAX_ADDRESSES = 64;
 /** Largest head of a caller's request, in bytes; twice the largest limit that operators set. */
@@ -40,11 +40,15 @@
 export const CONNECTION_CHECK_MILLIS = 1000;
 /** Time that an idle connection is kept beyond its limit, in milliseconds; callers use it up to the limit. */
 export const IDLE_SLACK_MILLIS = 1000;
-/** Time after the signal to stop until no connection is taken any more, in milliseconds; callers have new addresses by then. */
-export const STOP_LISTENING_MILLIS = 2500;
-/** Time before the end of the grace at which calls under way are broken off, in milliseconds. */
-export const GRACE_MARGIN_MILLIS = 500;
+/** Part of the grace in which a stopping gateway still takes streams; the rest is longer than nearly all of them. */
+export const GRACE_SHARE_STREAMS = 0.36;
+/** Part of the grace in which it still takes connections; callers keep an address for up to three lifetimes. */
+export const GRACE_SHARE_LISTENING = 0.75;
+/** Part of the grace after which calls under way are broken off, so that the process ends in time. */
+export const GRACE_SHARE_WORKING = 0.94;
 /** Time between two looks whether calls are still under way, in milliseconds. */
 export const DRAIN_CHECK_MILLIS = 50;
 /** Backend servers that a call tries to reach at most; what was not sent is no attempt. */
 export const MAX_UNSENT_ATTEMPTS = 4;
+/** Wait that the caller of a stream is told by a gateway that stops, in milliseconds; others take it at once. */
+export const STOPPING_RETRY_AFTER_MILLIS = 50;
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -23,4 +23,6 @@
 	picker: ServerPicker;
 	flows: ServiceFlows;
 	progress: ProgressWatch;
+	/** Whether streams that begin now can end before the process does. */
+	isTakingStreams: () => boolean;
 }>;
--- a/src/gateway/refusal.ts
+++ b/src/gateway/refusal.ts
@@ -18,7 +18,8 @@
 		| 'overload'
 		| 'deadline'
 		| 'refused_by_backend_server'
-		| 'not_sent';
+		| 'not_sent'
+		| 'stopping';
 
 /** A refusal of a call that did not run; the caller may come back after `retryAfterMillis`. */
 export function notRun(reason: NotRunCause, retryAfterMillis = DEFAULT_RETRY_AFTER_MILLIS): Refusal {
--- a/src/gateway/routed-call.ts
+++ b/src/gateway/routed-call.ts
@@ -2,6 +2,7 @@
 import {drawService} from '../routing/route-table.js';
 import type {RoutedAccount, Route, RoutingConfiguration} from '../routing/routing-configuration.js';
 import type {Call} from './call.js';
+import {STOPPING_RETRY_AFTER_MILLIS} from './gateway-constants.js';
 import type {GatewayContext} from './gateway-context.js';
 import {notRun, type Refusal} from './refusal.js';
 import type {ServiceFlow} from './service-flows.js';
@@ -42,6 +43,10 @@
 		return {tag: 'bad_call', reason: 'no_attempt_id'};
 	}
 
+	if (route.isStreaming && !ctx.isTakingStreams()) {
+		return notRun('stopping', STOPPING_RETRY_AFTER_MILLIS);
+	}
+
 	const service = drawService(route, ctx.random);
 	if (service === undefined) {
 		return notRun('no_backend_server');
--- a/src/gateway/start-gateway.ts
+++ b/src/gateway/start-gateway.ts
@@ -57,6 +57,7 @@
 	const {settings, clock, log, metrics, lifeCycle, random, codec, feed} = deps;
 	const opened: {listener?: CallerListener} = {};
 	let isStopping = false;
+	let isTakingStreams = true;
 	let hasServers = false;
 	const servers: BackendServerList = createBackendServerList({clock, log, read: deps.backendServers.read});
 	const configuration = createConfigurationInForce({
@@ -120,7 +121,7 @@
 	}
 
 	const ctx: GatewayContext = {
-		clock, log, random, metrics, codec, connections, configuration, readServers: servers.servers.read, picker, flows, progress,
+		clock, log, random, metrics, codec, connections, configuration, readServers: servers.servers.read, picker, flows, progress, isTakingStreams: () => isTakingStreams,
 	};
 	const listening = await listenForCallers({
 		address: settings.callerListen,
@@ -158,7 +159,13 @@
 			isStopping = true;
 			void members.leave();
 			return drainGateway({
-				clock, log, listener: value, graceMillis: settings.graceMillis,
+				clock,
+				log,
+				listener: value,
+				graceMillis: settings.graceMillis,
+				onStreamsOver() {
+					isTakingStreams = false;
+				},
 			});
 		},
 	});
