--- a/src/map-switch/__tests__/fake-rank-group.ts
+++ b/src/map-switch/__tests__/fake-rank-group.ts
@@ -47,6 +47,8 @@
 	readStep: () => number;
 	readMapVersions: () => readonly number[];
 	readHeldStep: () => number | undefined;
+	/** Experts in force at the anchor rank's map. */
+	readExperts: () => GroupExperts;
 	/** Carries out what is late. */
 	settle: () => void;
 	/** Lets time pass. */
@@ -271,6 +273,7 @@
 		readStep: () => step,
 		readMapVersions: () => ranks.map(({mapVersion}) => mapVersion),
 		readHeldStep: () => ranks[0]?.heldStep,
+		readExperts: () => ranks[0]?.experts ?? firstExperts,
 		settle() {
 			for (const order of late) {
 				order();
--- /dev/null
+++ b/src/rank-agent/__tests__/group-planner.test.ts
@@ -0,0 +1,73 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {succeed} from '../../core/result.js';
+import {createSeededRandom} from '../../decisions/random.js';
+import {createFakeRankGroup} from '../../map-switch/__tests__/fake-rank-group.js';
+import {silentLog} from '../../observability/log.js';
+import type {GroupExperts, RankEngine} from '../../ports/rank-engine.js';
+import type {ExpertLayout} from '../../routing/routing-configuration.js';
+import {planGroup} from '../group-planner.js';
+
+const LAYOUT: ExpertLayout = {
+	layers: 1, experts: 8, slotsPerRank: 3, maxLoadsPerRank: 1, copyMillis: 20,
+};
+const RANKS = 4;
+const TURNS = 1500;
+
+/** Experts in turn, with a free slot each. */
+const first: GroupExperts = [Array.from({length: RANKS}, (_, rank) => [rank, rank + RANKS])];
+
+/** Ranks of the group whose requests choose experts by `shares`. */
+function addCounts(ranks: readonly RankEngine[], shares: readonly number[]): readonly RankEngine[] {
+	return ranks.map(rank => {
+		let looks = 0;
+		return {
+			...rank,
+			async readLoad() {
+				const state = await rank.readState();
+				looks++;
+				return state.ok ? succeed({state: state.value, counts: shares.map(share => share * looks * 100)}) : state;
+			},
+		};
+	});
+}
+
+async function run(shares: readonly number[]): Promise<Readonly<{versions: readonly number[]; mixed: readonly number[]; experts: GroupExperts}>> {
+	const group = createFakeRankGroup(RANKS, first, createSeededRandom(4));
+	const ranks = addCounts(group.openAccess().ranks, shares);
+	const stop = new AbortController();
+	let version = 0;
+	void planGroup({
+		clock: group.clock,
+		log: silentLog,
+		readRanks: () => ranks,
+		readLayout: () => LAYOUT,
+		versions: {
+			async takeVersion() {
+				version += 2;
+				return version;
+			},
+			reserveStep: async () => true,
+		},
+	}, stop.signal);
+	for (let i = 0; i < TURNS; i++) {
+		// eslint-disable-next-line no-await-in-loop -- Turns come one after the other.
+		await group.turn();
+	}
+
+	stop.abort();
+	return {versions: group.readMapVersions(), mixed: group.readMixedPasses(), experts: group.readExperts()};
+}
+
+void test('a hot expert gets copies at other ranks, all at the same pass', async () => {
+	const {versions, mixed, experts} = await run([50, 1, 1, 1, 1, 1, 1, 1]);
+	assert.ok(versions.every(version => version > 0 && version === versions[0]));
+	assert.deepEqual(mixed, []);
+	const holders = (experts[0] ?? []).filter(held => held.includes(0)).length;
+	assert.ok(holders > 1, `${holders} ranks hold the hot expert`);
+});
+
+void test('an even load leaves the map as it is', async () => {
+	const {versions} = await run([1, 1, 1, 1, 1, 1, 1, 1]);
+	assert.deepEqual(versions, [0, 0, 0, 0]);
+});
--- /dev/null
+++ b/src/rank-agent/__tests__/remote-rank.test.ts
@@ -0,0 +1,125 @@
+import assert from 'node:assert/strict';
+import {after, test} from 'node:test';
+import {createLinkAccess} from '../../access/link-access.js';
+import {openLinkServer} from '../../agent/link-server.js';
+import {systemClock} from '../../core/system-clock.js';
+import {fail, succeed} from '../../core/result.js';
+import {silentLog} from '../../observability/log.js';
+import type {
+	OrderOutcome, RankEngine, RankOrder, RankState,
+} from '../../ports/rank-engine.js';
+import {createRankService} from '../rank-service.js';
+import {openRemoteRank} from '../remote-rank.js';
+
+const STATE: RankState = {
+	group: {
+		name: 'g', rank: 1, size: 2, epoch: 3, isOpen: true,
+	},
+	step: 40,
+	mapVersion: 4,
+	preparedVersion: 6,
+	armed: {version: 6, step: 44},
+	heldStep: 44,
+	pace: 1.5,
+	hasWork: true,
+};
+
+const EXPERTS = [[0, 2], [1, 3]];
+const COUNTS = [5, 0, 7_000_000_000, 1];
+
+let outcome: OrderOutcome = {tag: 'accepted', detail: ''};
+let isAnswering = true;
+const orders: Array<Readonly<{order: RankOrder; epoch: number}>> = [];
+
+const engine: RankEngine = {
+	readState: async () => isAnswering ? succeed(STATE) : fail({tag: 'unavailable', detail: 'ECONNREFUSED'}),
+	readLoad: async () => succeed({state: STATE, counts: COUNTS}),
+	readExperts: async () => succeed(EXPERTS),
+	async order(order, epoch) {
+		orders.push({order, epoch});
+		return outcome;
+	},
+};
+
+const access = createLinkAccess('token', undefined);
+const server = await openLinkServer(access, systemClock, '127.0.0.1:0', [createRankService({engine, access, log: silentLog})]);
+assert.ok(server.ok);
+const {address} = server.value;
+const remote = openRemoteRank(address, access, systemClock);
+after(async () => {
+	remote.close();
+	await server.value.close();
+});
+
+void test('a state arrives as it was read', async () => {
+	assert.deepEqual(await remote.readState(), succeed(STATE));
+});
+
+void test('a rank without a hold, a preparation or an armed map arrives as such', async () => {
+	const plain = {
+		...STATE, heldStep: undefined, armed: undefined, preparedVersion: undefined, hasWork: false,
+	};
+	const bare = await openLinkServer(access, systemClock, '127.0.0.1:0', [createRankService({engine: {...engine, readState: async () => succeed(plain)}, access, log: silentLog})]);
+	assert.ok(bare.ok);
+	const other = openRemoteRank(bare.value.address, access, systemClock);
+	assert.deepEqual(await other.readState(), succeed(plain));
+	other.close();
+	await bare.value.close();
+});
+
+void test('counts and experts arrive whole', async () => {
+	assert.deepEqual(await remote.readLoad(), succeed({state: STATE, counts: COUNTS}));
+	assert.deepEqual(await remote.readExperts(), succeed(EXPERTS));
+});
+
+const everyOrder: readonly RankOrder[] = [
+	{tag: 'prepare', version: 8, experts: [[[0, 1], [2]], [[3], [4, 5]]]},
+	{tag: 'arm', version: 8, step: 50},
+	{tag: 'disarm', version: 8},
+	{tag: 'hold', step: 50},
+	{tag: 'go', step: 50},
+];
+
+for (const order of everyOrder) {
+	void test(`the order to ${order.tag} arrives with its epoch`, async () => {
+		orders.length = 0;
+		const {tag} = await remote.order(order, 3);
+		assert.equal(tag, 'accepted');
+		assert.deepEqual(orders, [{order, epoch: 3}]);
+	});
+}
+
+void test('outcomes of the engine are told as they are', async () => {
+	for (const tag of ['refused', 'unknown', 'accepted'] as const) {
+		outcome = {tag, detail: 'why'};
+		// eslint-disable-next-line no-await-in-loop -- One order after the other.
+		assert.deepEqual(await remote.order({tag: 'go', step: 1}, 3), outcome);
+	}
+});
+
+void test('an engine that does not answer is no state', async () => {
+	isAnswering = false;
+	const state = await remote.readState();
+	isAnswering = true;
+	assert.equal(state.ok, false);
+	const again = await remote.readState();
+	assert.equal(again.ok, true, 'a new connection is opened');
+});
+
+void test('without the token nothing is read and no order reaches the engine', async () => {
+	const stranger = openRemoteRank(address, createLinkAccess(undefined, undefined), systemClock);
+	orders.length = 0;
+	const state = await stranger.readState();
+	const refused = await stranger.order({tag: 'go', step: 1}, 3);
+	stranger.close();
+	assert.equal(state.ok, false);
+	assert.equal(refused.tag, 'refused');
+	assert.equal(orders.length, 0);
+});
+
+void test('an agent that nobody reaches may still carry an order out', async () => {
+	const nobody = openRemoteRank('127.0.0.1:1', access, systemClock);
+	const lost = await nobody.order({tag: 'go', step: 1}, 3);
+	nobody.close();
+	assert.equal(lost.tag, 'unknown');
+});
