End a stream that goes on elsewhere and has nothing more, and share with entries that restart

Found in review: the second backend server's complete answer without events, or with a failure status, was written as a new head behind a stream that had begun, which ended the process.

--- a/src/gateway/answer-caller.ts
+++ b/src/gateway/answer-caller.ts
@@ -65,10 +65,7 @@
 	const {call} = routed;
 	switch (end.tag) {
 		case 'answered': {
-			countCall(ctx, routed, progress, 'answered');
-			call.reply.writeHead(end.head.status, end.head.headers);
-			call.reply.write(end.body);
-			call.reply.end();
+			finishAnswered(ctx, routed, progress, end);
 			break;
 		}
 
@@ -93,6 +90,25 @@
 	}
 }
 
+/** Gives the caller a complete answer. Behind a stream that has begun elsewhere it can only be the rest of that stream. */
+function finishAnswered(ctx: GatewayContext, routed: RoutedCall, progress: CallProgress, {head, body}: Extract<AttemptEnd, {tag: 'answered'}>): void {
+	const {reply} = routed.call;
+	const isRest = reply.hasHead() && head.status >= 200 && head.status < 300;
+	if (reply.hasHead() && !isRest) {
+		countCall(ctx, routed, progress, 'unknown');
+		refuse(ctx, routed.call, {tag: 'unknown', reason: 'lost'}, {route: routed.route.name, attempts: progress.attempts, status: head.status});
+		return;
+	}
+
+	countCall(ctx, routed, progress, 'answered');
+	if (!isRest) {
+		reply.writeHead(head.status, head.headers);
+	}
+
+	reply.write(body);
+	reply.end();
+}
+
 /** Counts a call and logs how it was decided. */
 function countCall(ctx: GatewayContext, routed: RoutedCall, progress: CallProgress, outcome: string): void {
 	const {call, cfg, route, service, account, waitedMillis, flow} = routed;
--- a/src/gateway/gateway-constants.ts
+++ b/src/gateway/gateway-constants.ts
@@ -28,6 +28,8 @@
 export const HEARTBEAT_MILLIS = 1000;
 /** Age of a heartbeat from which on an entry is taken for dead, in milliseconds; two missed heartbeats and a slow store. */
 export const MEMBER_TIMEOUT_MILLIS = 2800;
+/** Age of a heartbeat from which on nothing is shared with its entry any more, in milliseconds; longer than a restart of all. */
+export const SHARING_TIMEOUT_MILLIS = 10_000;
 /** Least time between two reads of the entries' heartbeats, in milliseconds. */
 export const MEMBER_LIST_PACE_MILLIS = 800;
 /** Time that callers may keep an address answer, in milliseconds; three of them pass while a stopping gateway listens. */
--- a/src/gateway/start-gateway.ts
+++ b/src/gateway/start-gateway.ts
@@ -19,7 +19,7 @@
 import {createConfigurationInForce, type ReadConfiguration} from './configuration-in-force.js';
 import {drainGateway} from './drain-gateway.js';
 import {
-	FEED_WAIT_MILLIS, HEARTBEAT_MILLIS, MEMBER_LIST_PACE_MILLIS, MEMBER_TIMEOUT_MILLIS, SERVER_LIST_PACE_MILLIS,
+	FEED_WAIT_MILLIS, HEARTBEAT_MILLIS, MEMBER_LIST_PACE_MILLIS, MEMBER_TIMEOUT_MILLIS, SERVER_LIST_PACE_MILLIS, SHARING_TIMEOUT_MILLIS,
 } from './gateway-constants.js';
 import type {GatewayContext} from './gateway-context.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
@@ -81,9 +81,10 @@
 		isReady,
 		heartbeatMillis: HEARTBEAT_MILLIS,
 		timeoutMillis: MEMBER_TIMEOUT_MILLIS,
+		sharingMillis: SHARING_TIMEOUT_MILLIS,
 	});
 	const flows = createServiceFlows({
-		clock, random, budgetTerms: settings.retryBudget, countEntries: () => Math.max(1, members.listReady().length),
+		clock, random, budgetTerms: settings.retryBudget, countEntries: members.countSharing,
 	});
 	const picker = createServerPicker({clock, random});
 	const progress = createProgressWatch();
--- a/src/membership/__tests__/entry-members.test.ts
+++ b/src/membership/__tests__/entry-members.test.ts
@@ -11,6 +11,7 @@
 
 const TIMEOUT_MILLIS = 5000;
 const HEARTBEAT_MILLIS = 2000;
+const SHARING_MILLIS = 9000;
 
 function row(id: string, beatAtMillis: number, state = 'ready'): FeedRow {
 	return {
@@ -43,6 +44,7 @@
 		isReady: () => isReady,
 		heartbeatMillis: HEARTBEAT_MILLIS,
 		timeoutMillis: TIMEOUT_MILLIS,
+		sharingMillis: SHARING_MILLIS,
 	});
 	const list = () => members.listReady().map(({id}) => id);
 	return {
@@ -71,6 +73,15 @@
 	assert.deepEqual(list(), ['self']);
 });
 
+void test('behind a restart of all, shares count the entries of before until they are back or long gone', () => {
+	const {members, list} = createSystem();
+	assert.equal(members.countSharing(), 1);
+	const before = [row('a', 100_000 - TIMEOUT_MILLIS), row('b', 100_000 - TIMEOUT_MILLIS, 'starting'), row('c', 99_000, 'leaving'), row('d', 100_000 - SHARING_MILLIS)];
+	members.listener.onSnapshot(before, CONTACT);
+	assert.deepEqual(list(), ['self'], 'none of them is an address');
+	assert.equal(members.countSharing(), 3);
+});
+
 void test('an entry that falls silent is dropped once the store shows later time', () => {
 	const {members, list, clock} = createSystem();
 	members.listener.onSnapshot([row('a', 99_000)], CONTACT);
--- a/src/membership/entry-members.ts
+++ b/src/membership/entry-members.ts
@@ -26,6 +26,11 @@
 export type EntryMembers = Readonly<{
 	/** Entries that take callers, this one included while it is ready. */
 	listReady: () => readonly EntryMember[];
+	/**
+	 * Entries that the backend servers are shared with, this one included: those heard of lately, ready or not, so that entries
+	 * which all start anew do not each take the whole.
+	 */
+	countSharing: () => number;
 	listener: TableListener;
 	/** Writes a heartbeat at once, and then regularly until `signal` aborts. */
 	keep: (signal: AbortSignal) => Promise<void>;
@@ -42,13 +47,15 @@
 	heartbeatMillis: number;
 	/** Age of a heartbeat from which on its entry is taken for dead, in milliseconds. */
 	timeoutMillis: number;
+	/** Age of a heartbeat from which on nothing is shared with its entry any more, in milliseconds. */
+	sharingMillis: number;
 }>;
 
 /** Time between two looks whether this entry has become ready, in milliseconds. */
 const READY_CHECK_MILLIS = 100;
 
 /** Creates the view of one entry; it knows only itself at first. */
-export function createEntryMembers({clock, log, table, self, isReady, heartbeatMillis, timeoutMillis}: Deps): EntryMembers {
+export function createEntryMembers({clock, log, table, self, isReady, heartbeatMillis, timeoutMillis, sharingMillis}: Deps): EntryMembers {
 	let members: ReadonlyMap<string, EntryMember> = new Map();
 	let contact: Readonly<{storeMillis: number; atMillis: number}> | undefined;
 	let isLeaving = false;
@@ -131,6 +138,12 @@
 				member.id !== self.id && member.state === 'ready' && nowMillis - member.beatAtMillis < timeoutMillis);
 			return readState() === 'ready' ? [describeSelf(), ...others] : others;
 		},
+		countSharing() {
+			const nowMillis = contact?.storeMillis ?? 0;
+			const others = [...members.values()].filter(member =>
+				member.id !== self.id && member.state !== 'leaving' && nowMillis - member.beatAtMillis < sharingMillis);
+			return others.length + 1;
+		},
 		listener: {
 			onSnapshot(rows, {storeMillis}) {
 				contact = {storeMillis, atMillis: clock.monotonicMillis()};
