Leave the end of an answer without framing to the caller

The socket log shows an orderly end, not a reset: an engine that crashes closes such an answer as it would a whole one, so nobody between can tell. It was passed on with a framing that says it is whole. It now ends with the caller's connection, too, and one that is known to be cut is reset. Ruled out by the log: an error of the socket, a close by ourselves.

--- a/src/gateway/__tests__/next-step.test.ts
+++ b/src/gateway/__tests__/next-step.test.ts
@@ -8,7 +8,7 @@
 
 function head(status: number): AnswerHead {
 	return {
-		status, attemptId: 'a', isNotRun: false, isSigned: true, isEncoded: false, contentLength: 0, load: undefined, faultyServer: undefined, headers: [],
+		status, attemptId: 'a', isNotRun: false, isSigned: true, isEncoded: false, contentLength: 0, isEndedByConnection: false, load: undefined, faultyServer: undefined, headers: [],
 	};
 }
 
--- a/src/gateway/answer-caller.ts
+++ b/src/gateway/answer-caller.ts
@@ -102,7 +102,7 @@
 
 	countCall(ctx, routed, progress, 'answered');
 	if (!isRest) {
-		reply.writeHead(head.status, head.headers);
+		reply.writeHead(head.status, head.headers, head.isEndedByConnection);
 	}
 
 	reply.write(body);
--- a/src/gateway/answer-sink.ts
+++ b/src/gateway/answer-sink.ts
@@ -41,7 +41,7 @@
 
 	function passOn(bytes: Uint8Array): void {
 		if (!reply.hasHead()) {
-			reply.writeHead(head.status, head.headers);
+			reply.writeHead(head.status, head.headers, head.isEndedByConnection);
 		}
 
 		hasPassed = true;
@@ -84,7 +84,7 @@
 
 	function passHeld(): void {
 		if (!reply.hasHead()) {
-			reply.writeHead(head.status, head.headers);
+			reply.writeHead(head.status, head.headers, head.isEndedByConnection);
 		}
 
 		for (const piece of held) {
--- a/src/gateway/backend-connections.ts
+++ b/src/gateway/backend-connections.ts
@@ -47,8 +47,8 @@
 	forget: (address: string) => void;
 }>;
 
-/** A client of one connection at a time, and the error that its present connection has met. */
-type Connection = Readonly<{client: Client; socket: {error: string | undefined}}>;
+/** A client of one connection at a time, and how its present connection has ended so far. */
+type Connection = Readonly<{client: Client; socket: {error: string | undefined; hasEnded: boolean}}>;
 type IdleConnection = Connection & Readonly<{idleSinceMillis: number}>;
 
 /** The library gives names and values as bytes, one after the other. */
@@ -56,6 +56,14 @@
 	return Array.isArray(headers) ? headers.map(item => item instanceof Uint8Array ? Buffer.from(item).toString('latin1') : String(item)) : [];
 }
 
+/** Headers that tell where a body ends. */
+const FRAMING_HEADERS: ReadonlySet<string> = new Set(['content-length', 'transfer-encoding']);
+
+/** Whether the headers tell where the body ends; otherwise it ends with its connection. */
+function hasFraming(headers: RawHeaders): boolean {
+	return headers.some((name, i) => i % 2 === 0 && FRAMING_HEADERS.has(name.toLowerCase()));
+}
+
 /** Creates the connections of a process. */
 export function createBackendConnections({clock, lifeCycle}: Readonly<{clock: Clock; lifeCycle: LifeCycle}>): BackendConnections {
 	const idle = new Map<string, IdleConnection[]>();
@@ -66,16 +74,20 @@
 	});
 
 	function openConnection(address: string): Connection {
-		const socket: Connection['socket'] = {error: undefined};
+		const socket: Connection['socket'] = {error: undefined, hasEnded: false};
 		const client = new Client(`http://${address}`, {
 			pipelining: 1,
 			connect(options, callback) {
 				socket.error = undefined;
+				socket.hasEnded = false;
 				connect(options, (...result) => {
-					// The library takes an answer without a length as complete when its connection is reset.
+					// The library takes an answer without a length as complete however its connection ends.
 					result[1]?.once('error', err => {
 						socket.error = describeError(err);
 					});
+					result[1]?.once('end', () => {
+						socket.hasEnded = true;
+					});
 					callback(...result);
 				});
 			},
@@ -137,6 +149,12 @@
 			let controller: Dispatcher.DispatchController | undefined;
 			let abortReason: string | undefined;
 			let hasEnded = false;
+			let isEndedByConnection = false;
+
+			/** Why a complete answer is not what it seems; undefined when it is. */
+			function checkEnd(): string | undefined {
+				return isEndedByConnection && !socket.hasEnded ? 'the connection closed without an end' : socket.error;
+			}
 
 			function finish(error: string | undefined): void {
 				if (hasEnded) {
@@ -172,6 +190,7 @@
 					listener.onSent();
 				},
 				onResponseStart(started, status) {
+					isEndedByConnection = !hasFraming(toText(started.rawHeaders));
 					if (status >= 200 && !listener.onHead(status, toText(started.rawHeaders))) {
 						abort('the answer belongs to another request');
 					}
@@ -182,7 +201,7 @@
 					}
 				},
 				onResponseEnd() {
-					finish(abortReason ?? socket.error);
+					finish(abortReason ?? checkEnd());
 				},
 				onResponseError(_started, error) {
 					finish(abortReason ?? describeError(error));
--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -18,7 +18,8 @@
 
 /** The way back to the caller. */
 export type CallReply = Readonly<{
-	writeHead: (status: number, headers: RawHeaders) => void;
+	/** `isEndedByConnection` leaves the end of the body to that of the connection, for an answer of which no more is known. */
+	writeHead: (status: number, headers: RawHeaders, isEndedByConnection?: boolean) => void;
 	write: (bytes: Uint8Array) => void;
 	/** Whether the caller reads more slowly than bytes come; `onDrain` tells when it has caught up. */
 	isFull: () => boolean;
--- a/src/gateway/caller-listener.ts
+++ b/src/gateway/caller-listener.ts
@@ -50,13 +50,17 @@
 };
 
 function createReply(res: ServerResponse, isClosing: () => boolean): CallReply {
+	let endsWithConnection = false;
 	res.sendDate = false;
 	return {
-		writeHead(status, headers) {
-			if (isClosing()) {
+		writeHead(status, headers, isEndedByConnection = false) {
+			if (isClosing() || isEndedByConnection) {
 				res.shouldKeepAlive = false;
 			}
 
+			endsWithConnection = isEndedByConnection;
+			res.useChunkedEncodingByDefault = !isEndedByConnection;
+
 			res.writeHead(status, [...headers]);
 		},
 		write(bytes) {
@@ -70,6 +74,11 @@
 			res.end();
 		},
 		breakOff() {
+			// A plain close would be the proper end of a body without framing; a reset loses what was not read yet.
+			if (endsWithConnection) {
+				res.socket?.resetAndDestroy();
+			}
+
 			res.destroy();
 		},
 		hasHead: () => res.headersSent,
