--- a/src/decisions/placement/load-scenarios.ts
+++ b/src/decisions/placement/load-scenarios.ts
@@ -2,6 +2,7 @@
  * Answers steps whose load is that of a few prompts: each prompt favours experts of its own subject, so a map that is even on
  * average is uneven in each step. The loads of single ranks over short times show the subjects.
  */
+import {sum} from '../sum.js';
 import type {LoadScenario} from './layer-layout.js';
 
 /** Scenarios that are kept; older ones give way. At a few prompts a pass this is about a second and a half. */
@@ -22,15 +23,6 @@
 
 type Sample = Readonly<{counts: readonly number[]; tokens: number}>;
 
-function sum(values: readonly number[]): number {
-	let total = 0;
-	for (const value of values) {
-		total += value;
-	}
-
-	return total;
-}
-
 function add(left: readonly number[], right: readonly number[]): readonly number[] {
 	return left.map((value, i) => value + (right[i] ?? 0));
 }
--- a/src/decisions/placement/plan-moves.ts
+++ b/src/decisions/placement/plan-moves.ts
@@ -3,6 +3,7 @@
  * for their time to copy are made at once, and the next look decides on more.
  */
 import type {GroupExperts} from '../../ports/rank-engine.js';
+import {sum} from '../sum.js';
 import {EMPTY_SLOT} from './initial-map.js';
 import {createLayerLayout, type LayerLayout, type LoadScenario} from './layer-layout.js';
 import {planLayout} from './plan-layer.js';
@@ -61,15 +62,6 @@
 	return after.map((experts, rank) => experts.filter(expert => !before[rank]?.includes(expert)).length);
 }
 
-function sum(values: readonly number[]): number {
-	let total = 0;
-	for (const value of values) {
-		total += value;
-	}
-
-	return total;
-}
-
 function openLayout({experts, scenarios, slotsPerRank, slowFactors}: MovesInput, layer: number): LayerLayout {
 	return createLayerLayout({
 		map: {slotsPerRank, slots: toSlots(experts[layer] ?? [], slotsPerRank)}, scenarios: scenarios[layer] ?? [], slowFactors, squarings: SQUARINGS,
--- a/src/expert-map/grpc-vote-peers.ts
+++ b/src/expert-map/grpc-vote-peers.ts
@@ -1,17 +1,12 @@
 /** The agents of the other ranks over gRPC, one connection each. */
 import type {LinkAccess} from '../access/link-access.js';
+import {PEER_CHANNEL_OPTIONS} from '../access/peer-channel-options.js';
 import type {Clock} from '../core/clock.js';
 import {fail, succeed, type Result} from '../core/result.js';
 import {RankVoteClient, type VoteReport} from '../wire/generated/vote.js';
 import {PEER_TIMEOUT_MILLIS} from './vote-constants.js';
 import type {VotePeerError, VotePeers} from './vote-peers.js';
 
-const CHANNEL_OPTIONS = {
-	'grpc.enable_retries': 0,
-	'grpc.initial_reconnect_backoff_ms': 100,
-	'grpc.max_reconnect_backoff_ms': 1000,
-};
-
 /** Peers whose connections are closed by `close`. */
 export type GrpcVotePeers = VotePeers & Readonly<{close: () => void}>;
 
@@ -20,7 +15,7 @@
 	const clients = new Map<string, RankVoteClient>();
 
 	function openClient(address: string): RankVoteClient {
-		const client = clients.get(address) ?? new RankVoteClient(address, access.channel, CHANNEL_OPTIONS);
+		const client = clients.get(address) ?? new RankVoteClient(address, access.channel, PEER_CHANNEL_OPTIONS);
 		clients.set(address, client);
 		return client;
 	}
--- a/src/rank-agent/remote-rank.ts
+++ b/src/rank-agent/remote-rank.ts
@@ -1,6 +1,7 @@
 /** A rank of the group through the agent beside its engine. */
 import {status} from '@grpc/grpc-js';
 import type {LinkAccess} from '../access/link-access.js';
+import {PEER_CHANNEL_OPTIONS} from '../access/peer-channel-options.js';
 import type {Clock} from '../core/clock.js';
 import {fail, succeed, type Result} from '../core/result.js';
 import type {RankEngine, RankReadError} from '../ports/rank-engine.js';
@@ -8,12 +9,6 @@
 import {fromOutcome, fromReading, toOrderMessage} from './rank-messages.js';
 import {RANK_CALL_TIMEOUT_MILLIS, RANK_ORDER_TIMEOUT_MILLIS} from './rank-agent-constants.js';
 
-const CHANNEL_OPTIONS = {
-	'grpc.enable_retries': 0,
-	'grpc.initial_reconnect_backoff_ms': 100,
-	'grpc.max_reconnect_backoff_ms': 1000,
-};
-
 /** A remote rank whose connection is closed by `close`. */
 export type RemoteRank = RankEngine & Readonly<{close: () => void}>;
 
@@ -25,7 +20,7 @@
 	let client: RankAgentClient | undefined;
 
 	function readClient(): RankAgentClient {
-		client ??= new RankAgentClient(address, access.channel, CHANNEL_OPTIONS);
+		client ??= new RankAgentClient(address, access.channel, PEER_CHANNEL_OPTIONS);
 		return client;
 	}
 
