Take an answer without a body as whole

Cause: whether the end of a connection ends the body was told from the headers alone, in two places. 204 and 304 answers and answers to HEAD have no body, so one without a length was taken as cut, and a caller was told 502. Ruled out: the HTTP client; it reports such an answer as complete. Change: src/gateway/answer-framing.ts decides from method, status and headers; connection and head share its verdict, and the headers are turned into text once. What makes a head foreign stands once in run-attempt.ts; AnswerSink.hasPassed had no reader. The sizes of a call are logged with it.

--- a/src/gateway/__tests__/next-step.test.ts
+++ b/src/gateway/__tests__/next-step.test.ts
@@ -1,12 +1,12 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import type {AnswerHead} from '../../ports/call-codec.js';
+import type {FramedHead} from '../answer-framing.js';
 import type {RepeatRule} from '../../routing/routing-configuration.js';
 import type {AttemptEnd} from '../attempt-end.js';
 import {chooseNextStep, type NextStep} from '../next-step.js';
 import {chooseStatus} from '../refusal.js';
 
-function head(status: number): AnswerHead {
+function head(status: number): FramedHead {
 	return {
 		status, attemptId: 'a', isNotRun: false, isSigned: true, isEncoded: false, contentLength: 0, isEndedByConnection: false, load: undefined, faultyServer: undefined, headers: [],
 	};
--- a/src/gateway/answer-caller.ts
+++ b/src/gateway/answer-caller.ts
@@ -127,6 +127,8 @@
 		route: route.name,
 		service,
 		account: account?.name,
+		promptTokens: call.head.promptTokens,
+		maxOutputTokens: call.head.maxOutputTokens,
 		version: cfg.version,
 		configurationAgeMillis: Math.round(ctx.configuration.ageMillis()),
 		waitedMillis: Math.round(waitedMillis),
--- a/src/gateway/answer-sink.ts
+++ b/src/gateway/answer-sink.ts
@@ -1,7 +1,7 @@
 /** Takes the answer of an attempt: holds it until it is complete, or passes it on as it comes. */
 import {Buffer} from 'node:buffer';
 import type {Clock} from '../core/clock.js';
-import type {AnswerHead} from '../ports/call-codec.js';
+import type {FramedHead} from './answer-framing.js';
 import type {CallReply} from './call.js';
 import {createEventSplitter, type EventSplitter, type StreamEvent} from './event-splitter.js';
 import {HELD_ANSWER_BYTES} from './gateway-constants.js';
@@ -30,12 +30,10 @@
 	take: (bytes: Uint8Array) => boolean;
 	/** Bytes of a complete answer that were not passed on; undefined when all were. */
 	finish: () => Uint8Array | undefined;
-	/** Whether anything of this answer was passed on. */
-	hasPassed: () => boolean;
 }>;
 
 /** Passes on whole events, so that another attempt can continue behind the last one. */
-function createEventSink(head: AnswerHead, {reply, clock, progress, onEvent}: SinkDeps): AnswerSink {
+function createEventSink(head: FramedHead, {reply, clock, progress, onEvent}: SinkDeps): AnswerSink {
 	const splitter: EventSplitter = createEventSplitter();
 	let hasPassed = false;
 
@@ -72,12 +70,11 @@
 
 			return hasPassed ? undefined : new Uint8Array(0);
 		},
-		hasPassed: () => hasPassed,
 	};
 }
 
 /** Holds an answer until it is complete, unless it is large. */
-function createHoldingSink(head: AnswerHead, {reply}: SinkDeps): AnswerSink {
+function createHoldingSink(head: FramedHead, {reply}: SinkDeps): AnswerSink {
 	let held: Uint8Array[] = [];
 	let size = 0;
 	let isPassing = (head.contentLength ?? 0) > HELD_ANSWER_BYTES;
@@ -113,12 +110,11 @@
 
 			return Buffer.concat(held);
 		},
-		hasPassed: () => isPassing && reply.hasHead(),
 	};
 }
 
 /** Creates the sink for an answer with this head. */
-export function createAnswerSink(head: AnswerHead, deps: SinkDeps): AnswerSink {
+export function createAnswerSink(head: FramedHead, deps: SinkDeps): AnswerSink {
 	const isEventStream = deps.isStreaming && head.status >= 200 && head.status < 300;
 	return isEventStream ? createEventSink(head, deps) : createHoldingSink(head, deps);
 }
--- a/src/gateway/attempt-end.ts
+++ b/src/gateway/attempt-end.ts
@@ -1,13 +1,13 @@
-import type {AnswerHead} from '../ports/call-codec.js';
+import type {FramedHead} from './answer-framing.js';
 
 /** What became of one attempt at one backend server. */
 export type AttemptEnd
 	/** Not a byte was written: it did not run. */
 	= | Readonly<{tag: 'not_sent'; detail: string}>
 	/** The backend server states that it did not run the request. */
-		| Readonly<{tag: 'not_run'; head: AnswerHead}>
+		| Readonly<{tag: 'not_run'; head: FramedHead}>
 	/** A complete answer of any status, not passed on yet. */
-		| Readonly<{tag: 'answered'; head: AnswerHead; body: Uint8Array}>
+		| Readonly<{tag: 'answered'; head: FramedHead; body: Uint8Array}>
 	/** A complete answer that was passed on as it came. */
 		| Readonly<{tag: 'passed'}>
 	/** Written, and no complete answer: it may have run. */
--- a/src/gateway/backend-connections.ts
+++ b/src/gateway/backend-connections.ts
@@ -5,6 +5,7 @@
 import {describeError} from '../core/describe-error.js';
 import type {LifeCycle} from '../core/life-cycle.js';
 import type {RawHeaders} from '../ports/call-codec.js';
+import {isEndedByConnection} from './answer-framing.js';
 import {
 	CONNECT_TIMEOUT_MILLIS, IDLE_MARGIN_MILLIS, IDLE_TIMEOUT_MILLIS, SAFE_IDLE_MILLIS,
 } from './gateway-constants.js';
@@ -21,12 +22,20 @@
 	maxIdle: number;
 }>;
 
+/** Head of an answer. */
+export type ExchangeHead = Readonly<{
+	status: number;
+	headers: RawHeaders;
+	/** Whether only the end of the connection ends the body. */
+	isEndedByConnection: boolean;
+}>;
+
 /** What happens to a request, in order; `onEnd` is last. */
 export type ExchangeListener = Readonly<{
 	/** The first byte is about to be written. */
 	onSent: () => void;
 	/** False breaks the exchange off: the answer belongs to another request. */
-	onHead: (status: number, headers: RawHeaders) => boolean;
+	onHead: (head: ExchangeHead) => boolean;
 	onData: (bytes: Uint8Array) => void;
 	/** `error` is undefined after a complete answer. */
 	onEnd: (error: string | undefined) => void;
@@ -56,14 +65,6 @@
 	return Array.isArray(headers) ? headers.map(item => item instanceof Uint8Array ? Buffer.from(item).toString('latin1') : String(item)) : [];
 }
 
-/** Headers that tell where a body ends. */
-const FRAMING_HEADERS: ReadonlySet<string> = new Set(['content-length', 'transfer-encoding']);
-
-/** Whether the headers tell where the body ends; otherwise it ends with its connection. */
-function hasFraming(headers: RawHeaders): boolean {
-	return headers.some((name, i) => i % 2 === 0 && FRAMING_HEADERS.has(name.toLowerCase()));
-}
-
 /** Creates the connections of a process. */
 export function createBackendConnections({clock, lifeCycle}: Readonly<{clock: Clock; lifeCycle: LifeCycle}>): BackendConnections {
 	const idle = new Map<string, IdleConnection[]>();
@@ -149,11 +150,11 @@
 			let controller: Dispatcher.DispatchController | undefined;
 			let abortReason: string | undefined;
 			let hasEnded = false;
-			let isEndedByConnection = false;
+			let endsWithConnection = false;
 
 			/** Why a complete answer is not what it seems; undefined when it is. */
 			function checkEnd(): string | undefined {
-				return isEndedByConnection && !socket.hasEnded ? 'the connection closed without an end' : socket.error;
+				return endsWithConnection && !socket.hasEnded ? 'the connection closed without an end' : socket.error;
 			}
 
 			function finish(error: string | undefined): void {
@@ -190,8 +191,13 @@
 					listener.onSent();
 				},
 				onResponseStart(started, status) {
-					isEndedByConnection = !hasFraming(toText(started.rawHeaders));
-					if (status >= 200 && !listener.onHead(status, toText(started.rawHeaders))) {
+					if (status < 200) {
+						return;
+					}
+
+					const headers = toText(started.rawHeaders);
+					endsWithConnection = isEndedByConnection(req.method, status, headers);
+					if (!listener.onHead({status, headers, isEndedByConnection: endsWithConnection})) {
 						abort('the answer belongs to another request');
 					}
 				},
--- a/src/gateway/run-attempt.ts
+++ b/src/gateway/run-attempt.ts
@@ -1,6 +1,7 @@
 /** One attempt of a call at one backend server, from the first byte to its end. */
-import type {AnswerHead, CallCodec} from '../ports/call-codec.js';
+import type {CallCodec} from '../ports/call-codec.js';
 import type {Clock} from '../core/clock.js';
+import type {FramedHead} from './answer-framing.js';
 import type {AttemptEnd} from './attempt-end.js';
 import {createAnswerSink, type AnswerSink, type SinkDeps} from './answer-sink.js';
 import type {BackendConnections, Exchange} from './backend-connections.js';
@@ -33,7 +34,7 @@
 	/** Called with each sign of life of the backend server. */
 	onProgress: () => void;
 	/** Called with the head of each answer to this attempt. */
-	onHead: (head: AnswerHead) => void;
+	onHead: (head: FramedHead) => void;
 }>;
 
 /** What attempts share. */
@@ -43,8 +44,13 @@
 	clock: Clock;
 }>;
 
+/** Whether a head cannot come from a backend server, so that nothing of its body may reach the caller. */
+function isForeign(head: FramedHead): boolean {
+	return head.isEncoded || (head.status < 300 && !head.isSigned);
+}
+
 /** How an exchange with this head and without an error ended. */
-function settleComplete(head: AnswerHead | undefined, sink: AnswerSink | undefined): AttemptEnd {
+function settleComplete(head: FramedHead | undefined, sink: AnswerSink | undefined): AttemptEnd {
 	if (!head || !sink) {
 		return {tag: 'lost', detail: 'no answer'};
 	}
@@ -53,7 +59,7 @@
 		return {tag: 'not_run', head};
 	}
 
-	if (head.isEncoded || (head.status < 300 && !head.isSigned)) {
+	if (isForeign(head)) {
 		return {tag: 'lost', detail: 'the answer is not from a backend server'};
 	}
 
@@ -61,16 +67,11 @@
 	return rest === undefined ? {tag: 'passed'} : {tag: 'answered', head, body: rest};
 }
 
-/** Whether nothing of the body may reach the caller. */
-function isUnusable(head: AnswerHead): boolean {
-	return head.isNotRun || head.isEncoded || (head.status < 300 && !head.isSigned);
-}
-
 /** Sends the call and follows it; resolves once the exchange is over. */
 export async function runAttempt({connections, codec, clock}: AttemptDeps, call: Call, plan: AttemptPlan): Promise<AttemptEnd> {
 	return new Promise(resolve => {
 		let wasSent = false;
-		let head: AnswerHead | undefined;
+		let head: FramedHead | undefined;
 		let sink: AnswerSink | undefined;
 		let forced: AttemptEnd | undefined;
 		let heardAtMillis = clock.monotonicMillis();
@@ -112,13 +113,14 @@
 			onSent() {
 				wasSent = true;
 			},
-			onHead(status, headers) {
-				head = codec.readAnswer(status, headers);
-				if (head.attemptId !== call.head.attemptId) {
-					head = undefined;
+			onHead({status, headers, isEndedByConnection}) {
+				const read = {...codec.readAnswer(status, headers), isEndedByConnection};
+				if (read.attemptId !== call.head.attemptId) {
 					return false;
 				}
 
+				head = read;
+
 				noteProgress();
 				plan.onHead(head);
 				sink = createAnswerSink(head, plan.sink);
@@ -126,7 +128,7 @@
 			},
 			onData(bytes) {
 				noteProgress();
-				if (!head || !sink || isUnusable(head)) {
+				if (!head || !sink || head.isNotRun || isForeign(head)) {
 					return;
 				}
 
--- a/src/ports/call-codec.ts
+++ b/src/ports/call-codec.ts
@@ -48,8 +48,6 @@
 	isEncoded: boolean;
 	/** Body length in bytes; undefined when the framing tells. */
 	contentLength: number | undefined;
-	/** Whether the body has no framing and ends with the connection, so that a cut one looks like a whole one. */
-	isEndedByConnection: boolean;
 	load: ReportedLoad | undefined;
 	/** Backend server that is at fault for a refusal, when it names one. */
 	faultyServer: string | undefined;
