Keep the load that a group had across its epochs, and bound switches by copying time

Cause 1: a group that forms anew starts from the first map, and the planner forgot its scenarios with the epoch, so that the map was planned from the first few looks again. Before: both new tests fail. After: both pass.

--- a/src/rank-agent/__tests__/group-planner.test.ts
+++ b/src/rank-agent/__tests__/group-planner.test.ts
@@ -18,30 +18,34 @@
 const first: GroupExperts = [Array.from({length: RANKS}, (_, rank) => [rank, rank + RANKS])];
 
 /** Ranks of the group whose requests choose experts by `shares`. */
-function addCounts(ranks: readonly RankEngine[], shares: readonly number[]): readonly RankEngine[] {
+function addCounts(ranks: readonly RankEngine[], shares: readonly number[], isIdle: () => boolean): readonly RankEngine[] {
 	return ranks.map(rank => {
 		let looks = 0;
 		return {
 			...rank,
 			async readLoad() {
 				const state = await rank.readState();
-				looks++;
+				looks += Number(!isIdle());
 				return state.ok ? succeed({state: state.value, counts: shares.map(share => share * looks * 100)}) : state;
 			},
 		};
 	});
 }
 
-async function run(shares: readonly number[]): Promise<Readonly<{versions: readonly number[]; mixed: readonly number[]; experts: GroupExperts}>> {
-	const group = createFakeRankGroup(RANKS, first, createSeededRandom(4));
-	const ranks = addCounts(group.openAccess().ranks, shares);
+type Run = Readonly<{versions: readonly number[]; mixed: readonly number[]; experts: GroupExperts}>;
+
+/** Plans a group; `reformTurn` is the turn at which it forms anew, and from which on its ranks are idle. */
+async function run(shares: readonly number[], layout = LAYOUT, initial = first, reformTurn = Infinity): Promise<Run> {
+	const group = createFakeRankGroup(RANKS, initial, createSeededRandom(4));
+	let isIdle = false;
+	const ranks = addCounts(group.openAccess().ranks, shares, () => isIdle);
 	const stop = new AbortController();
 	let version = 0;
 	void planGroup({
 		clock: group.clock,
 		log: silentLog,
 		readRanks: () => ranks,
-		readLayout: () => LAYOUT,
+		readLayout: () => layout,
 		versions: {
 			async takeVersion() {
 				version += 2;
@@ -51,6 +55,11 @@
 		},
 	}, stop.signal);
 	for (let i = 0; i < TURNS; i++) {
+		if (i === reformTurn) {
+			isIdle = true;
+			group.reform();
+		}
+
 		// eslint-disable-next-line no-await-in-loop -- Turns come one after the other.
 		await group.turn();
 	}
@@ -71,3 +80,23 @@
 	const {versions} = await run([1, 1, 1, 1, 1, 1, 1, 1]);
 	assert.deepEqual(versions, [0, 0, 0, 0]);
 });
+
+void test('a group that forms anew gets a map for the load that it had', async () => {
+	const hot = [50, 1, 1, 1, 1, 1, 1, 1];
+	const {versions, mixed, experts} = await run(hot, LAYOUT, first, TURNS / 2);
+	assert.ok(versions.every(version => version > 0), 'the idle group shows no load of its own');
+	assert.deepEqual(mixed, []);
+	assert.ok((experts[0] ?? []).filter(held => held.includes(0)).length > 1);
+});
+
+void test('a switch changes as many layers as can be copied in its time', async () => {
+	const layers = 24;
+	const wide: ExpertLayout = {...LAYOUT, layers, maxLoadsPerRank: 2};
+	const initial: GroupExperts = Array.from({length: layers}, () => first[0] ?? []);
+	const shares = Array.from({length: layers}, () => [10, 1, 1, 1, 1, 1, 1, 1]).flat();
+	const {versions, mixed, experts} = await run(shares, wide, initial);
+	assert.ok(versions.every(version => version > 0));
+	assert.deepEqual(mixed, []);
+	const spread = experts.filter(ranks => ranks.filter(held => held.includes(0)).length > 1).length;
+	assert.ok(spread >= layers / 2, `${spread} layers`);
+});
--- a/src/rank-agent/group-planner.ts
+++ b/src/rank-agent/group-planner.ts
@@ -11,7 +11,7 @@
 import type {Log} from '../observability/log.js';
 import type {GroupExperts} from '../ports/rank-engine.js';
 import type {ExpertLayout} from '../routing/routing-configuration.js';
-import {MAX_COPIES_PER_RANK} from './rank-agent-constants.js';
+import {MAX_COPY_MILLIS} from './rank-agent-constants.js';
 import {readGroupExperts} from './read-group-experts.js';
 
 /** What a planner needs. */
@@ -29,13 +29,13 @@
 /** Scenarios that a plan rests on at least. */
 const LEAST_SCENARIOS = 5;
 
-/** What is known of the load since the group formed. */
+/** What is known of the load. It outlives the epochs of the group: callers ask on for the same. */
 type Observation = Readonly<{
 	epoch: number;
+	shape: ExpertLayout;
 	scenarios: LoadScenarios;
 	/** Counts of each rank at the last look. */
 	counts: ReadonlyArray<readonly number[]>;
-	step: number;
 }>;
 
 /** How often each expert was chosen since the look before; the counts of an engine that started anew begin at 0. */
@@ -50,20 +50,26 @@
 	let experts: GroupExperts | undefined;
 
 	function observe(state: GroupState, counts: ReadonlyArray<readonly number[]>, layout: ExpertLayout): void {
-		const step = state.ranks[0]?.step ?? 0;
-		if (observation?.epoch !== state.epoch) {
+		const {epoch} = state;
+		if (observation?.shape.layers !== layout.layers || observation.shape.experts !== layout.experts) {
 			experts = undefined;
 			observation = {
-				epoch: state.epoch, scenarios: createLoadScenarios(layout.layers, layout.experts), counts, step,
+				epoch, shape: layout, scenarios: createLoadScenarios(layout.layers, layout.experts), counts,
 			};
 			return;
 		}
 
+		if (observation.epoch !== epoch) {
+			experts = undefined;
+			observation = {...observation, epoch, counts};
+			return;
+		}
+
 		for (const [rank, list] of counts.entries()) {
 			observation.scenarios.observe(rank, subtract(list, observation.counts[rank] ?? []));
 		}
 
-		observation = {...observation, counts, step};
+		observation = {...observation, counts};
 	}
 
 	function plan(state: GroupState, layout: ExpertLayout): MovesPlan | undefined {
@@ -71,13 +77,14 @@
 			return undefined;
 		}
 
+		const maxCopiesPerRank = Math.max(1, Math.floor(MAX_COPY_MILLIS / Math.max(1, layout.copyMillis)));
 		return planMoves({
 			experts,
 			slotsPerRank: layout.slotsPerRank,
 			scenarios: experts.map((_, layer) => observation?.scenarios.read(layer) ?? []),
 			slowFactors: state.ranks.map(({pace}) => Math.max(1, pace)),
-			maxCopiesPerRank: MAX_COPIES_PER_RANK,
-			maxCopiesPerRankAndLayer: Math.min(MAX_COPIES_PER_RANK, layout.maxLoadsPerRank),
+			maxCopiesPerRank,
+			maxCopiesPerRankAndLayer: Math.min(maxCopiesPerRank, layout.maxLoadsPerRank),
 		});
 	}
 
