Explain a request from the log lines of all processes, and check lines against a schema

pollenport explain ID FILE... joins what processes wrote about a request with the changes that they saw meanwhile, and names causes. The schema of each line stands in src/observability/line-schemas.ts.

--- /dev/null
+++ b/src/cli/commands/explain.ts
@@ -0,0 +1,92 @@
+import {open} from 'node:fs/promises';
+import {defineCommand} from 'citty';
+import {describeError} from '../../core/describe-error.js';
+import {fail, succeed, type Result} from '../../core/result.js';
+import {EXIT_OK, EXIT_REFUSED} from '../../daemon/exit-code.js';
+import {explainRequest, type Explanation} from '../../explain/explain-request.js';
+import {parseLogLine, type LogLine} from '../../explain/log-line.js';
+import {printReport, usageReport, type Report} from '../report.js';
+
+type LogFile = Readonly<{lines: readonly LogLine[]; unreadable: number}>;
+
+async function readLog(file: string): Promise<Result<LogFile, string>> {
+	const lines: LogLine[] = [];
+	let unreadable = 0;
+	try {
+		const handle = await open(file);
+		for await (const text of handle.readLines()) {
+			const line = parseLogLine(text);
+			if (line) {
+				lines.push(line);
+			} else {
+				unreadable++;
+			}
+		}
+	} catch (error) {
+		return fail(`${file}: ${describeError(error)}`);
+	}
+
+	return succeed({lines, unreadable});
+}
+
+function describeLine({timeMillis, instanceId, message, values}: LogLine, startMillis: number): string {
+	const shown = Object.entries(values).filter(([name]) => name !== 'request').map(([name, value]) => `${name}=${String(value)}`);
+	return `  ${String(Math.round(timeMillis - startMillis)).padStart(6)} ms  ${instanceId}  ${message}  ${shown.join(' ')}`;
+}
+
+function describeExplanation({request, outcome, own, around, causes}: Explanation): readonly string[] {
+	const startMillis = own[0]?.timeMillis ?? 0;
+	return [
+		`request ${request}: ${outcome ?? 'no line about its end'}`,
+		...own.map(line => describeLine(line, startMillis)),
+		...(around.length > 0 ? ['changes at that time:', ...around.map(line => describeLine(line, startMillis))] : []),
+		causes.length > 0 ? 'causes, from its lines first:' : 'nothing in these lines speaks of a failure',
+		...causes.map(cause => `  ${cause}`),
+	];
+}
+
+async function explain(request: string, files: readonly string[]): Promise<Report> {
+	if (files.length === 0) {
+		return usageReport('name the files that hold the output of the processes');
+	}
+
+	const lines: LogLine[] = [];
+	let unreadable = 0;
+	for (const file of files) {
+		// eslint-disable-next-line no-await-in-loop -- One file after the other bounds what is open.
+		const log = await readLog(file);
+		if (!log.ok) {
+			return usageReport(log.error);
+		}
+
+		lines.push(...log.value.lines);
+		unreadable += log.value.unreadable;
+	}
+
+	const skipped = unreadable > 0 ? [`${unreadable} lines are not of a process and were skipped`] : [];
+	const explanation = explainRequest(request, lines);
+	return explanation
+		? {lines: [...describeExplanation(explanation), ...skipped], document: {...explanation, unreadable}, exitCode: EXIT_OK}
+		: {
+			lines: [`no line of ${lines.length} is about request ${request}`, 'A call that went well may have been left out under load; a refused one never is.', ...skipped],
+			document: {
+				outcome: 'not_found', request, lines: lines.length, unreadable,
+			},
+			exitCode: EXIT_REFUSED,
+		};
+}
+
+/** `pollenport explain` */
+export const explainCommand = defineCommand({
+	meta: {name: 'explain', description: 'Tell what became of a request, and why, from the log lines of all processes'},
+	args: {
+		request: {
+			type: 'positional', description: 'Id of the attempt of the caller', required: true, valueHint: 'ID',
+		},
+		json: {type: 'boolean', description: 'Print one JSON document', default: false},
+	},
+	async run({args}) {
+		// What follows the id are the files.
+		printReport(await explain(args.request, args._.slice(1).map(String)), args.json);
+	},
+});
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -5,6 +5,7 @@
 import {auditCommand} from './commands/audit.js';
 import {checkCommand} from './commands/check.js';
 import {diffCommand} from './commands/diff.js';
+import {explainCommand} from './commands/explain.js';
 import {statusCommand} from './commands/status.js';
 import {stopCommand} from './commands/stop.js';
 
@@ -20,6 +21,7 @@
 		stop: stopCommand,
 		audit: auditCommand,
 		check: checkCommand,
+		explain: explainCommand,
 	},
 });
 
--- /dev/null
+++ b/src/explain/__tests__/explain-request.test.ts
@@ -0,0 +1,105 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {explainRequest} from '../explain-request.js';
+import {parseLogLine, type LogLine} from '../log-line.js';
+
+type Written = Readonly<{atMillis: number; instanceId?: string; message: string; values: Readonly<Record<string, unknown>>}>;
+
+function write({atMillis, instanceId = 'gateway-1', message, values}: Written, sequence: number): string {
+	return `collector> ${JSON.stringify({
+		context: {
+			instanceId, incarnation: 'x', failureDomain: 'a', role: instanceId.startsWith('agent') ? 'rank-agent' : 'gateway', logLevel: 30, ...values,
+		},
+		message,
+		sequence: String(sequence),
+		time: atMillis,
+		version: '2.0.0',
+	})}`;
+}
+
+function read(lines: readonly Written[]): readonly LogLine[] {
+	return lines.map((line, i) => parseLogLine(write(line, i))).filter(line => line !== undefined);
+}
+
+void test('a refusal for want of room names the room and the uneven group', () => {
+	const lines = read([
+		{atMillis: 900, message: 'backend server gone', values: {server: 's9', reason: 'left'}},
+		{
+			atMillis: 1000, message: 'refused', values: {
+				request: 'a', outcome: 'not_run', reason: 'overload', elapsedMillis: 300, inFlight: 9, waiting: 4, limit: 9.5,
+			},
+		},
+		{
+			atMillis: 1500, instanceId: 'agent-1', message: 'map switch', values: {
+				outcome: 'switched', epoch: 2, copies: 4, skewBefore: 3.8, skewAfter: 2.1,
+			},
+		},
+		{
+			atMillis: 90_000, instanceId: 'agent-1', message: 'map switch', values: {
+				outcome: 'switched', epoch: 2, copies: 4, skewBefore: 9, skewAfter: 2.1,
+			},
+		},
+	]);
+	const explained = explainRequest('a', lines);
+	assert.equal(explained?.outcome, 'not_run');
+	assert.deepEqual(explained.causes, [
+		'it waited 300 ms for a place: 9 requests were in flight of 9.5 allowed, 4 waited',
+		'a group was uneven (skew 3.80) at that time',
+	]);
+	assert.equal(explained.around.length, 1, 'neither a server that it did not meet nor a switch long after');
+});
+
+void test('a lost answer names the backend server, and that it had gone', () => {
+	const explained = explainRequest('b', read([
+		{
+			atMillis: 1083, message: 'refused', values: {
+				request: 'b', outcome: 'unknown', reason: 'lost', attempts: 1,
+			},
+		},
+		{
+			atMillis: 1082, message: 'attempt failed', values: {
+				request: 'b', server: 's1', end: 'lost', detail: 'UND_ERR_SOCKET', tookMillis: 82,
+			},
+		},
+		{atMillis: 2100, message: 'backend server gone', values: {server: 's1', reason: 'row removed'}},
+		{
+			atMillis: 2100, instanceId: 'gateway-2', message: 'backend server gone', values: {server: 's1', reason: 'row removed'},
+		},
+	]));
+	assert.equal(explained?.outcome, 'unknown');
+	assert.deepEqual(explained.own.map(({message}) => message), ['attempt failed', 'refused'], 'in the order of time');
+	assert.deepEqual(explained.causes, ['s1 broke off after 82 ms: UND_ERR_SOCKET; it may have run', 's1 had gone: row removed']);
+	assert.equal(explained.around.length, 1, 'only what the process that took the request saw');
+});
+
+void test('a stream cut by its deadline and a repeat that was not made are told apart', () => {
+	const explained = explainRequest('c', read([
+		{
+			atMillis: 7000, message: 'attempt failed', values: {
+				request: 'c', server: 's2', end: 'late', lastEventId: 48, tookMillis: 6105,
+			},
+		},
+		{
+			atMillis: 7000, message: 'not repeated', values: {
+				request: 'c', after: 'lost', attempts: 1, maxAttempts: 2,
+			},
+		},
+		{
+			atMillis: 7001, message: 'refused', values: {
+				request: 'c', outcome: 'unknown', reason: 'late', deadlineMillis: 6112, broken: true,
+			},
+		},
+	]));
+	assert.deepEqual(explained?.causes, [
+		's2 had not finished after 6105 ms behind event 48',
+		'the retry budget of the service was used up',
+		'it was under way when its time of 6112 ms was over',
+	]);
+});
+
+void test('what is no line of a process is skipped, and an unknown id is said so', () => {
+	assert.equal(parseLogLine('plain text'), undefined);
+	assert.equal(parseLogLine('{"message":"torn'), undefined);
+	assert.equal(parseLogLine('{"message":"no context","time":1}'), undefined);
+	assert.equal(explainRequest('nobody', read([{atMillis: 1, message: 'call', values: {request: 'a'}}])), undefined);
+});
--- /dev/null
+++ b/src/observability/line-schemas.ts
@@ -0,0 +1,157 @@
+/** The lines of a gateway and of a rank agent: what each one holds. docs/logs.md shows the same to people. */
+import {z} from 'zod';
+
+const id = z.string();
+const millis = z.number().nonnegative();
+const count = z.number().int().nonnegative();
+const version = z.number().int();
+
+/** Lines about one request. */
+const requestLines = {
+	call: z.strictObject({
+		request: id,
+		deadlineMillis: millis.optional(),
+		route: z.string(),
+		service: z.string(),
+		account: z.string().optional(),
+		promptTokens: count,
+		maxOutputTokens: count,
+		version,
+		configurationAgeMillis: millis,
+		waitedMillis: millis,
+		/** Ids, in the order in which they were asked. */
+		servers: z.string(),
+		attempts: count,
+		lastEventId: z.number().optional(),
+		firstByteMillis: millis.optional(),
+		longestPauseMillis: millis,
+		inFlight: count,
+		limit: z.number(),
+		outcome: z.enum(['answered', 'not_run', 'unknown', 'caller_left']),
+		elapsedMillis: millis,
+		leftOut: count.optional(),
+	}),
+	'attempt failed': z.strictObject({
+		request: id,
+		server: z.string(),
+		end: z.enum(['not_sent', 'not_run', 'answered', 'lost', 'late', 'caller_left']),
+		detail: z.string().optional(),
+		status: z.number().int().optional(),
+		faultyServer: z.string().optional(),
+		lastEventId: z.number().optional(),
+		tookMillis: millis,
+	}),
+	'not repeated': z.strictObject({
+		request: id, after: z.string(), attempts: count, maxAttempts: count,
+	}),
+	refused: z.strictObject({
+		request: id.optional(),
+		deadlineMillis: millis.optional(),
+		outcome: z.enum(['not_run', 'unknown', 'bad_call']),
+		reason: z.string(),
+		elapsedMillis: millis.optional(),
+		broken: z.boolean().optional(),
+		host: z.string().optional(),
+		path: z.string().optional(),
+		version: version.optional(),
+		configurationAgeMillis: millis.optional(),
+		route: z.string().optional(),
+		inFlight: count.optional(),
+		waiting: count.optional(),
+		limit: z.number().optional(),
+		cause: z.string().optional(),
+		attempts: count.optional(),
+		asked: z.string().optional(),
+		status: z.number().int().optional(),
+		heldBytes: count.optional(),
+	}),
+	'request broken off': z.strictObject({detail: z.string(), leftOut: count.optional()}),
+} as const;
+
+const switchFields = {
+	version: version.optional(), epoch: version, heldStep: version.optional(), witness: version.optional(),
+};
+
+/** Lines about what a process believes of others. */
+const beliefLines = {
+	'configuration in force': z.strictObject({version, former: version.optional(), routes: count}),
+	'backend server': z.strictObject({
+		server: z.string(), state: z.string(), service: z.string(), address: z.string(), startedAt: z.number(),
+	}),
+	'backend server gone': z.strictObject({server: z.string(), reason: z.string()}),
+	entry: z.strictObject({
+		entry: z.string(), state: z.string(), incarnation: z.string(), address: z.string(),
+	}),
+	'lost the table': z.strictObject({table: z.string(), detail: z.string(), version: version.optional()}),
+	'regained the table': z.strictObject({table: z.string(), failures: count, version}),
+	'history of the table dropped; reading all rows': z.strictObject({table: z.string(), version: version.optional()}),
+	'entry names no backend server': z.strictObject({server: z.string(), detail: z.string()}),
+	'unreadable configuration': z.strictObject({version, detail: z.string()}),
+	'unreadable heartbeat row': z.strictObject({key: z.string(), detail: z.string()}),
+	'heartbeat not written': z.strictObject({error: z.string()}),
+	'plans the group': z.strictObject({group: z.string()}),
+	'group cannot be planned': z.strictObject({reason: z.string(), rank: count, leftOut: count.optional()}),
+	'map switch': z.strictObject({
+		outcome: z.enum(['switched', 'not_begun', 'unfinished']),
+		reason: z.string().optional(),
+		version: version.optional(),
+		step: count.optional(),
+		tookMillis: millis.optional(),
+		epoch: version,
+		copies: count,
+		skewBefore: z.number(),
+		skewAfter: z.number(),
+	}),
+	'map switch steps': z.strictObject({
+		version, step: count, prepareMillis: millis, armMillis: millis, leftOut: count.optional(),
+	}),
+	'fencing a map switch off': z.strictObject(switchFields),
+	'map switch abandoned': z.strictObject(switchFields),
+	'map switch completed': z.strictObject(switchFields),
+	'releasing a hold without a proposal': z.strictObject(switchFields),
+	'looked for a switch left behind': z.strictObject({
+		epoch: version, step: count, armedVersion: version.optional(), isReadable: z.boolean(),
+	}),
+	'map order': z.strictObject({
+		order: z.string(), version: version.optional(), step: count.optional(), epoch: version, outcome: z.string(), detail: z.string(),
+	}),
+	'map version not read': z.strictObject({group: z.string(), error: z.string()}),
+	'map version not written': z.strictObject({group: z.string(), error: z.string()}),
+	'pass was named before': z.strictObject({
+		group: z.string(), epoch: version, step: count, named: count,
+	}),
+} as const;
+
+/** Lines about the process itself. */
+const processLines = {
+	started: z.strictObject({
+		callers: z.string().optional(), engine: z.string().optional(), listen: z.string().optional(), store: z.string(), processId: count.optional(),
+	}),
+	'stop signal': z.strictObject({signal: z.string().optional()}),
+	'takes no streams any more': z.strictObject({open: count}),
+	'listens no more': z.strictObject({open: count}),
+	stopped: z.strictObject({cutOff: count}),
+	'settings read again': z.strictObject({isChanged: z.boolean()}),
+	'settings cannot be used; the former ones stay': z.looseObject({}),
+	'cannot listen': z.strictObject({address: z.string(), detail: z.string()}),
+	'clean-up failed': z.strictObject({name: z.string(), detail: z.string()}),
+} as const;
+
+/** Values of each line by its message, without those that all lines of a process share. */
+export const lineSchemas: Readonly<Record<string, z.ZodType>> = {...requestLines, ...beliefLines, ...processLines};
+
+/** Values that all lines of a process have. */
+export const processContextSchema = z.object({
+	instanceId: z.string(), incarnation: z.string(), failureDomain: z.string(), role: z.enum(['gateway', 'rank-agent']),
+});
+
+/** Names the value at fault in a line; undefined when the line is as stated. */
+export function findLineFault(message: string, values: Readonly<Record<string, unknown>>): string | undefined {
+	const schema = lineSchemas[message];
+	if (!schema) {
+		return `no such line: ${message}`;
+	}
+
+	const [issue] = schema.safeParse(values).error?.issues ?? [];
+	return issue && `${message}: ${issue.path.join('.')} ${issue.message}`;
+}
