Ask the store less often, and end waiting calls once one feed has lost it

A gateway at rest made 3.25 a second: heartbeats 1, their reading 1.25, and two feeds that ask anew each 2 s. Ruled out: rank agents; only two of each group follow a table. Change: feeds of configuration and backend servers wait 5 s. A silent store still shows on the heartbeats' feed, which then ends the waiting calls of the others (src/feeds/feed-interrupt.ts). An answer to any feed counts as contact for the age of the configuration.

--- a/src/adapters/http-client.ts
+++ b/src/adapters/http-client.ts
@@ -13,6 +13,8 @@
 	body?: Uint8Array | string;
 	/** Replaces the timeout of the client, in milliseconds. */
 	timeoutMillis?: number;
+	/** Gives an exchange up when it aborts. */
+	signal?: AbortSignal;
 }>;
 
 /** A whole reply. */
@@ -87,7 +89,7 @@
 	return {
 		exchange: async req => send(
 			req,
-			AbortSignal.timeout(req.timeoutMillis ?? timeoutMillis),
+			req.signal ? AbortSignal.any([req.signal, AbortSignal.timeout(req.timeoutMillis ?? timeoutMillis)]) : AbortSignal.timeout(req.timeoutMillis ?? timeoutMillis),
 			async reply => ({status: reply.statusCode, body: await reply.body.bytes()}),
 		),
 		openStream: async (req, signal) => send(
--- a/src/feeds/follow-table.ts
+++ b/src/feeds/follow-table.ts
@@ -2,7 +2,11 @@
 import type {Clock} from '../core/clock.js';
 import type {RandomSource} from '../decisions/random.js';
 import type {Log} from '../observability/log.js';
-import type {FeedError, FeedRow, TableFeed} from '../ports/table-feed.js';
+import type {Result} from '../core/result.js';
+import type {
+	FeedError, FeedPage, FeedRow, TableFeed,
+} from '../ports/table-feed.js';
+import type {FeedInterrupt} from './feed-interrupt.js';
 import {FIRST_RETRY_MILLIS, MAX_RETRY_MILLIS} from './follow-table-constants.js';
 
 /** An answer of the store. */
@@ -34,6 +38,8 @@
 	/** Least time between two calls, in milliseconds; bounds the calls where rows change all the time. */
 	paceMillis: number;
 	listener: TableListener;
+	/** Shared with the other feeds of the process; undefined for a feed of its own. */
+	interrupt?: FeedInterrupt;
 	/** Called with each answer of the store. */
 	onContact?: () => void;
 }>;
@@ -62,17 +68,28 @@
 
 	if (before.failures === 0) {
 		options.log.warn('lost the table', {table: options.table, detail: err.detail, version: before.version});
+		options.interrupt?.raise();
 	}
 
 	return {version: before.version, failures: before.failures + 1, isAnswered: false};
 }
 
+async function readChanges({feed, table, interrupt, waitMillis}: FollowOptions, version: number, failures: number): Promise<Result<FeedPage, FeedError>> {
+	const interrupted = new AbortController();
+	const unregister = interrupt?.register(() => {
+		interrupted.abort();
+	});
+	// After an outage the first answer is wanted at once, so that it is known what has changed since.
+	const page = await feed.readChanges(table, version, failures > 0 ? 0 : waitMillis, interrupted.signal);
+	unregister?.();
+	return page;
+}
+
 async function step(options: FollowOptions, before: Position): Promise<Position> {
 	const {feed, table, listener} = options;
 	const page = before.version === undefined
 		? await feed.readAll(table)
-		// After an outage the first answer is wanted at once, so that it is known what has changed since.
-		: await feed.readChanges(table, before.version, before.failures > 0 ? 0 : options.waitMillis);
+		: await readChanges(options, before.version, before.failures);
 	if (!page.ok) {
 		return noteFailure(options, before, page.error);
 	}
--- a/src/gateway/configuration-in-force.ts
+++ b/src/gateway/configuration-in-force.ts
@@ -15,7 +15,7 @@
 	read: () => IndexedConfiguration | undefined;
 	/** Whether the store has answered lately, so that a newer version would be known. */
 	isFresh: () => boolean;
-	/** Time since the last answer of the store, in milliseconds. */
+	/** Time since the store last answered any feed, in milliseconds. */
 	ageMillis: () => number;
 	noteContact: () => void;
 	listener: TableListener;
--- a/src/gateway/gateway-constants.ts
+++ b/src/gateway/gateway-constants.ts
@@ -20,18 +20,20 @@
 export const DEFAULT_RETRY_AFTER_MILLIS = 500;
 /** Age of the last answer of the store from which on an unknown route or credential is not refused for good, in milliseconds. */
 export const STALE_CONFIGURATION_MILLIS = 4000;
-/** Longest wait for a change in one call, in milliseconds; a silent connection shows soon after it, within the bound for changes. */
-export const FEED_WAIT_MILLIS = 2000;
+/** Longest wait for a heartbeat in one call, in milliseconds; a silent store shows soon after it, within the bound for changes. */
+export const MEMBER_WAIT_MILLIS = 2000;
+/** Longest wait for other changes in one call, in milliseconds; the heartbeats show a silent store, and a store call is paid for. */
+export const FEED_WAIT_MILLIS = 5000;
 /** Least time between two reads of the backend servers' entries, in milliseconds; a tenth of the time that a leaving one still serves. */
 export const SERVER_LIST_PACE_MILLIS = 200;
-/** Largest time between two heartbeats of an entry, in milliseconds; a store call is paid for. */
-export const HEARTBEAT_MILLIS = 1000;
-/** Age of a heartbeat from which on an entry is taken for dead, in milliseconds; two missed heartbeats and a slow store. */
-export const MEMBER_TIMEOUT_MILLIS = 2800;
+/** Time between two heartbeats of an entry, over the time that its death may stay unknown; a store call is paid for. */
+export const HEARTBEAT_SHARE = 0.25;
+/** Age of a heartbeat from which on an entry is taken for dead, over the same time; two missed heartbeats and a slow store. */
+export const MEMBER_TIMEOUT_SHARE = 0.7;
 /** Age of a heartbeat from which on nothing is shared with its entry any more, in milliseconds; longer than a restart of all. */
 export const SHARING_TIMEOUT_MILLIS = 10_000;
-/** Least time between two reads of the entries' heartbeats, in milliseconds. */
-export const MEMBER_LIST_PACE_MILLIS = 800;
+/** Least time between two reads of the entries' heartbeats, over the same time; with the timeout it leaves a tenth for the answer. */
+export const MEMBER_LIST_PACE_SHARE = 0.2;
 /** Time that callers may keep an address answer, in milliseconds; three of them pass while a stopping gateway listens. */
 export const ADDRESS_LIFETIME_MILLIS = 2000;
 /** Most addresses in one answer; the platform's callers use no more. */
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -12,5 +12,7 @@
 	maxConnections: number;
 	/** Time between the signal to stop and the end of the process, in milliseconds. */
 	graceMillis: number;
+	/** Time for which a dead entry may still be named to callers, in milliseconds. */
+	deadEntryMillis: number;
 	retryBudget: SharedBudgetTerms;
 }>;
--- a/src/gateway/start-gateway.ts
+++ b/src/gateway/start-gateway.ts
@@ -7,6 +7,7 @@
 import {createProgressWatch} from '../decisions/flow/progress-watch.js';
 import {createServerPicker} from '../decisions/flow/server-picker.js';
 import type {RandomSource} from '../decisions/random.js';
+import {createFeedInterrupt} from '../feeds/feed-interrupt.js';
 import {followTable, type TableListener} from '../feeds/follow-table.js';
 import {createEntryMembers, MEMBER_TABLE, type EntryMembers} from '../membership/entry-members.js';
 import type {Log} from '../observability/log.js';
@@ -19,7 +20,7 @@
 import {createConfigurationInForce, type ReadConfiguration} from './configuration-in-force.js';
 import {drainGateway} from './drain-gateway.js';
 import {
-	FEED_WAIT_MILLIS, HEARTBEAT_MILLIS, MEMBER_LIST_PACE_MILLIS, MEMBER_TIMEOUT_MILLIS, SERVER_LIST_PACE_MILLIS, SHARING_TIMEOUT_MILLIS,
+	FEED_WAIT_MILLIS, HEARTBEAT_SHARE, MEMBER_LIST_PACE_SHARE, MEMBER_TIMEOUT_SHARE, MEMBER_WAIT_MILLIS, SERVER_LIST_PACE_MILLIS, SHARING_TIMEOUT_MILLIS,
 } from './gateway-constants.js';
 import type {GatewayContext} from './gateway-context.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
@@ -79,8 +80,8 @@
 			id: settings.instanceId, incarnation: deps.incarnation, callerAddress: settings.callerListen, failureDomain: settings.failureDomain,
 		},
 		isReady,
-		heartbeatMillis: HEARTBEAT_MILLIS,
-		timeoutMillis: MEMBER_TIMEOUT_MILLIS,
+		heartbeatMillis: settings.deadEntryMillis * HEARTBEAT_SHARE,
+		timeoutMillis: settings.deadEntryMillis * MEMBER_TIMEOUT_SHARE,
 		sharingMillis: SHARING_TIMEOUT_MILLIS,
 	});
 	const flows = createServiceFlows({
@@ -89,6 +90,7 @@
 	const picker = createServerPicker({clock, random});
 	const progress = createProgressWatch();
 	const connections = createBackendConnections({clock, lifeCycle});
+	const interrupt = createFeedInterrupt();
 
 	function updateFlows(): void {
 		flows.update(servers.servers.read(), configuration.read()?.cfg);
@@ -106,7 +108,7 @@
 		}
 	});
 
-	function follow(table: string, paceMillis: number, tableListener: TableListener): void {
+	function follow(table: string, {waitMillis, paceMillis}: Readonly<{waitMillis: number; paceMillis: number}>, tableListener: TableListener): void {
 		void followTable({
 			feed,
 			table,
@@ -114,10 +116,11 @@
 			log,
 			random,
 			signal: lifeCycle.signal,
-			waitMillis: FEED_WAIT_MILLIS,
+			waitMillis,
 			paceMillis,
 			listener: tableListener,
-			onContact: table === deps.configuration.table ? configuration.noteContact : undefined,
+			interrupt,
+			onContact: configuration.noteContact,
 		});
 	}
 
@@ -138,9 +141,9 @@
 	}
 
 	opened.listener = listening.value;
-	follow(deps.configuration.table, 0, configuration.listener);
-	follow(deps.backendServers.table, SERVER_LIST_PACE_MILLIS, servers.listener);
-	follow(MEMBER_TABLE, MEMBER_LIST_PACE_MILLIS, {
+	follow(deps.configuration.table, {waitMillis: FEED_WAIT_MILLIS, paceMillis: 0}, configuration.listener);
+	follow(deps.backendServers.table, {waitMillis: FEED_WAIT_MILLIS, paceMillis: SERVER_LIST_PACE_MILLIS}, servers.listener);
+	follow(MEMBER_TABLE, {waitMillis: MEMBER_WAIT_MILLIS, paceMillis: settings.deadEntryMillis * MEMBER_LIST_PACE_SHARE}, {
 		onSnapshot(rows, contact) {
 			members.listener.onSnapshot(rows, contact);
 			updateFlows();
--- a/src/ports/table-feed.ts
+++ b/src/ports/table-feed.ts
@@ -20,6 +20,6 @@
 /** Reads and follows the rows of a table of the platform. Each call has a timeout and is never repeated inside. */
 export type TableFeed = {
 	readonly readAll: (table: string) => Promise<Result<FeedPage, FeedError>>;
-	/** Changes after a version, oldest first; waits up to `waitMillis` for the first one. */
-	readonly readChanges: (table: string, afterVersion: number, waitMillis: number) => Promise<Result<FeedPage, FeedError>>;
+	/** Changes after a version, oldest first; waits up to `waitMillis` for the first one, and no longer than until `signal` aborts. */
+	readonly readChanges: (table: string, afterVersion: number, waitMillis: number, signal?: AbortSignal) => Promise<Result<FeedPage, FeedError>>;
 };
