--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,6 +8,7 @@
 import {capacityCommand} from './capacity-command.js';
 import {callerRoutingCommand} from './caller-routing-command.js';
 import {routingCommand} from './routing-command.js';
+import {soakCommand} from './soak-command.js';
 import {traceCommand} from './trace-command.js';
 
 const main = defineCommand({
@@ -20,6 +21,7 @@
 		'caller-routing': callerRoutingCommand,
 		routing: routingCommand,
 		'placement-suite': placementSuiteCommand,
+		soak: soakCommand,
 		trace: traceCommand,
 	},
 });
--- /dev/null
+++ b/bench/soak/run-soak.ts
@@ -0,0 +1,240 @@
+/** Plays overlapping faults against the platform's programs, and judges what was seen. */
+import {readFileSync} from 'node:fs';
+import process from 'node:process';
+import {setTimeout as wait} from 'node:timers/promises';
+import {Agent} from 'node:http';
+import {createSeededRandom, type RandomSource} from '../../src/decisions/random.js';
+import {judgeSoak} from './judge-soak.js';
+import {
+	SOAK_FAULTS, type Heal, type SoakContext, type SoakFault,
+} from './soak-faults.js';
+import {
+	CALL_DEADLINE_MILLIS, CALL_KINDS, sendAttempt, startSoakCallers, type SeenAttempt,
+} from './soak-callers.js';
+import {
+	SOAK_CREDENTIAL, SOAK_HOST, startSoakSystem, type SoakSize, type SoakSystem,
+} from './soak-system.js';
+
+/** What to play. */
+export type SoakPlan = Readonly<{
+	seed: number;
+	rounds: number;
+	size: SoakSize;
+	/** Names of the kinds to draw from; all when empty. */
+	only: readonly string[];
+}>;
+
+/** What a soak showed; printed as its last line. */
+export type SoakSummary = Readonly<{
+	seed: number;
+	rounds: number;
+	faults: Readonly<Record<string, number>>;
+	calls: number;
+	outcomes: Readonly<Record<string, number>>;
+	mapSwitches: number;
+	broken: readonly string[];
+	processes: number;
+	/** Resident memory of this process, and of all of the system's processes together, in megabytes. */
+	memoryMegabytes: Readonly<{soak: number; system: number}>;
+	/** Settings and logs; kept when something is broken. */
+	dir: string;
+}>;
+
+/** Shortest and longest time that a fault lasts, in milliseconds. */
+const FAULT_MIN_MILLIS = 300;
+const FAULT_MAX_MILLIS = 2500;
+/** Longest time between the beginnings of the faults of a round, in milliseconds; they overlap. */
+const FAULT_SPREAD_MILLIS = 800;
+const MAX_FAULTS_AT_ONCE = 3;
+/** Time behind a fault in which calls may still suffer from it, in milliseconds: a silent connection shows, an entry is seen dead. */
+const AFTERMATH_MILLIS = 4500;
+/** Time behind the last fault within which new work of each kind is served, in milliseconds; the platform's bound. */
+const RECOVER_MILLIS = 12_000;
+const PROBE_PAUSE_MILLIS = 200;
+const BYTES_PER_MEGABYTE = 1_048_576;
+const BYTES_PER_PAGE = 4096;
+
+function drawFaults(kinds: readonly SoakFault[], random: RandomSource): readonly SoakFault[] {
+	const count = 1 + Math.floor(random() * MAX_FAULTS_AT_ONCE);
+	return Array.from({length: count}, () => kinds[Math.floor(random() * kinds.length)]).filter(kind => kind !== undefined);
+}
+
+function readMemory(pid: number | undefined): number {
+	if (pid === undefined) {
+		return 0;
+	}
+
+	try {
+		return Number(readFileSync(`/proc/${pid}/statm`, 'utf8').split(' ')[1]) * BYTES_PER_PAGE / BYTES_PER_MEGABYTE;
+	} catch {
+		// The process has just ended.
+		return 0;
+	}
+}
+
+function describeOutcome({kind, status, isWhole, isUnreachable}: SeenAttempt): string {
+	if (isUnreachable) {
+		return 'unreachable';
+	}
+
+	return `${kind} ${status}${isWhole ? '' : ' cut'}`;
+}
+
+function count(names: readonly string[]): Readonly<Record<string, number>> {
+	const counts: Record<string, number> = {};
+	for (const name of names) {
+		counts[name] = (counts[name] ?? 0) + 1;
+	}
+
+	return counts;
+}
+
+type Observed = {
+	leaves: Array<{serverId: string; fromMillis: number; toMillis: number}>;
+	stops: Array<{gateway: string; atMillis: number}>;
+	troubles: Array<{fromMillis: number; toMillis: number}>;
+	reported: string[];
+	faults: string[];
+};
+
+/** Injects a fault, lets it last, and heals it. */
+async function playFault(ctx: SoakContext, fault: SoakFault, observed: Observed, lasts: Readonly<{delayMillis: number; forMillis: number}>): Promise<void> {
+	await wait(lasts.delayMillis);
+	const fromMillis = ctx.now();
+	observed.faults.push(fault.name);
+	const trouble = {fromMillis, toMillis: Infinity};
+	if (!fault.isPlanned) {
+		observed.troubles.push(trouble);
+	}
+
+	const heal: Heal = await fault.inject(ctx);
+	await wait(lasts.forMillis);
+	await heal();
+	trouble.toMillis = ctx.now() + AFTERMATH_MILLIS;
+}
+
+/** Waits until a call of each kind is served; reports those that are not in time. */
+async function probe({resolve}: SoakSystem, now: () => number, observed: Observed): Promise<readonly SeenAttempt[]> {
+	const seen: SeenAttempt[] = [];
+	const startedAtMillis = now();
+	const agent = new Agent({keepAlive: false});
+	for (const kind of CALL_KINDS) {
+		let isServed = false;
+		while (!isServed && now() - startedAtMillis < RECOVER_MILLIS) {
+			/* eslint-disable no-await-in-loop -- One probe after the other. */
+			const [gateway] = await resolve();
+			if (gateway !== undefined) {
+				const attempt = await sendAttempt({
+					agent, gateway, kind, credential: SOAK_CREDENTIAL, host: SOAK_HOST, now,
+				});
+				seen.push(attempt);
+				isServed = attempt.status === 200 && attempt.isWhole;
+			}
+
+			await wait(PROBE_PAUSE_MILLIS);
+			/* eslint-enable no-await-in-loop */
+		}
+
+		if (!isServed) {
+			observed.reported.push(`recover: no call of kind ${kind} was served ${RECOVER_MILLIS} ms behind the last fault`);
+		}
+	}
+
+	return seen;
+}
+
+function watchHold({ranks}: SoakSystem, now: () => number, observed: Observed): () => void {
+	let since: Readonly<{step: number; atMillis: number}> | undefined;
+	const timer = setInterval(() => {
+		const step = ranks.group.readHeldStep();
+		if (step === undefined || ranks.group.readStep() + 1 < step) {
+			since = undefined;
+		} else if (since?.step !== step) {
+			since = {step, atMillis: now()};
+		} else if (now() - since.atMillis > RECOVER_MILLIS) {
+			observed.reported.push(`hold: pass ${step} has waited for ${RECOVER_MILLIS} ms`);
+			since = undefined;
+		}
+	}, PROBE_PAUSE_MILLIS);
+	return () => {
+		clearInterval(timer);
+	};
+}
+
+/** Plays a soak. What is drawn depends on the seed alone; what meets what in time does not. */
+export async function runSoak({seed, rounds, size, only}: SoakPlan, say: (line: string) => void): Promise<SoakSummary> {
+	const random = createSeededRandom(seed);
+	const now = () => performance.now();
+	const kinds = SOAK_FAULTS.filter(({name}) => only.length === 0 || only.includes(name));
+	const system = await startSoakSystem(size, createSeededRandom(seed + 1), now);
+	const observed: Observed = {
+		leaves: [], stops: [], troubles: [{fromMillis: 0, toMillis: now()}], reported: [], faults: [],
+	};
+	const ctx: SoakContext = {
+		system,
+		random,
+		now,
+		report(breach) {
+			observed.reported.push(breach);
+		},
+		noteStop(gateway, atMillis) {
+			observed.stops.push({gateway, atMillis});
+		},
+		noteDraining(serverId, atMillis) {
+			if (atMillis === undefined) {
+				for (const leave of observed.leaves.filter(known => known.serverId === serverId && known.toMillis === Infinity)) {
+					leave.toMillis = now();
+				}
+			} else {
+				observed.leaves.push({serverId, fromMillis: atMillis, toMillis: Infinity});
+			}
+		},
+	};
+	const callers = startSoakCallers({
+		callers: size.callers, random: createSeededRandom(seed + 2), now, resolve: system.resolve, credential: SOAK_CREDENTIAL, host: SOAK_HOST,
+	});
+	const stopWatch = watchHold(system, now, observed);
+	for (let round = 0; round < rounds; round++) {
+		const faults = drawFaults(kinds, random);
+		say(`round ${round}: ${faults.map(({name}) => name).join(' + ')}`);
+		// eslint-disable-next-line no-await-in-loop -- Rounds follow each other; what they leave behind overlaps.
+		await Promise.all(faults.map(async fault => playFault(ctx, fault, observed, {
+			delayMillis: random() * FAULT_SPREAD_MILLIS, forMillis: FAULT_MIN_MILLIS + (random() * (FAULT_MAX_MILLIS - FAULT_MIN_MILLIS)),
+		})));
+	}
+
+	const probes = await probe(system, now, observed);
+	stopWatch();
+	await callers.stop();
+	// A request without an answer may still run at a backend server.
+	await wait(CALL_DEADLINE_MILLIS);
+	const nodes = [...system.gateways, ...system.agents];
+	const memoryMegabytes = {
+		soak: Math.round(process.memoryUsage().rss / BYTES_PER_MEGABYTE), system: Math.round(nodes.map(node => readMemory(node.pid())).reduce((total, size_) => total + size_, 0)),
+	};
+	for (const node of nodes.filter(({pid}) => pid() === undefined)) {
+		observed.reported.push(`end: ${node.name} does not run at the end`);
+	}
+
+	const attempts = [...callers.attempts, ...probes];
+	const broken = judgeSoak({
+		attempts,
+		runs: system.servers.flatMap(({backend}) => backend.runs),
+		...observed,
+		mixedPasses: system.ranks.group.readMixedPasses(),
+	});
+	const mapSwitches = Math.max(...system.ranks.group.readMapVersions());
+	await system.close();
+	return {
+		seed,
+		rounds,
+		faults: count(observed.faults),
+		calls: attempts.length,
+		outcomes: count(attempts.map(attempt => describeOutcome(attempt))),
+		mapSwitches,
+		broken,
+		processes: nodes.length,
+		memoryMegabytes,
+		dir: broken.length > 0 ? system.dir : '',
+	};
+}
--- /dev/null
+++ b/bench/soak/soak-system.ts
@@ -0,0 +1,260 @@
+/** The platform's programs as separate processes, with stand-ins for the platform around them. */
+import {mkdtempSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {z} from 'zod';
+import {systemClock} from '../../src/core/system-clock.js';
+import {startFakeProvider, type FakeProvider} from '../../platform/__tests__/fake-provider.js';
+import {createManagedProcess, type ManagedProcess} from '../system/managed-process.js';
+import {PROGRAM_ROOT} from '../system/stand-in-process.js';
+import {startTcpRelay, type TcpRelay} from '../system/tcp-relay.js';
+import {startSoakBackend, type SoakBackend} from './soak-backend.js';
+import {SOAK_LAYOUT, startSoakRanks, type SoakRanks} from './soak-ranks.js';
+
+/** How large the system is. */
+export type SoakSize = Readonly<{gateways: number; backends: number; callers: number}>;
+
+/** A gateway process, and the relay between it and the store. */
+export type SoakGateway = ManagedProcess & Readonly<{callers: string; ready: string; directory: string; store: TcpRelay}>;
+/** An agent process, and the relay between it and the store. */
+export type SoakAgent = ManagedProcess & Readonly<{store: TcpRelay}>;
+/** A backend server, and the relay before it. */
+export type SoakServer = Readonly<{id: string; backend: SoakBackend; relay: TcpRelay; announce: (state: 'ready' | 'draining') => void; withdraw: () => void}>;
+
+/** Everything that runs. */
+export type SoakSystem = Readonly<{
+	dir: string;
+	provider: FakeProvider;
+	gateways: readonly SoakGateway[];
+	agents: readonly SoakAgent[];
+	servers: readonly SoakServer[];
+	ranks: SoakRanks;
+	/** Asks a gateway for the addresses of all. */
+	resolve: () => Promise<readonly string[]>;
+	/** Puts the next version of the configuration into force. */
+	changeConfiguration: () => void;
+	close: () => Promise<void>;
+}>;
+
+export const SOAK_CREDENTIAL = 'soak-credential';
+export const SOAK_HOST = 'soak.example';
+/** Time that a gateway may take to stop, in seconds. */
+export const SOAK_GRACE_S = 4;
+/** Time for which a dead gateway may be named, in seconds. */
+export const SOAK_CATCH_UP_S = 4;
+
+const SERVICE = 'plain';
+const MODEL_SERVICE = 'model';
+/** Ports of a process; each process has an address of its own on loopback. */
+const PORTS = {
+	callers: 8080, ready: 8081, directory: 8082, ranks: 8083, engine: 8084,
+} as const;
+/** Second part of the loopback addresses; two runs at a time seldom share it, and ports in use are refused loudly. */
+const NETWORK = 10 + (process.pid % 200);
+/** Longest wait for an answer of a gateway beside calls, in milliseconds. */
+const ASK_TIMEOUT_MILLIS = 500;
+
+const addressesSchema = z.object({Addresses: z.array(z.string())});
+
+const hostOf = (group: number, index: number) => `127.${NETWORK}.${group}.${index + 1}`;
+
+function createConfiguration(version: number, random: () => number): unknown {
+	const shared = {
+		Host: SOAK_HOST, TimeoutMs: 2500, TargetLatencyMs: 500, Priority: 1, MaxAttempts: 2, Service: SERVICE,
+	};
+	return {
+		Version: version,
+		Routes: [
+			{
+				...shared, Name: 'once', Prefix: '/once/', Kind: 'non_idempotent',
+			},
+			{
+				...shared, Name: 'again', Prefix: '/again/', Kind: 'idempotent',
+			},
+			{
+				...shared, Name: 'stream', Prefix: '/stream/', Kind: 'streaming', Resumable: true, GapTargetMs: 120,
+			},
+			{
+				...shared, Name: `idle-${version}`, Prefix: `/idle-${Math.floor(random() * 1000)}/`, Kind: 'idempotent',
+			},
+		],
+		Services: [
+			{Name: SERVICE, HealthPath: '/health', MaxConns: 200},
+			{
+				Name: MODEL_SERVICE,
+				HealthPath: '/health',
+				MaxConns: 200,
+				Engine: {
+					Slots: 8, Stride: 4, KvCapacity: 100_000, step_ms: 5, per_seq_ms: 1, read_per_s: 60_000, usual: {prompt: 800, answer: 100}, Sets: SOAK_LAYOUT.layers, Experts: SOAK_LAYOUT.expertsPerLayer, Placements: SOAK_LAYOUT.slotsPerRank, Spare: 2, ExpertMb: 1, LinkMbps: 1000,
+				},
+			},
+		],
+		Limits: {
+			MaxHeaderBytes: 16_384, MaxBodyBytes: 100_000, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15_000,
+		},
+		Tenants: [{Name: 'account-1', ApiKeys: [SOAK_CREDENTIAL]}],
+	};
+}
+
+async function answersOk(url: string): Promise<boolean> {
+	try {
+		const res = await fetch(url, {signal: AbortSignal.timeout(ASK_TIMEOUT_MILLIS)});
+		await res.arrayBuffer();
+		return res.status === 200;
+	} catch {
+		// Not listening, or silent: not ready in both cases.
+		return false;
+	}
+}
+
+type ProcessPlan = Readonly<{name: string; dir: string; settings: Readonly<Record<string, unknown>>; isReady: () => Promise<boolean>}>;
+
+function createNode({name, dir, settings, isReady}: ProcessPlan): ManagedProcess {
+	const file = path.join(dir, `${name}.json`);
+	writeFileSync(file, JSON.stringify(settings));
+	return createManagedProcess({
+		name, args: [path.join(PROGRAM_ROOT, 'platform', 'main.js')], variables: {POLLENPORT_CONFIG: file}, logFile: path.join(dir, `${name}.log`), isReady,
+	});
+}
+
+async function createGateway(index: number, dir: string, provider: FakeProvider): Promise<SoakGateway> {
+	const ip = hostOf(0, index);
+	const name = `gateway-${index}`;
+	const store = await startTcpRelay({port: 0}, Number(new URL(provider.url).port));
+	const [callers, ready, directory] = [`${ip}:${PORTS.callers}`, `${ip}:${PORTS.ready}`, `${ip}:${PORTS.directory}`];
+	const settings = {
+		NodeName: name,
+		Ip: ip,
+		Zone: `zone-${index % 3}`,
+		Region: 'region',
+		Provider: {Address: store.address},
+		Listen: {Front: callers, Ready: ready, Directory: directory},
+		Limits: {MaxFds: 4000},
+		Bounds: {
+			GraceS: SOAK_GRACE_S, CatchUpS: SOAK_CATCH_UP_S, RetryBudgetRatio: 0.2, BudgetWindowS: 10, RetryBudgetExtra: 100, ttl_max_s: 5,
+		},
+	};
+	const node = createNode({
+		name, dir, settings, isReady: async () => answersOk(`http://${ready}/ready`),
+	});
+	return {
+		...node, callers, ready, directory, store,
+	};
+}
+
+async function createAgent(index: number, dir: string, provider: FakeProvider): Promise<SoakAgent> {
+	const ip = hostOf(1, index);
+	const name = `agent-${index}`;
+	const store = await startTcpRelay({port: 0}, Number(new URL(provider.url).port));
+	const settings = {
+		NodeName: name, Ip: ip, Zone: `zone-${index % 3}`, Region: 'region', Provider: {Address: store.address}, app: `${ip}:${PORTS.engine}`, Service: MODEL_SERVICE, PortRange: [PORTS.ranks, PORTS.ranks + 10],
+	};
+	const node = createNode({
+		name, dir, settings, isReady: async () => true,
+	});
+	return {...node, store};
+}
+
+async function createServer(index: number, provider: FakeProvider, random: () => number, now: () => number): Promise<SoakServer> {
+	const id = `server-${index}`;
+	const backend = await startSoakBackend({serverId: id, random, now});
+	const relay = await startTcpRelay({port: 0}, backend.port);
+	let sequence = 0;
+	return {
+		id,
+		backend,
+		relay,
+		announce(state) {
+			sequence++;
+			provider.put('servers', id, {
+				Service: SERVICE, Address: relay.address, Zone: `zone-${index % 3}`, Version: 'v1', Slots: 16, State: state, Seq: sequence, ColdLeftMs: 0, born: 1000,
+			});
+		},
+		withdraw() {
+			provider.remove('servers', id);
+		},
+	};
+}
+
+/** Starts the system and waits until all of it serves. */
+export async function startSoakSystem(size: SoakSize, random: () => number, now: () => number): Promise<SoakSystem> {
+	const dir = mkdtempSync(path.join(tmpdir(), 'soak-'));
+	const provider = await startFakeProvider();
+	let version = 0;
+	function changeConfiguration(): void {
+		version++;
+		provider.put('op', 'config', createConfiguration(version, random));
+	}
+
+	changeConfiguration();
+	const servers = await Promise.all(Array.from({length: size.backends}, async (_, i) => createServer(i, provider, random, now)));
+	for (const server of servers) {
+		server.announce('ready');
+	}
+
+	const rankHosts = Array.from({length: 4}, (_, i) => hostOf(1, i));
+	const ranks = await startSoakRanks(rankHosts, PORTS.engine, random);
+	for (const [rank, address] of ranks.addresses.entries()) {
+		provider.put('servers', `rank-${rank}`, {
+			Service: MODEL_SERVICE, Address: address, Zone: 'zone-0', Version: 'v1', Slots: 8, State: 'ready', Seq: 1, ColdLeftMs: 0, born: 1000, group: {
+				Name: 'g', epoch: 1, rank, State: 'open',
+			}, size: ranks.addresses.length,
+		});
+	}
+
+	const gateways = await Promise.all(Array.from({length: size.gateways}, async (_, i) => createGateway(i, dir, provider)));
+	const agents = await Promise.all(rankHosts.map(async (_, i) => createAgent(i, dir, provider)));
+	for (const node of [...gateways, ...agents]) {
+		node.launch();
+	}
+
+	await Promise.all([...gateways, ...agents].map(async node => node.waitReady()));
+
+	async function resolve(): Promise<readonly string[]> {
+		const start = Math.floor(random() * gateways.length);
+		/* eslint-disable no-await-in-loop -- The next one is asked when this one does not answer. */
+		for (let i = 0; i < gateways.length; i++) {
+			const gateway = gateways[(start + i) % gateways.length];
+			try {
+				const res = await fetch(`http://${gateway?.directory}/resolve?Name=${SOAK_HOST}&Region=region&Zone=zone-0`, {signal: AbortSignal.timeout(ASK_TIMEOUT_MILLIS)});
+				const answer = addressesSchema.safeParse(await res.json());
+				if (answer.success && answer.data.Addresses.length > 0) {
+					return answer.data.Addresses;
+				}
+			} catch {
+				// This gateway is down or stands still; callers ask another one.
+			}
+		}
+		/* eslint-enable no-await-in-loop */
+
+		await systemClock.sleep(ASK_TIMEOUT_MILLIS);
+		return [];
+	}
+
+	return {
+		dir,
+		provider,
+		gateways,
+		agents,
+		servers,
+		ranks,
+		resolve,
+		changeConfiguration,
+		async close() {
+			for (const node of [...gateways, ...agents]) {
+				node.signal('SIGCONT');
+				node.signal('SIGKILL');
+			}
+
+			await Promise.all([...gateways, ...agents].map(async node => node.waitEnd()));
+			await Promise.all([...gateways, ...agents].map(async node => node.store.close()));
+			await Promise.all(servers.map(async ({relay, backend}) => {
+				await relay.close();
+				await backend.close();
+			}));
+			await ranks.close();
+			provider.close();
+		},
+	};
+}
--- a/bench/system/local-system.ts
+++ b/bench/system/local-system.ts
@@ -226,7 +226,7 @@
 	const nextPort = await createPortSource((daemonCount * PORTS_PER_DAEMON) + standInCount);
 	const standIns = createStandIns(options, dir, nextPort);
 	const {relayed, ...daemons} = createDaemons(options, dir, nextPort, standIns);
-	const relays = await Promise.all(relayed.map(async ({listenPort, targetPort}) => startTcpRelay(listenPort, targetPort)));
+	const relays = await Promise.all(relayed.map(async ({listenPort, targetPort}) => startTcpRelay({port: listenPort}, targetPort)));
 	const platform = [standIns.table, standIns.objects, standIns.instanceList, standIns.weightStore, standIns.rankGroup];
 	const allDaemons = [...daemons.entries, ...daemons.engineAgents, ...daemons.plainAgents];
 
--- a/bench/system/managed-process.ts
+++ b/bench/system/managed-process.ts
@@ -17,6 +17,8 @@
 	name: string;
 	/** Path of the program, then its arguments. */
 	args: readonly string[];
+	/** Variables besides those of this process. */
+	variables?: Readonly<Record<string, string>>;
 	/** File that takes standard output and error. */
 	logFile: string;
 	isReady: () => Promise<boolean>;
@@ -64,7 +66,7 @@
 	function launch(): void {
 		invariant(!run, `${definition.name} runs already`);
 		const log = openSync(definition.logFile, 'a');
-		const child = spawn(process.execPath, definition.args, {stdio: ['ignore', log, log]});
+		const child = spawn(process.execPath, definition.args, {stdio: ['ignore', log, log], env: {...process.env, ...definition.variables}});
 		closeSync(log);
 		liveChildren.add(child);
 		const ended = new Promise<ProcessEnd>(resolve => {
--- a/bench/system/tcp-relay.ts
+++ b/bench/system/tcp-relay.ts
@@ -1,43 +1,92 @@
+import {once} from 'node:events';
 import {connect, createServer, type Socket} from 'node:net';
 import {invariant} from '../../src/core/invariant.js';
 
+/** Way of the bytes that a relay drops. */
+export type SilentWay = 'none' | 'requests' | 'answers' | 'both';
+
 /** Something between two ends that may lose track of their connections. */
 export type TcpRelay = Readonly<{
+	/** Where it listens, as `IP:port`. */
+	address: string;
 	/** Open connections go silent for good; new ones work. */
 	silenceOpen: () => void;
 	/** Open connections are reset, and new ones are, until `heal`. */
 	cut: () => void;
+	/** Bytes of one way or both, of open and of new connections, are dropped until `heal`. */
+	silence: (way: SilentWay) => void;
+	/** Bytes arrive later by this, in milliseconds, until `heal`. */
+	delay: (millis: number) => void;
+	/** Open connections are reset; new ones work. */
+	resetOpen: () => void;
 	heal: () => void;
 	close: () => Promise<void>;
 }>;
 
-type Pair = Readonly<{inner: Socket; outer: Socket}>;
+type Pair = {readonly inner: Socket; readonly outer: Socket; isSilent: boolean};
+
+const LOOPBACK = '127.0.0.1';
 
 function destroyPair({inner, outer}: Pair): void {
 	inner.destroy();
 	outer.destroy();
 }
 
-function silencePair({inner, outer}: Pair): void {
-	inner.unpipe(outer);
-	outer.unpipe(inner);
-	inner.resume();
-	outer.resume();
-}
+/** Where a relay listens; port 0 takes a free one. */
+export type RelayPlace = Readonly<{host?: string; port: number}>;
 
-/** Relays connections to `listenPort` on loopback to `targetPort` on loopback. */
-export async function startTcpRelay(listenPort: number, targetPort: number): Promise<TcpRelay> {
+/** Relays connections to `place` on loopback to `targetPort` on loopback. */
+export async function startTcpRelay({host = LOOPBACK, port}: RelayPlace, targetPort: number): Promise<TcpRelay> {
 	const pairs = new Set<Pair>();
 	let isCut = false;
+	let silentWay: SilentWay = 'none';
+	let delayMillis = 0;
+
+	/** Passes bytes on in their order, each after the delay that holds when it comes. */
+	function pump(pair: Pair, from: Socket, to: Socket, way: SilentWay): void {
+		let dueMillis = 0;
+		const later = (action: () => void) => {
+			const nowMillis = performance.now();
+			dueMillis = Math.max(dueMillis, nowMillis + delayMillis);
+			if (dueMillis <= nowMillis) {
+				action();
+			} else {
+				setTimeout(action, dueMillis - nowMillis);
+			}
+		};
+
+		const isSilent = () => pair.isSilent || silentWay === way || silentWay === 'both';
+		from.on('data', bytes => {
+			if (!isSilent()) {
+				later(() => {
+					to.write(bytes);
+				});
+			}
+		});
+		from.on('end', () => {
+			if (!isSilent()) {
+				later(() => {
+					to.end();
+				});
+			}
+		});
+	}
+
+	function resetOpen(): void {
+		for (const pair of pairs) {
+			pair.outer.resetAndDestroy();
+			pair.inner.resetAndDestroy();
+		}
+	}
 
-	const server = createServer(outer => {
+	const server = createServer({allowHalfOpen: true}, outer => {
 		if (isCut) {
 			outer.resetAndDestroy();
 			return;
 		}
 
-		const inner = connect(targetPort, '127.0.0.1');
-		const pair = {inner, outer};
+		const inner = connect({host: LOOPBACK, port: targetPort, allowHalfOpen: true});
+		const pair: Pair = {inner, outer, isSilent: false};
 		pairs.add(pair);
 		for (const socket of [inner, outer]) {
 			socket.on('error', () => {
@@ -49,18 +98,19 @@
 			});
 		}
 
-		outer.pipe(inner);
-		inner.pipe(outer);
-	});
-	await new Promise<void>(resolve => {
-		server.listen(listenPort, '127.0.0.1', resolve);
+		pump(pair, outer, inner, 'requests');
+		pump(pair, inner, outer, 'answers');
 	});
-	invariant(server.listening, 'the relay listens');
+	server.listen(port, host);
+	await once(server, 'listening');
+	const bound = server.address();
+	invariant(typeof bound === 'object' && bound, 'a TCP server has a port');
 
 	return {
+		address: `${host}:${bound.port}`,
 		silenceOpen() {
 			for (const pair of pairs) {
-				silencePair(pair);
+				pair.isSilent = true;
 			}
 		},
 		cut() {
@@ -69,17 +119,25 @@
 				destroyPair(pair);
 			}
 		},
+		silence(way) {
+			silentWay = way;
+		},
+		delay(millis) {
+			delayMillis = millis;
+		},
+		resetOpen,
 		heal() {
 			isCut = false;
+			silentWay = 'none';
+			delayMillis = 0;
 		},
 		async close() {
 			for (const pair of pairs) {
 				destroyPair(pair);
 			}
 
-			await new Promise(resolve => {
-				server.close(resolve);
-			});
+			server.close();
+			await once(server, 'close');
 		},
 	};
 }
--- a/src/map-switch/__tests__/fake-rank-group.ts
+++ b/src/map-switch/__tests__/fake-rank-group.ts
@@ -37,8 +37,14 @@
 
 /** A rank group in this process, whose passes and late orders happen at random moments. */
 export type FakeRankGroup = Readonly<{
-	/** Access for one proposer; after `kill` its calls never return. */
-	openAccess: () => Readonly<{ranks: readonly RankEngine[]; kill: () => void}>;
+	/** Access for one proposer; after `kill` its calls never return. The instance of a frozen one answers nobody. */
+	openAccess: () => Readonly<{
+		ranks: readonly RankEngine[];
+		kill: () => void;
+		/** Until `thaw` its calls stand still. */
+		freeze: () => void;
+		thaw: () => void;
+	}>;
 	/** Time that passes with the group: each sleep may begin passes and carry out late orders. */
 	clock: Clock;
 	setFaults: (faults: OrderFaults) => void;
@@ -46,6 +52,8 @@
 	readMixedPasses: () => readonly number[];
 	readStep: () => number;
 	readMapVersions: () => readonly number[];
+	/** Version with which each rank is armed. */
+	readArmed: () => ReadonlyArray<number | undefined>;
 	readHeldStep: () => number | undefined;
 	/** Experts in force at the anchor rank's map. */
 	readExperts: () => GroupExperts;
@@ -191,10 +199,15 @@
 	}
 
 	function openAccess() {
-		let isDead = false;
+		const proposer = {isDead: false, isFrozen: false};
 		async function reach(): Promise<void> {
 			await turn();
-			if (isDead) {
+			while (proposer.isFrozen) {
+				// eslint-disable-next-line no-await-in-loop -- Time passes meanwhile.
+				await nextTurn();
+			}
+
+			if (proposer.isDead) {
 				await new Promise<never>(() => {
 					// Never settles: the proposer is gone.
 				});
@@ -248,7 +261,13 @@
 		return {
 			ranks: access,
 			kill() {
-				isDead = true;
+				proposer.isDead = true;
+			},
+			freeze() {
+				proposer.isFrozen = true;
+			},
+			thaw() {
+				proposer.isFrozen = false;
 			},
 		};
 	}
@@ -272,7 +291,8 @@
 		readMixedPasses: () => mixedPasses,
 		readStep: () => step,
 		readMapVersions: () => ranks.map(({mapVersion}) => mapVersion),
-		readHeldStep: () => ranks[0]?.heldStep,
+		readArmed: () => ranks.map(({armed}) => armed?.version),
+		readHeldStep: () => ranks.find(({heldStep}) => heldStep !== undefined)?.heldStep,
 		readExperts: () => ranks[0]?.experts ?? firstExperts,
 		settle() {
 			for (const order of late) {
--- a/src/map-switch/__tests__/map-switch.test.ts
+++ b/src/map-switch/__tests__/map-switch.test.ts
@@ -1,13 +1,15 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {succeed} from '../../core/result.js';
+import {fail, succeed} from '../../core/result.js';
 import {createSeededRandom, type RandomSource} from '../../decisions/random.js';
 import {silentLog} from '../../observability/log.js';
-import type {GroupExperts} from '../../ports/rank-engine.js';
+import type {GroupExperts, RankEngine} from '../../ports/rank-engine.js';
 import type {Row, TableStore} from '../../ports/table-store.js';
 import {watchSwitch} from '../../rank-agent/watch-switch.js';
 import {finishSwitch, hasLeftover} from '../finish-switch.js';
-import {isGroupState, readGroupState, type GroupRanks} from '../group-ranks.js';
+import {
+	isGroupState, PLANNER_RANK, readGroupState, type GroupRanks,
+} from '../group-ranks.js';
 import {switchMap} from '../switch-map.js';
 import {createVersionSource} from '../version-row.js';
 import {createFakeRankGroup, NO_FAULTS, type OrderFaults} from './fake-rank-group.js';
@@ -47,29 +49,33 @@
 	};
 }
 
-async function readExperts(ranks: GroupRanks): Promise<GroupExperts | undefined> {
-	const lists = await Promise.all(ranks.map(async rank => rank.readExperts()));
+async function readExperts(ranks: GroupRanks, withPlanner: boolean): Promise<GroupExperts | undefined> {
+	const lists = await Promise.all(ranks.map(async (rank, i) => withPlanner || i !== PLANNER_RANK ? rank.readExperts() : succeed([[PLANNER_RANK]])));
 	const layers = lists.map(list => list.ok ? list.value : undefined);
 	return layers.includes(undefined) ? undefined : [layers.map(layer => layer?.[0] ?? [])];
 }
 
-type Planner = Readonly<{run: (signal: AbortSignal) => Promise<void>; kill: () => void}>;
+type Planner = Readonly<{run: (signal: AbortSignal) => Promise<void>}> & Pick<ReturnType<ReturnType<typeof createFakeRankGroup>['openAccess']>, 'kill' | 'freeze' | 'thaw'>;
 
 /** A planner that proposes one map after the other, and ends what it finds left behind. */
 function createPlanner(group: ReturnType<typeof createFakeRankGroup>, table: TableStore, owner: string): Planner {
-	const {ranks, kill} = group.openAccess();
+	const {
+		ranks, kill, freeze, thaw,
+	} = group.openAccess();
 	const deps = {
 		ranks, clock: group.clock, log: silentLog, ...createVersionSource(table, silentLog, 'g', owner),
 	};
 	let marker = 0;
 	return {
 		kill,
+		freeze,
+		thaw,
 		async run(signal) {
 			/* eslint-disable no-await-in-loop -- One step after the other. */
 			while (!signal.aborted) {
 				const state = await readGroupState(ranks);
 				if (isGroupState(state) && hasLeftover(state)) {
-					await finishSwitch({...deps, readExperts: async () => readExperts(ranks)}, signal);
+					await finishSwitch({...deps, readExperts: async withPlanner => readExperts(ranks, withPlanner)}, signal);
 				} else if (isGroupState(state)) {
 					marker++;
 					await switchMap(deps, {epoch: state.epoch, experts: createExperts((owner.length * 1000) + marker), copyMillis: 10});
@@ -181,7 +187,7 @@
 			const access = group.openAccess();
 			const ending = new AbortController();
 			await finishSwitch({
-				ranks: access.ranks, clock: group.clock, log: silentLog, readExperts: async () => readExperts(access.ranks),
+				ranks: access.ranks, clock: group.clock, log: silentLog, readExperts: async withPlanner => readExperts(access.ranks, withPlanner),
 			}, ending.signal);
 			await takeTurns(group, 40);
 			/* eslint-enable no-await-in-loop */
@@ -224,3 +230,51 @@
 
 	assert.ok(longestMillis < MAX_HELD_MILLIS, `held for ${longestMillis} ms`);
 });
+
+void test('a planner whose instance stands still together with its engine holds the group for a bounded time', async () => {
+	let undecided = 0;
+	let released = 0;
+	for (let seed = 1; seed <= SEEDS * 2; seed++) {
+		const random = createSeededRandom(seed);
+		const group = createFakeRankGroup(RANKS, createExperts(0), random);
+		const stop = new AbortController();
+		const planner = createPlanner(group, createTable(), 'a');
+		let isAway = false;
+		const access = group.openAccess();
+		const ranks = access.ranks.map((rank, i): RankEngine => ({
+			...rank,
+			readState: async () => i === PLANNER_RANK && isAway ? fail({tag: 'unavailable', detail: 'no answer'}) : rank.readState(),
+			order: async (order, epoch) => i === PLANNER_RANK && isAway ? {tag: 'unknown', detail: 'no answer'} : rank.order(order, epoch),
+		}));
+		void planner.run(stop.signal);
+		void watchSwitch({
+			clock: group.clock, log: silentLog, engine: ranks[1]!, readRanks: () => ranks,
+		}, stop.signal);
+		/* eslint-disable no-await-in-loop -- One run after the other. */
+		while (group.readHeldStep() === undefined || random() < 0.8) {
+			await group.turn();
+		}
+
+		planner.freeze();
+		isAway = true;
+		const frozenAtMillis = group.clock.monotonicMillis();
+		while (group.readHeldStep() !== undefined && group.clock.monotonicMillis() - frozenAtMillis < MAX_HELD_MILLIS) {
+			await group.turn();
+		}
+
+		const isHeld = group.readHeldStep() !== undefined;
+		const areOthersArmed = group.readArmed().every((version, rank) => rank === PLANNER_RANK || version !== undefined);
+		assert.ok(!isHeld || areOthersArmed, `seed ${seed}: still held though another rank is not armed`);
+		undecided += Number(isHeld);
+		released += Number(!isHeld);
+		isAway = false;
+		planner.thaw();
+		await takeTurns(group, RUN_TURNS / 4);
+		stop.abort();
+		await takeTurns(group, RUN_TURNS / 4);
+		/* eslint-enable no-await-in-loop */
+		assert.deepEqual(group.readMixedPasses(), [], `seed ${seed}: passes on two maps`);
+	}
+
+	assert.ok(released > undecided, `${released} released, ${undecided} undecided`);
+});
--- a/src/map-switch/finish-switch.ts
+++ b/src/map-switch/finish-switch.ts
@@ -4,12 +4,15 @@
  * A hold may be released towards the new map only when all ranks are armed with it, and towards the old one only when no rank
  * can be armed with the new one any more. A rank that has a higher version prepared can never be armed with the lower one: it
  * is the witness without which nobody disarms.
+ *
+ * The planner's own rank may be out of reach together with the planner. It is armed last, once all others were seen armed; so
+ * while another rank can still become the witness, it is not armed, and with the witness it never will be.
  */
 import type {Clock} from '../core/clock.js';
 import type {Log} from '../observability/log.js';
 import type {GroupExperts, RankState} from '../ports/rank-engine.js';
 import {
-	isGroupState, listRanks, orderRanks, readGroupState, type GroupRanks, type GroupState,
+	chooseAnchor, isGroupState, isWhole, listRanks, orderRanks, PLANNER_RANK, readGroupState, readHeldStep, type GroupRanks, type GroupState,
 } from './group-ranks.js';
 import {RECOVERY_PAUSE_MILLIS, VERSIONS_PER_PROPOSAL} from './map-switch-constants.js';
 
@@ -18,8 +21,8 @@
 	ranks: GroupRanks;
 	clock: Clock;
 	log: Log;
-	/** Experts in force at all ranks; undefined when they cannot be read. */
-	readExperts: () => Promise<GroupExperts | undefined>;
+	/** Experts in force at all ranks; undefined when they cannot be read. Those of the planner's rank are not asked for when it is away. */
+	readExperts: (withPlanner: boolean) => Promise<GroupExperts | undefined>;
 }>;
 
 /** The version that fences a proposal off; its content is always the map in force. */
@@ -41,8 +44,8 @@
 }
 
 /** Whether all ranks will switch to the version as the held pass begins. */
-export function areAllArmed({ranks}: GroupState, version: number, step: number): boolean {
-	return ranks.every(({armed}) => armed?.version === version && armed.step === step);
+export function areAllArmed(state: GroupState, version: number, step: number): boolean {
+	return isWhole(state) && state.ranks.every(({armed}) => armed?.version === version && armed.step === step);
 }
 
 /** Whether all ranks switch to one version at one pass and nothing holds the group back. */
@@ -66,7 +69,7 @@
 async function takeStepBack(deps: FinishDeps, state: GroupState, version: number): Promise<void> {
 	const {ranks, log} = deps;
 	const {epoch} = state;
-	const experts = await deps.readExperts();
+	const experts = await deps.readExperts(isWhole(state));
 	if (!experts) {
 		return;
 	}
@@ -82,26 +85,34 @@
 		return;
 	}
 
-	await Promise.all(state.ranks.map(async ({armed}, rank) =>
-		armed && orderRanks(ranks, [rank], {tag: 'disarm', version: armed.version}, epoch)));
+	await Promise.all(state.ranks.map(async ({armed, group}) =>
+		armed && orderRanks(ranks, [group.rank], {tag: 'disarm', version: armed.version}, epoch)));
 	const prepared = listRanks(state, ({armed, preparedVersion}) =>
 		armed === undefined && preparedVersion !== undefined && isProposal(preparedVersion));
 	await orderRanks(ranks, prepared, fence, epoch);
-	const heldStep = state.ranks[0]?.heldStep;
+	const heldStep = readHeldStep(state);
 	const isAnyArmed = state.ranks.some(({armed}) => armed !== undefined);
 	if (!isAnyArmed && prepared.length === 0 && heldStep !== undefined) {
-		log.info('map switch abandoned', {version, epoch, heldStep});
-		await orderRanks(ranks, [0], {tag: 'go', step: heldStep}, epoch);
+		log.info('map switch abandoned', {
+			version, epoch, heldStep, isPlannerAway: !isWhole(state),
+		});
+		await orderRanks(ranks, [chooseAnchor(state.size)], {tag: 'go', step: heldStep}, epoch);
 	}
 }
 
 /** Brings the group to a state without a hold and without armed ranks; returns false when it cannot be read. */
 export async function finishSwitch(deps: FinishDeps, signal: AbortSignal): Promise<boolean> {
 	/* eslint-disable no-await-in-loop -- Each step depends on what the one before did. */
+	let withPlanner = true;
 	while (!signal.aborted) {
-		const state = await readGroupState(deps.ranks);
+		const state = await readGroupState(deps.ranks, withPlanner);
 		if (!isGroupState(state)) {
-			return false;
+			if (!withPlanner || state.tag !== 'unavailable' || state.rank !== PLANNER_RANK) {
+				return false;
+			}
+
+			withPlanner = false;
+			continue;
 		}
 
 		if (!hasLeftover(state)) {
@@ -109,16 +120,21 @@
 		}
 
 		const version = findNewestProposal(state);
-		const heldStep = state.ranks[0]?.heldStep;
+		const heldStep = readHeldStep(state);
 		if (heldStep !== undefined && version !== undefined && areAllArmed(state, version, heldStep)) {
 			deps.log.info('map switch completed', {version, epoch: state.epoch, heldStep});
-			await orderRanks(deps.ranks, [0], {tag: 'go', step: heldStep}, state.epoch);
+			await orderRanks(deps.ranks, [chooseAnchor(state.size)], {tag: 'go', step: heldStep}, state.epoch);
 		} else if (version !== undefined) {
+			if (!isWhole(state) && listRanks(state, ({armed}) => armed === undefined).length === 0) {
+				// The planner's rank may be armed or not, and only it can tell.
+				return false;
+			}
+
 			await takeStepBack(deps, state, version);
 		} else if (heldStep !== undefined) {
-			// No rank has a proposal prepared, so none can be armed.
+			// No rank has a proposal prepared, so none can be armed; the planner's rank has none that the others never had.
 			deps.log.info('releasing a hold without a proposal', {epoch: state.epoch, heldStep});
-			await orderRanks(deps.ranks, [0], {tag: 'go', step: heldStep}, state.epoch);
+			await orderRanks(deps.ranks, [chooseAnchor(state.size)], {tag: 'go', step: heldStep}, state.epoch);
 		}
 
 		await deps.clock.sleep(RECOVERY_PAUSE_MILLIS, signal);
--- a/src/map-switch/group-ranks.ts
+++ b/src/map-switch/group-ranks.ts
@@ -3,11 +3,14 @@
 	OrderOutcome, RankEngine, RankOrder, RankReadError, RankState,
 } from '../ports/rank-engine.js';
 
-/** Access to all ranks of a group, in rank order. Rank 0 is the anchor, which holds the group before a switch. */
+/** Access to all ranks of a group, in rank order. */
 export type GroupRanks = readonly RankEngine[];
 
-/** States of all ranks of one open group in one epoch, in rank order. */
-export type GroupState = Readonly<{epoch: number; ranks: readonly RankState[]}>;
+/**
+ * States of the ranks of one open group in one epoch, in rank order: all of them, or all but the planner's, whose instance may
+ * have stopped together with its engine.
+ */
+export type GroupState = Readonly<{epoch: number; size: number; ranks: readonly RankState[]}>;
 
 /** Why the state of a group is not known or not fit for orders. */
 export type GroupStateError
@@ -15,35 +18,50 @@
 	/** The group is broken, or its ranks are not in one epoch. */
 		| Readonly<{tag: 'not_formed'; rank: number}>;
 
-/** Puts the states of all ranks together, if they are of one open group in one epoch. */
-function joinStates(readings: ReadonlyArray<Result<RankState, RankReadError>>): GroupState | GroupStateError {
+/** The rank beside which the group's planner runs. */
+export const PLANNER_RANK = 0;
+
+/** The rank that holds the group during a switch: not the planner's, so that it can be released when that instance stops. */
+export function chooseAnchor(size: number): number {
+	return size > 1 ? 1 : PLANNER_RANK;
+}
+
+/** Whether all ranks are known. */
+export function isWhole({size, ranks}: GroupState): boolean {
+	return ranks.length === size;
+}
+
+/** Puts the states of ranks together, if they are of one open group in one epoch. */
+function joinStates(size: number, readings: ReadonlyArray<readonly [rank: number, Result<RankState, RankReadError>]>): GroupState | GroupStateError {
 	const states: RankState[] = [];
-	for (const [rank, reading] of readings.entries()) {
+	for (const [rank, reading] of readings) {
 		if (!reading.ok) {
 			return {tag: 'unavailable', rank, detail: reading.error.detail};
 		}
 
 		const {group} = reading.value;
-		if (!group.isOpen || group.rank !== rank || group.epoch !== (states[0]?.group.epoch ?? group.epoch)) {
+		const first = states[0]?.group ?? group;
+		if (!group.isOpen || group.rank !== rank || group.epoch !== first.epoch || group.name !== first.name) {
 			return {tag: 'not_formed', rank};
 		}
 
 		states.push(reading.value);
 	}
 
-	return {epoch: states[0]?.group.epoch ?? 0, ranks: states};
+	return {epoch: states[0]?.group.epoch ?? 0, size, ranks: states};
 }
 
-/** Reads all ranks at once. */
-export async function readGroupState(ranks: GroupRanks): Promise<GroupState | GroupStateError> {
-	return joinStates(await Promise.all(ranks.map(async rank => rank.readState())));
+/** Reads all ranks at once, or all but the planner's. */
+export async function readGroupState(ranks: GroupRanks, withPlanner = true): Promise<GroupState | GroupStateError> {
+	const asked = [...ranks.entries()].filter(([rank]) => withPlanner || rank !== PLANNER_RANK);
+	return joinStates(ranks.length, await Promise.all(asked.map(async ([rank, engine]) => [rank, await engine.readState()] as const)));
 }
 
 /** Reads all ranks at once, with the counts of each. */
 export async function readGroupLoad(ranks: GroupRanks): Promise<Readonly<{state: GroupState | GroupStateError; counts: ReadonlyArray<readonly number[]>}>> {
 	const loads = await Promise.all(ranks.map(async rank => rank.readLoad()));
 	return {
-		state: joinStates(loads.map(load => load.ok ? succeed(load.value.state) : load)),
+		state: joinStates(ranks.length, [...loads.entries()].map(([rank, load]) => [rank, load.ok ? succeed(load.value.state) : load])),
 		counts: loads.map(load => load.ok ? load.value.counts : []),
 	};
 }
@@ -61,7 +79,12 @@
 	}));
 }
 
-/** Ranks whose state meets a condition. */
+/** Known ranks whose state meets a condition. */
 export function listRanks({ranks}: GroupState, condition: (state: RankState) => boolean): readonly number[] {
-	return ranks.flatMap((state, rank) => condition(state) ? [rank] : []);
+	return ranks.filter(state => condition(state)).map(({group}) => group.rank);
+}
+
+/** Pass that the group's anchor holds back; undefined when it holds none. */
+export function readHeldStep({ranks, size}: GroupState): number | undefined {
+	return ranks.find(({group}) => group.rank === chooseAnchor(size))?.heldStep;
 }
--- a/src/map-switch/map-switch-constants.ts
+++ b/src/map-switch/map-switch-constants.ts
@@ -20,7 +20,7 @@
 export const RECOVERY_PAUSE_MILLIS = 40;
 /** Time between two looks at a group, in milliseconds; a few passes. */
 export const OBSERVE_MILLIS = 250;
-/** Numbers that all ranks may report in a second, which bounds the traffic between agents. */
-export const MAX_COUNTS_PER_SECOND = 20_000;
+/** Numbers that all ranks may report in a second; at two to three bytes each a third of the smallest link beside an engine. */
+export const MAX_COUNTS_PER_SECOND = 100_000;
 /** Pause after a look that failed or that found the group idle, in milliseconds. */
 export const FAILURE_PAUSE_MILLIS = 500;
--- a/src/map-switch/switch-map.ts
+++ b/src/map-switch/switch-map.ts
@@ -5,7 +5,7 @@
 import type {
 	GroupExperts, RankEngine, RankOrder, RankState,
 } from '../ports/rank-engine.js';
-import type {GroupRanks} from './group-ranks.js';
+import {chooseAnchor, PLANNER_RANK, type GroupRanks} from './group-ranks.js';
 import {
 	ARM_TIMEOUT_MILLIS, HOLD_TIMEOUT_MILLIS, LEAD_STEPS, LEAD_STEPS_AFTER_MISS, LOOK_MILLIS, MAX_HOLD_TRIES, PREPARE_SLACK_MILLIS, RELEASE_TIMEOUT_MILLIS,
 } from './map-switch-constants.js';
@@ -88,9 +88,9 @@
 	/* eslint-enable no-await-in-loop */
 }
 
-/** The same at all ranks at once; the worst of their ends. */
-async function carryOutAtAll(deps: SwitchDeps, order: RankOrder, expected: Expectation): Promise<Carried> {
-	const ends = await Promise.all(deps.ranks.map(async engine => carryOut(deps, engine, order, expected)));
+/** The same at several ranks at once; the worst of their ends. */
+async function carryOutAtAll(deps: SwitchDeps, ranks: GroupRanks, order: RankOrder, expected: Expectation): Promise<Carried> {
+	const ends = await Promise.all(ranks.map(async engine => carryOut(deps, engine, order, expected)));
 	return (['refused', 'late'] as const).find(end => ends.includes(end)) ?? 'done';
 }
 
@@ -131,16 +131,17 @@
 
 /** Runs a switch to its end or to the first step that fails. */
 export async function switchMap(deps: SwitchDeps, plan: SwitchPlan): Promise<SwitchOutcome> {
-	const {clock, log, ranks: [anchor]} = deps;
+	const {clock, log, ranks} = deps;
 	const {epoch, experts, copyMillis} = plan;
-	invariant(anchor, 'a group has a rank 0');
+	const anchor = ranks[chooseAnchor(ranks.length)];
+	invariant(anchor, 'a group has ranks');
 	const startedAtMillis = clock.monotonicMillis();
 	const version = await deps.takeVersion();
 	if (version === undefined) {
 		return {tag: 'not_begun', reason: 'no version'};
 	}
 
-	const prepared = await carryOutAtAll(deps, {tag: 'prepare', version, experts}, {
+	const prepared = await carryOutAtAll(deps, ranks, {tag: 'prepare', version, experts}, {
 		epoch, timeoutMillis: copyMillis + PREPARE_SLACK_MILLIS, leastMillis: copyMillis, isDone: ({preparedVersion}) => preparedVersion === version,
 	});
 	if (prepared !== 'done') {
@@ -154,9 +155,12 @@
 	}
 
 	const {step} = held;
-	const armed = await carryOutAtAll(deps, {tag: 'arm', version, step}, {
+	const arm = async (armedRanks: GroupRanks) => carryOutAtAll(deps, armedRanks, {tag: 'arm', version, step}, {
 		epoch, timeoutMillis: ARM_TIMEOUT_MILLIS, isDone: ({armed: own}) => own?.version === version && own.step === step,
 	});
+	// Whoever ends the switch without the planner's rank relies on this order.
+	const others = await arm(ranks.filter((_, rank) => rank !== PLANNER_RANK));
+	const armed = others === 'done' ? await arm(ranks.slice(PLANNER_RANK, PLANNER_RANK + 1)) : others;
 	if (armed !== 'done') {
 		return {tag: 'unfinished', version, reason: `arm ${armed}`};
 	}
--- a/src/observability/line-schemas.ts
+++ b/src/observability/line-schemas.ts
@@ -69,7 +69,7 @@
 } as const;
 
 const switchFields = {
-	version: version.optional(), epoch: version, heldStep: version.optional(), witness: version.optional(),
+	version: version.optional(), epoch: version, heldStep: version.optional(), witness: version.optional(), isPlannerAway: z.boolean().optional(),
 };
 
 /** Lines about what a process believes of others. */
--- a/src/rank-agent/start-rank-agent.ts
+++ b/src/rank-agent/start-rank-agent.ts
@@ -10,7 +10,7 @@
 import {followTable, type TableListener} from '../feeds/follow-table.js';
 import type {BackendServer} from '../gateway/backend-server.js';
 import {createBackendServerList, type ReadBackendServer} from '../gateway/backend-server-list.js';
-import type {GroupRanks} from '../map-switch/group-ranks.js';
+import {chooseAnchor, PLANNER_RANK, type GroupRanks} from '../map-switch/group-ranks.js';
 import {createVersionSource} from '../map-switch/version-row.js';
 import type {Log} from '../observability/log.js';
 import type {RankEngine} from '../ports/rank-engine.js';
@@ -45,8 +45,6 @@
 	configuration: Readonly<{table: string; read: (row: Parameters<TableListener['onSnapshot']>[0][number]) => RoutingConfiguration | undefined}>;
 }>;
 
-/** Rank whose agent watches for switches that the planner beside rank 0 leaves behind. */
-const WATCHING_RANK = 1;
 /** Pause before an agent looks again at the rank of its engine, in milliseconds. */
 const ROLE_CHECK_MILLIS = 500;
 
@@ -74,6 +72,7 @@
 	const directs = new Map<string, RankEngine>();
 	const stopping = new AbortController();
 	let cfg: RoutingConfiguration | undefined;
+	let lastGroup: readonly BackendServer[] | undefined;
 	lifeCycle.own('other ranks', () => {
 		for (const remote of remotes.values()) {
 			remote.close();
@@ -99,8 +98,8 @@
 		return direct;
 	}
 
-	/** All ranks of the group of the engine beside this agent; undefined while not all are known. */
-	function readRanks(open: (server: BackendServer) => RankEngine): GroupRanks | undefined {
+	/** Ranks that are listed for the group of the engine beside this agent, in rank order; undefined while not all are. */
+	function listGroup(): readonly BackendServer[] | undefined {
 		const listed = [...servers.servers.read().values()];
 		const own = listed.find(({address}) => address === deps.engineAddress)?.group;
 		if (!own) {
@@ -109,9 +108,18 @@
 
 		const byRank = new Map(listed.filter(({group}) => group?.name === own.name).map(server => [server.group?.rank, server]));
 		const ranks = Array.from({length: own.size}, (_, rank) => byRank.get(rank)).filter(rank => rank !== undefined);
-		return ranks.length === own.size ? ranks.map(rank => open(rank)) : undefined;
+		return ranks.length === own.size ? ranks : undefined;
+	}
+
+	/** Access to all ranks by the last list that had them all: the row of an instance that stands still is taken away. */
+	function readRanks(open: (server: BackendServer) => RankEngine): GroupRanks | undefined {
+		return lastGroup?.map(rank => open(rank));
 	}
 
+	servers.servers.registerListener(() => {
+		lastGroup = listGroup() ?? lastGroup;
+	});
+
 	function readLayout(): ExpertLayout | undefined {
 		return cfg?.services.get(deps.service)?.engine?.experts;
 	}
@@ -144,10 +152,10 @@
 		/* eslint-disable no-await-in-loop -- One look after the other. */
 		while (!stopping.signal.aborted) {
 			const state = await engine.readState();
-			if (state.ok && state.value.group.rank <= WATCHING_RANK) {
+			if (state.ok && [PLANNER_RANK, chooseAnchor(state.value.group.size)].includes(state.value.group.rank)) {
 				const {name, rank} = state.value.group;
 				follow(deps.backendServers.table, servers.listener, lifeCycle.signal);
-				await (rank === 0
+				await (rank === PLANNER_RANK
 					? planOwnGroup(name)
 					: watchSwitch({
 						clock, log, engine, readRanks: () => readRanks(openDirectRank),
--- a/src/rank-agent/watch-switch.ts
+++ b/src/rank-agent/watch-switch.ts
@@ -44,7 +44,7 @@
 		} else if (nowMillis - before.sinceMillis >= LEFT_BEHIND_MILLIS) {
 			const ranks = readRanks();
 			const isEnded = ranks && await finishSwitch({
-				ranks, clock, log, readExperts: async () => readGroupExperts(ranks),
+				ranks, clock, log, readExperts: async withPlanner => readGroupExperts(ranks, withPlanner),
 			}, signal);
 			log.info('looked for a switch left behind', {
 				epoch: reading.value.group.epoch, step: reading.value.step, armedVersion: reading.value.armed?.version, isReadable: isEnded === true,
