--- a/src/map-switch/__tests__/map-switch.test.ts
+++ b/src/map-switch/__tests__/map-switch.test.ts
@@ -244,6 +244,10 @@
 		const ranks = access.ranks.map((rank, i): RankEngine => ({
 			...rank,
 			readState: async () => i === PLANNER_RANK && isAway ? fail({tag: 'unavailable', detail: 'no answer'}) : rank.readState(),
+			async readLoad() {
+				const state = await rank.readState();
+				return state.ok ? succeed({state: state.value, counts: Array.from({length: RANKS * 2}, () => 0)}) : state;
+			},
 			order: async (order, epoch) => i === PLANNER_RANK && isAway ? {tag: 'unknown', detail: 'no answer'} : rank.order(order, epoch),
 		}));
 		void planner.run(stop.signal);
