Ask callers back for the end of an outage, and count no places of broken groups

A caller has one return. A broken group adds no places to the limit: with three groups the others got its share of requests on top.

--- a/src/decisions/flow/flow-constants.ts
+++ b/src/decisions/flow/flow-constants.ts
@@ -48,3 +48,9 @@
 export const PAUSE_SILENCE_FACTOR = 6;
 /** Silence of a plain backend server, over the latency target, after which work that may be repeated is asked for elsewhere. */
 export const PLAIN_SILENCE_FACTOR = 2;
+/** Least time after which callers are asked back to a service that serves nobody, in milliseconds; a restart and the forming of a group. */
+export const MIN_OUTAGE_RETURN_MILLIS = 1500;
+/** Longest time after which they are, in milliseconds; twice that is left of a usual deadline of streams. */
+export const MAX_OUTAGE_RETURN_MILLIS = 3500;
+/** Largest part of its deadline after which a caller is asked back; it needs the rest for its second attempt. */
+export const MAX_RETURN_SHARE = 0.45;
--- a/src/gateway/__tests__/service-flows.test.ts
+++ b/src/gateway/__tests__/service-flows.test.ts
@@ -25,11 +25,11 @@
 	};
 }
 
-function createFlows(entries: number) {
+function createFlows(entries: number, servers = ['a', 'b', 'c'].map(id => createServer(id))) {
 	const flows = createServiceFlows({
 		clock: createManualClock(), random: () => 0, budgetTerms: {ratio: 0.2, extra: 10, windowMillis: 1000}, countEntries: () => entries,
 	});
-	flows.update(new Map(['a', 'b', 'c'].map(id => [id, createServer(id)])), cfg);
+	flows.update(new Map(servers.map(server => [server.id, server])), cfg);
 	return flows.read('plain');
 }
 
@@ -46,3 +46,11 @@
 		assert.ok(lane.readLimit() <= Math.max(2, 36 / entries));
 	});
 }
+
+void test('backend servers whose group is broken offer no places', () => {
+	const group = {
+		name: 'g', rank: 0, size: 2, epoch: 1, isOpen: false,
+	};
+	const {lane} = createFlows(1, [createServer('a'), {...createServer('b'), group}, {...createServer('c'), group: {...group, isOpen: true}}]);
+	assert.equal(lane.readLimit(), 24);
+});
--- a/src/gateway/answer-caller.ts
+++ b/src/gateway/answer-caller.ts
@@ -22,6 +22,7 @@
 	ctx.log.info('refused', {
 		request: call.head.attemptId,
 		deadlineMillis: call.head.deadlineMillis,
+		retryAfterMillis: refusal.tag === 'not_run' ? refusal.retryAfterMillis : undefined,
 		outcome: refusal.tag,
 		reason: refusal.reason,
 		elapsedMillis: elapsed(ctx, call),
@@ -54,7 +55,7 @@
 	countCall(ctx, routed, progress, progress.mayHaveRun ? 'unknown' : 'not_run');
 	const refusal: Refusal = progress.mayHaveRun
 		? {tag: 'unknown', reason: cause === 'deadline' ? 'late' : 'lost'}
-		: notRun(cause);
+		: notRun(cause, routed.flow.outage.chooseReturnMillis(ctx.clock.monotonicMillis(), call.head.deadlineMillis));
 	refuse(ctx, call, refusal, {
 		route: routed.route.name, cause, attempts: progress.attempts, asked: [...progress.asked].join(' '),
 	});
--- a/src/gateway/ask-backend-server.ts
+++ b/src/gateway/ask-backend-server.ts
@@ -51,6 +51,7 @@
 			isStreaming: route.isStreaming,
 			progress: answer,
 			onEvent(pauseMillis) {
+				flow.outage.noteServed(ctx.clock.monotonicMillis());
 				firstByteMillis ??= ctx.clock.monotonicMillis() - startedAtMillis;
 				progress.firstByteMillis ??= ctx.clock.monotonicMillis() - call.arrivedAtMillis;
 				progress.longestPauseMillis = Math.max(progress.longestPauseMillis, pauseMillis ?? 0);
@@ -61,6 +62,10 @@
 		},
 		onHead(head) {
 			firstByteMillis ??= ctx.clock.monotonicMillis() - startedAtMillis;
+			if (head.status < 400) {
+				flow.outage.noteServed(ctx.clock.monotonicMillis());
+			}
+
 			if (head.load) {
 				ctx.picker.noteLoad(server.id, head.load);
 			}
--- a/src/gateway/serve-call.ts
+++ b/src/gateway/serve-call.ts
@@ -12,6 +12,7 @@
 import {chooseNextStep} from './next-step.js';
 import {notRun} from './refusal.js';
 import {isRefusal, routeCall, type RoutedCall} from './routed-call.js';
+import {isAvailable} from './service-flows.js';
 
 /** How long the call may wait for a place. */
 function describeWait(ctx: GatewayContext, {call, route, account, flow}: RoutedCall): FlowRequest {
@@ -57,7 +58,7 @@
 /** Backend servers that may get the call, without those that were asked already. */
 function listCandidates(ctx: GatewayContext, service: string, asked: ReadonlySet<string>): readonly BackendServer[] {
 	return [...ctx.readServers().values()].filter(server =>
-		server.service === service && server.state === 'ready' && server.group?.isOpen !== false && !asked.has(server.id));
+		isAvailable(server, service) && !asked.has(server.id));
 }
 
 async function askBackendServers(ctx: GatewayContext, routed: RoutedCall): Promise<void> {
--- a/src/gateway/service-flows.ts
+++ b/src/gateway/service-flows.ts
@@ -3,6 +3,7 @@
 import {createFirstByteEstimate, type FirstByteEstimate} from '../decisions/admission/first-byte-estimate.js';
 import {createFlowLane, type FlowLane} from '../decisions/flow/flow-lane.js';
 import {PLAIN_REQUESTS_PER_SLOT} from '../decisions/flow/flow-constants.js';
+import {createOutageWatch, type OutageWatch} from '../decisions/flow/outage-watch.js';
 import {createPauseLimit, type PauseLimit} from '../decisions/flow/pause-limit.js';
 import type {RandomSource} from '../decisions/random.js';
 import {createSharedRetryBudget, type SharedBudgetTerms, type SharedRetryBudget} from '../decisions/retry/shared-retry-budget.js';
@@ -17,6 +18,7 @@
 	budget: SharedRetryBudget;
 	/** Time from sending a request to the first byte of its answer. */
 	firstByte: FirstByteEstimate;
+	outage: OutageWatch;
 	/** Idle connections to one backend server that this process may keep. */
 	readMaxIdle: () => number;
 }>;
@@ -42,6 +44,11 @@
 /** Share of answers whose first byte may come later than estimated. */
 const ACCEPTED_LATE_SHARE = 0.1;
 
+/** Whether requests of the service may go to a backend server: it is ready, and so is the group whose passes it takes part in. */
+export function isAvailable(server: BackendServer, service: string): boolean {
+	return server.service === service && server.state === 'ready' && server.group?.isOpen !== false;
+}
+
 function countSlots(servers: readonly BackendServer[]): number {
 	let slots = 0;
 	for (const server of servers) {
@@ -65,7 +72,12 @@
 			clock, random, readLimit: () => plainLimits.get(service) ?? limit.read(),
 		});
 		return {
-			lane, limit, budget: createSharedRetryBudget(clock, budgetTerms, countEntries), firstByte: createFirstByteEstimate(ACCEPTED_LATE_SHARE), readMaxIdle: () => maxIdle.get(service) ?? 1,
+			lane,
+			limit,
+			budget: createSharedRetryBudget(clock, budgetTerms, countEntries),
+			firstByte: createFirstByteEstimate(ACCEPTED_LATE_SHARE),
+			outage: createOutageWatch(random),
+			readMaxIdle: () => maxIdle.get(service) ?? 1,
 		};
 	}
 
@@ -86,7 +98,7 @@
 			const entries = Math.max(1, countEntries());
 			for (const [name, {engine, maxConnections}] of cfg?.services ?? []) {
 				maxIdle.set(name, Math.max(1, Math.floor(maxConnections * IDLE_CONNECTION_SHARE / entries)));
-				const ready = [...servers.values()].filter(server => server.service === name && server.state === 'ready');
+				const ready = [...servers.values()].filter(server => isAvailable(server, name));
 				const slots = countSlots(ready);
 				const {limit, lane} = read(name);
 				if (engine) {
--- a/src/observability/line-schemas.ts
+++ b/src/observability/line-schemas.ts
@@ -47,6 +47,7 @@
 	refused: z.strictObject({
 		request: id.optional(),
 		deadlineMillis: millis.optional(),
+		retryAfterMillis: millis.optional(),
 		outcome: z.enum(['not_run', 'unknown', 'bad_call']),
 		reason: z.string(),
 		elapsedMillis: millis.optional(),
