Let the planner give holds and arms itself

Change: holds and arms go from the planner to the engine; what comes before and behind goes through agents as before. A frozen planner is the case that a switch can be ended without. The price of orders from another machine: one a rank and switch.

--- a/src/gateway/gateway-constants.ts
+++ b/src/gateway/gateway-constants.ts
@@ -24,8 +24,8 @@
 export const MEMBER_WAIT_MILLIS = 2000;
 /** Longest wait for other changes in one call, in milliseconds; the heartbeats show a silent store, and a store call is paid for. */
 export const FEED_WAIT_MILLIS = 5000;
-/** Least time between two reads of the backend servers' entries, in milliseconds; a tenth of the time that a leaving one still serves. */
-export const SERVER_LIST_PACE_MILLIS = 200;
+/** Least time between two reads of the backend servers' entries, in milliseconds; a fifth of the time that a leaving one still serves. */
+export const SERVER_LIST_PACE_MILLIS = 400;
 /** Time between two heartbeats of an entry, over the time that its death may stay unknown; a store call is paid for. */
 export const HEARTBEAT_SHARE = 0.25;
 /** Age of a heartbeat from which on an entry is taken for dead, over the same time; two missed heartbeats and a slow store. */
--- a/src/rank-agent/start-rank-agent.ts
+++ b/src/rank-agent/start-rank-agent.ts
@@ -19,6 +19,7 @@
 import type {ExpertLayout, RoutingConfiguration} from '../routing/routing-configuration.js';
 import {planGroup} from './group-planner.js';
 import {RANK_LIST_WAIT_MILLIS} from './rank-agent-constants.js';
+import {createPlannerRank} from './planner-rank.js';
 import {createRankService} from './rank-service.js';
 import {openRemoteRank, type RemoteRank} from './remote-rank.js';
 import {watchSwitch} from './watch-switch.js';
@@ -79,8 +80,12 @@
 		}
 	});
 
-	/** A rank through the agent beside it, which costs nothing. */
-	function openRank({address}: BackendServer): RankEngine {
+	/**
+	 * A rank through the agent beside it, which costs nothing. Holds and arms go to the engine itself: an instance that stands
+	 * still behind such an order must be the planner's, as a switch can only be ended without that one.
+	 */
+	function openRank(server: BackendServer): RankEngine {
+		const {address} = server;
 		if (address === deps.engineAddress) {
 			return engine;
 		}
@@ -88,7 +93,7 @@
 		const agentAddress = `${address.slice(0, address.lastIndexOf(':'))}:${port}`;
 		const remote = remotes.get(agentAddress) ?? openRemoteRank(agentAddress, access, clock);
 		remotes.set(agentAddress, remote);
-		return remote;
+		return createPlannerRank(remote, openDirectRank(server));
 	}
 
 	/** A rank without its agent, which may have stopped. */
