--- a/bench/system/__tests__/operations-page.test.ts
+++ b/bench/system/__tests__/operations-page.test.ts
@@ -27,7 +27,7 @@
 	const entry = system.entries.map(item => item.operatorUrl).join(',');
 	for (const {words, exitCode} of commands) {
 		const args = words.map(word => variables.get(word) ?? word);
-		const asksEntry = !['audit', 'check'].includes(args[0] ?? '');
+		const asksEntry = !['audit', 'check', 'explain'].includes(args[0] ?? '');
 		// The commands of the page build on each other.
 		// eslint-disable-next-line no-await-in-loop
 		const run: ToolRun = await runTool(...args, ...(asksEntry ? ['--entry', entry] : []));
--- a/src/explain/__tests__/explain-request.test.ts
+++ b/src/explain/__tests__/explain-request.test.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict';
+import {readFile} from 'node:fs/promises';
 import {test} from 'node:test';
+import {findLineFault} from '../../observability/line-schemas.js';
 import {explainRequest} from '../explain-request.js';
 import {parseLogLine, type LogLine} from '../log-line.js';
 
@@ -8,7 +10,7 @@
 function write({atMillis, instanceId = 'gateway-1', message, values}: Written, sequence: number): string {
 	return `collector> ${JSON.stringify({
 		context: {
-			instanceId, incarnation: 'x', failureDomain: 'a', role: instanceId.startsWith('agent') ? 'rank-agent' : 'gateway', logLevel: 30, ...values,
+			instanceId, incarnation: 'x', failureDomain: 'a', role: instanceId.startsWith('agent') ? 'rank_agent' : 'gateway', logLevel: 30, ...values,
 		},
 		message,
 		sequence: String(sequence),
@@ -103,3 +105,10 @@
 	assert.equal(parseLogLine('{"message":"no context","time":1}'), undefined);
 	assert.equal(explainRequest('nobody', read([{atMillis: 1, message: 'call', values: {request: 'a'}}])), undefined);
 });
+
+void test('lines of a day on the platform are read, and are as their schemas say', async () => {
+	const text = await readFile('examples/gateways.log', 'utf8');
+	const lines = text.trimEnd().split('\n').map(line => parseLogLine(line));
+	assert.ok(lines.every(line => line !== undefined));
+	assert.deepEqual(lines.map(line => findLineFault(line.message, line.values)).filter(fault => fault !== undefined), []);
+});
--- a/src/explain/explain-request.ts
+++ b/src/explain/explain-request.ts
@@ -107,15 +107,20 @@
 		.otherwise(() => []);
 }
 
-function explainChange(line: LogLine, own: readonly LogLine[]): readonly string[] {
-	const {values, instanceId} = line;
+/** What a change says about a request that ended at `endMillis`; that a backend server has gone is seen only later. */
+function explainChange(line: LogLine, endMillis: number): readonly string[] {
+	const {values, instanceId, message, timeMillis} = line;
+	if (timeMillis > endMillis && OWN_CHANGES.has(message)) {
+		return [];
+	}
+
 	return match(line)
 		.with({message: 'backend server gone'}, () => [`${show(values.server)} had gone: ${show(values.reason)}`])
 		.with({message: 'backend server'}, () => values.state === 'ready' ? [] : [`${show(values.server)} was ${show(values.state)}`])
 		.with({message: 'lost the table'}, () => [`${instanceId} had lost the table ${show(values.table)}: ${show(values.detail)}`])
 		.with({message: 'stop signal'}, () => [`${instanceId} was told to stop`])
 		.with({message: 'started'}, () => [`${instanceId} had just started`])
-		.with({message: 'map switch'}, () => Number(values.skewBefore) >= UNEVEN_SKEW && own.length > 0
+		.with({message: 'map switch'}, () => Number(values.skewBefore) >= UNEVEN_SKEW
 			? [`a group was uneven (skew ${Number(values.skewBefore).toFixed(2)}) at that time`]
 			: [])
 		.otherwise(() => []);
@@ -131,7 +136,7 @@
 	const around = listAround(lines, own);
 	const ends = own.filter(({values}) => values.outcome !== undefined);
 	const outcome = ends.at(-1)?.values.outcome;
-	const causes = [...own.flatMap(line => explainLine(line)), ...around.flatMap(line => explainChange(line, own))];
+	const causes = [...own.flatMap(line => explainLine(line)), ...around.flatMap(line => explainChange(line, own.at(-1)?.timeMillis ?? 0))];
 	return {
 		request, outcome: outcome === undefined ? undefined : show(outcome), own, around, causes: [...new Set(causes)],
 	};
--- a/src/feeds/follow-table.ts
+++ b/src/feeds/follow-table.ts
@@ -66,7 +66,7 @@
 		return {version: undefined, failures: before.failures, isAnswered: true};
 	}
 
-	if (before.failures === 0) {
+	if (before.failures === 0 && !options.signal.aborted) {
 		options.log.warn('lost the table', {table: options.table, detail: err.detail, version: before.version});
 		options.interrupt?.raise();
 	}
--- a/src/map-switch/map-switch-constants.ts
+++ b/src/map-switch/map-switch-constants.ts
@@ -24,7 +24,5 @@
 export const MAX_COUNTS_PER_SECOND = 100_000;
 /** Pause after a look that failed or that found the group idle, in milliseconds. */
 export const FAILURE_PAUSE_MILLIS = 500;
-/** Pause before the next plan when the last one found no move that pays, in milliseconds; the time between two looks. */
-export const PLAN_PAUSE_MILLIS = OBSERVE_MILLIS;
-/** Pause before the next plan while a released switch waits for its pass, in milliseconds; half a pass of a loaded group. */
+/** Pause before the next look while a released switch waits for its pass, in milliseconds; half a pass of a loaded group. */
 export const EFFECT_PAUSE_MILLIS = 50;
--- a/src/observability/line-schemas.ts
+++ b/src/observability/line-schemas.ts
@@ -143,7 +143,7 @@
 
 /** Values that all lines of a process have. */
 export const processContextSchema = z.object({
-	instanceId: z.string(), incarnation: z.string(), failureDomain: z.string(), role: z.enum(['gateway', 'rank-agent']),
+	instanceId: z.string(), incarnation: z.string(), failureDomain: z.string(), role: z.enum(['gateway', 'rank_agent']),
 });
 
 /** Names the value at fault in a line; undefined when the line is as stated. */
@@ -156,3 +156,6 @@
 	const [issue] = schema.safeParse(values).error?.issues ?? [];
 	return issue && `${message}: ${issue.path.join('.')} ${issue.message}`;
 }
+
+/** Where a line comes from. */
+export type ProcessContext = Readonly<z.infer<typeof processContextSchema>>;
--- a/src/rank-agent/group-planner.ts
+++ b/src/rank-agent/group-planner.ts
@@ -1,28 +1,40 @@
 /** Plans the expert map of one group: decides on moves by its latest load, and switches. Runs beside the planner's rank. */
+import type {Clock} from '../core/clock.js';
 import {planMoves, type MovesPlan} from '../decisions/placement/plan-moves.js';
 import {finishSwitch, hasLeftover} from '../map-switch/finish-switch.js';
 import {
-	isGroupState, readGroupState, type GroupRanks, type GroupState,
+	isGroupState, type GroupRanks, type GroupState,
 } from '../map-switch/group-ranks.js';
-import {EFFECT_PAUSE_MILLIS, FAILURE_PAUSE_MILLIS, PLAN_PAUSE_MILLIS} from '../map-switch/map-switch-constants.js';
+import {
+	EFFECT_PAUSE_MILLIS, FAILURE_PAUSE_MILLIS, MAX_COUNTS_PER_SECOND, OBSERVE_MILLIS,
+} from '../map-switch/map-switch-constants.js';
 import {switchMap, type SwitchDeps} from '../map-switch/switch-map.js';
+import type {Log} from '../observability/log.js';
 import type {GroupExperts} from '../ports/rank-engine.js';
-import {createGroupObserver, type GroupObserverDeps, type Observation} from './observe-group.js';
+import type {ExpertLayout} from '../routing/routing-configuration.js';
+import {createGroupObserver, type Observation} from './observe-group.js';
 import {MAX_COPY_MILLIS} from './rank-agent-constants.js';
 import {readGroupExperts} from './read-group-experts.js';
 
 /** What a planner needs. */
-export type GroupPlannerDeps = GroupObserverDeps & Readonly<{
+export type GroupPlannerDeps = Readonly<{
+	clock: Clock;
+	log: Log;
+	/** Access to all ranks; undefined while not all are known. */
+	readRanks: () => GroupRanks | undefined;
+	/** Shape of the group; undefined until a configuration is known. */
+	readLayout: () => ExpertLayout | undefined;
 	versions: Pick<SwitchDeps, 'takeVersion' | 'reserveStep'>;
 }>;
 
+const MILLIS_PER_SECOND = 1000;
 /** Scenarios that a plan rests on at least. */
 const LEAST_SCENARIOS = 5;
 
 /** The map in force in an epoch. */
 type MapInForce = Readonly<{epoch: number; experts: GroupExperts}>;
 
-function plan({layout, scenarios, slowFactors}: Observation, experts: GroupExperts): MovesPlan | undefined {
+function plan({layout, scenarios}: Observation, state: GroupState, experts: GroupExperts): MovesPlan | undefined {
 	if (scenarios.countKept() < LEAST_SCENARIOS) {
 		return undefined;
 	}
@@ -32,7 +44,7 @@
 		experts,
 		slotsPerRank: layout.slotsPerRank,
 		scenarios: experts.map((_, layer) => scenarios.read(layer)),
-		slowFactors,
+		slowFactors: state.ranks.map(({pace}) => Math.max(1, pace)),
 		maxCopiesPerRank,
 		maxCopiesPerRankAndLayer: Math.min(maxCopiesPerRank, layout.maxLoadsPerRank),
 	});
@@ -40,8 +52,8 @@
 
 /** Plans until the signal aborts; a switch that has begun is carried out first. */
 export async function planGroup(deps: GroupPlannerDeps, signal: AbortSignal): Promise<void> {
-	const {clock, log, readRanks} = deps;
-	const observer = createGroupObserver(deps);
+	const {clock, log} = deps;
+	const observer = createGroupObserver();
 	let inForce: MapInForce | undefined;
 
 	async function carryOut(ranks: GroupRanks, epoch: number, moves: MovesPlan, copyMillis: number): Promise<void> {
@@ -71,10 +83,11 @@
 		return inForce?.experts;
 	}
 
-	/** Ends what was left behind, or makes the next move; the time until the next step. */
-	async function act(ranks: GroupRanks): Promise<number> {
-		const state = await readGroupState(ranks);
+	/** One look at the group and what follows; the time until the next look. */
+	async function act(ranks: GroupRanks, layout: ExpertLayout): Promise<number> {
+		const state = await observer.look(ranks, layout);
 		if (!isGroupState(state)) {
+			log.debug('group cannot be planned', {reason: state.tag, rank: state.rank});
 			return FAILURE_PAUSE_MILLIS;
 		}
 
@@ -92,22 +105,21 @@
 
 		const experts = await readInForce(ranks, state);
 		const observation = observer.read();
-		const moves = experts && observation?.epoch === state.epoch ? plan(observation, experts) : undefined;
-		if (!moves || !observation) {
-			return PLAN_PAUSE_MILLIS;
+		const moves = experts && observation && plan(observation, state, experts);
+		if (moves) {
+			await carryOut(ranks, state.epoch, moves, layout.copyMillis);
+			return 0;
 		}
 
-		await carryOut(ranks, state.epoch, moves, observation.layout.copyMillis);
-		return 0;
+		const numbers = layout.layers * layout.experts * ranks.length;
+		return Math.max(OBSERVE_MILLIS, numbers * MILLIS_PER_SECOND / MAX_COUNTS_PER_SECOND);
 	}
 
-	const observing = observer.run(signal);
 	/* eslint-disable no-await-in-loop -- One step after the other. */
 	while (!signal.aborted) {
-		const ranks = readRanks();
-		await clock.sleep(ranks ? await act(ranks) : FAILURE_PAUSE_MILLIS, signal);
+		const ranks = deps.readRanks();
+		const layout = deps.readLayout();
+		await clock.sleep(ranks && layout ? await act(ranks, layout) : FAILURE_PAUSE_MILLIS, signal);
 	}
 	/* eslint-enable no-await-in-loop */
-
-	await observing;
 }
