--- a/src/decisions/placement/__tests__/plan-moves.test.ts
+++ b/src/decisions/placement/__tests__/plan-moves.test.ts
@@ -110,28 +110,31 @@
 
 void test('scenarios keep the subjects of the latest prompts apart', () => {
 	const scenarios = createLoadScenarios(2, 4);
-	scenarios.observe([[100, 0, 0, 0, 50, 50, 0, 0], [0, 0, 0, 100, 0, 0, 50, 50], [0, 0, 0, 0, 0, 0, 0, 0]], 2);
+	scenarios.observe(0, [100, 0, 0, 0, 50, 50, 0, 0]);
+	scenarios.observe(1, [0, 0, 0, 100, 0, 0, 50, 50]);
+	scenarios.observe(2, [0, 0, 0, 0, 0, 0, 0, 0]);
 	assert.equal(scenarios.countKept(), 2);
 	assert.deepEqual(new Set(scenarios.read(0).map(({loads}) => loads.join(' '))), new Set(['0 0 0 100', '100 0 0 0']));
 	assert.deepEqual(scenarios.read(1).map(({weight}) => weight), [100, 100]);
 });
 
-void test('a scenario is as large as a pass', () => {
+void test('small counts are collected until they say something', () => {
 	const scenarios = createLoadScenarios(1, 2);
-	scenarios.observe([[100, 0], [0, 50], [0, 50], [100, 0]], 2);
-	assert.deepEqual(scenarios.read(0).map(({loads}) => loads.join(' ')).toSorted(), ['100 50', '100 50']);
-	scenarios.observe([[0, 0], [0, 0]], 0);
-	assert.equal(scenarios.countKept(), 2, 'idle ranks and a group without a pass say nothing');
+	scenarios.observe(0, [100, 0]);
+	scenarios.observe(1, [0, 10]);
+	assert.equal(scenarios.countKept(), 1);
+	scenarios.observe(1, [0, 60]);
+	assert.equal(scenarios.countKept(), 2);
 });
 
 void test('old scenarios give way to new ones', () => {
 	const scenarios = createLoadScenarios(1, 2);
 	for (let i = 0; i < 100; i++) {
-		scenarios.observe([[100, 0]], 1);
+		scenarios.observe(0, [100, 0]);
 	}
 
 	for (let i = 0; i < 40; i++) {
-		scenarios.observe([[0, 100]], 1);
+		scenarios.observe(0, [0, 100]);
 	}
 
 	assert.ok(scenarios.read(0).every(({loads}) => loads[0] === 0));
--- a/src/decisions/placement/load-scenarios.ts
+++ b/src/decisions/placement/load-scenarios.ts
@@ -1,6 +1,6 @@
 /**
- * Answers passes whose load is that of a few prompts: each prompt favours experts of its own subject, so a map that is even on
- * average is uneven in each pass. What single ranks did over a short time is put together to loads of the size of a pass.
+ * Answers steps whose load is that of a few prompts: each prompt favours experts of its own subject, so a map that is even on
+ * average is uneven in each step. The loads of single ranks over short times show the subjects.
  */
 import {sum} from '../sum.js';
 import type {LoadScenario} from './layer-layout.js';
@@ -9,11 +9,13 @@
 const MAX_SCENARIOS = 32;
 /** Scenarios that a map is planned for; the closest ones are merged. */
 const PLANNED_SCENARIOS = 14;
+/** Tokens of a scenario over the mean of all, from which on it is kept; smaller ones are collected first. */
+const LEAST_RELATIVE_TOKENS = 0.5;
 
 /** Recent loads of a group. */
 export type LoadScenarios = Readonly<{
-	/** Takes how often each rank's requests chose each expert over some passes, layer by layer in one list a rank. */
-	observe: (ranks: ReadonlyArray<readonly number[]>, passes: number) => void;
+	/** Takes how often a rank's requests chose each expert since the last time, layer by layer in one list. */
+	observe: (rank: number, counts: readonly number[]) => void;
 	/** Scenarios of one layer. */
 	read: (layer: number) => readonly LoadScenario[];
 	countKept: () => number;
@@ -60,22 +62,28 @@
 
 /** Creates an empty record for `layers` layers of `experts` experts. */
 export function createLoadScenarios(layers: number, experts: number): LoadScenarios {
+	const collected = new Map<number, readonly number[]>();
 	let samples: readonly Sample[] = [];
+	let meanTokens = 0;
 	let planned: readonly Sample[] | undefined;
 
 	return {
-		observe(ranks, passes) {
-			const parts = ranks.map(counts => ({counts, tokens: sum(counts)})).filter(({tokens}) => tokens > 0);
-			const passTokens = sum(parts.map(({tokens}) => tokens)) / Math.max(1, passes);
-			let collected: Sample | undefined;
-			for (const part of parts) {
-				collected = collected ? {counts: add(collected.counts, part.counts), tokens: collected.tokens + part.tokens} : part;
-				if (collected.tokens >= passTokens) {
-					samples = [collected, ...samples].slice(0, MAX_SCENARIOS);
-					collected = undefined;
-				}
+		observe(rank, counts) {
+			const former = collected.get(rank);
+			const whole = former ? add(former, counts) : counts;
+			const tokens = sum(whole);
+			if (tokens === 0) {
+				return;
 			}
 
+			if (tokens < meanTokens * LEAST_RELATIVE_TOKENS) {
+				collected.set(rank, whole);
+				return;
+			}
+
+			collected.delete(rank);
+			meanTokens = meanTokens === 0 ? tokens : meanTokens + ((tokens - meanTokens) / MAX_SCENARIOS);
+			samples = [{counts: whole, tokens}, ...samples].slice(0, MAX_SCENARIOS);
 			planned = undefined;
 		},
 		read(layer) {
--- a/src/rank-agent/observe-group.ts
+++ b/src/rank-agent/observe-group.ts
@@ -10,8 +10,6 @@
 	layout: ExpertLayout;
 	scenarios: LoadScenarios;
 	epoch: number;
-	/** Last pass that was begun. */
-	step: number;
 	/** Counts of each rank at the last look. */
 	counts: ReadonlyArray<readonly number[]>;
 }>;
@@ -34,11 +32,13 @@
 	let observation: Observation | undefined;
 
 	function take(next: Omit<Observation, 'scenarios'>): void {
-		const {layout, epoch, step, counts} = next;
+		const {layout, epoch, counts} = next;
 		const before = observation?.layout.layers === layout.layers && observation.layout.experts === layout.experts ? observation : undefined;
 		const scenarios = before?.scenarios ?? createLoadScenarios(layout.layers, layout.experts);
 		if (before?.epoch === epoch) {
-			scenarios.observe(counts.map((list, rank) => subtract(list, before.counts[rank] ?? [])), step - before.step);
+			for (const [rank, list] of counts.entries()) {
+				scenarios.observe(rank, subtract(list, before.counts[rank] ?? []));
+			}
 		}
 
 		observation = {...next, scenarios};
@@ -49,7 +49,7 @@
 			const {state, counts} = await readGroupLoad(ranks);
 			if (isGroupState(state)) {
 				take({
-					layout, epoch: state.epoch, step: state.ranks[0]?.step ?? 0, counts,
+					layout, epoch: state.epoch, counts,
 				});
 			}
 
