--- a/bench/soak/soak-faults.ts
+++ b/bench/soak/soak-faults.ts
@@ -54,6 +54,8 @@
 				return nothing;
 			}
 
+			// Another fault may start the process again before this one ends.
+			const ended = victim.waitEnd();
 			victim.signal(signal);
 			return async () => {
 				if (signal === 'SIGSTOP') {
@@ -61,7 +63,7 @@
 					return;
 				}
 
-				await victim.waitEnd();
+				await ended;
 				if (victim.pid() === undefined) {
 					victim.launch();
 				}
@@ -81,11 +83,12 @@
 		}
 
 		const startedAtMillis = now();
+		const ended = victim.waitEnd();
 		noteStop(victim.callers, startedAtMillis);
 		victim.signal('SIGTERM');
 		victim.signal('SIGTERM');
 		return async () => {
-			const end = await victim.waitEnd();
+			const end = await ended;
 			const tookMillis = now() - startedAtMillis;
 			// Another fault may kill a process that stops, or keep it still meanwhile.
 			if (end.code !== undefined && (end.code !== 0 || tookMillis > (SOAK_GRACE_S * 1000) + STOP_SLACK_MILLIS)) {
