Keep requests away from a group that refuses because of one of its engines

With three groups of 24, each gateway would learn of a stalled group engine by engine; a second attempt went to the same group in one of three cases.

--- a/src/decisions/flow/flow-constants.ts
+++ b/src/decisions/flow/flow-constants.ts
@@ -54,3 +54,5 @@
 export const MAX_OUTAGE_RETURN_MILLIS = 3500;
 /** Largest part of its deadline after which a caller is asked back; it needs the rest for its second attempt. */
 export const MAX_RETURN_SHARE = 0.45;
+/** Time for which a refusal on behalf of its group keeps requests away from the group, in milliseconds; then one may try again. */
+export const GROUP_REFUSAL_MILLIS = 700;
--- a/src/gateway/ask-backend-server.ts
+++ b/src/gateway/ask-backend-server.ts
@@ -103,6 +103,11 @@
 		}
 
 		case 'not_run': {
+			const {faultyServer} = end.head;
+			if (server.group && faultyServer !== undefined && faultyServer !== server.id) {
+				ctx.groupRefusals.note(server.group, ctx.clock.monotonicMillis());
+			}
+
 			ctx.picker.noteEnd(server.id, 'refused');
 			break;
 		}
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -1,4 +1,5 @@
 import type {Clock} from '../core/clock.js';
+import type {GroupRefusals} from '../decisions/flow/group-refusals.js';
 import type {ProgressWatch} from '../decisions/flow/progress-watch.js';
 import type {ServerPicker} from '../decisions/flow/server-picker.js';
 import type {RandomSource} from '../decisions/random.js';
@@ -23,6 +24,7 @@
 	picker: ServerPicker;
 	flows: ServiceFlows;
 	progress: ProgressWatch;
+	groupRefusals: GroupRefusals;
 	/** Whether streams that begin now can end before the process does. */
 	isTakingStreams: () => boolean;
 }>;
--- a/src/gateway/serve-call.ts
+++ b/src/gateway/serve-call.ts
@@ -57,8 +57,8 @@
 
 /** Backend servers that may get the call, without those that were asked already. */
 function listCandidates(ctx: GatewayContext, service: string, asked: ReadonlySet<string>): readonly BackendServer[] {
-	return [...ctx.readServers().values()].filter(server =>
-		isAvailable(server, service) && !asked.has(server.id));
+	const available = [...ctx.readServers().values()].filter(server => isAvailable(server, service) && !asked.has(server.id));
+	return ctx.groupRefusals.drop(available, ctx.clock.monotonicMillis());
 }
 
 async function askBackendServers(ctx: GatewayContext, routed: RoutedCall): Promise<void> {
--- a/src/gateway/start-gateway.ts
+++ b/src/gateway/start-gateway.ts
@@ -4,6 +4,7 @@
 import type {LifeCycle} from '../core/life-cycle.js';
 import type {ListenError} from '../core/listen-error.js';
 import {succeed, type Result} from '../core/result.js';
+import {createGroupRefusals} from '../decisions/flow/group-refusals.js';
 import {createProgressWatch} from '../decisions/flow/progress-watch.js';
 import {createServerPicker} from '../decisions/flow/server-picker.js';
 import type {RandomSource} from '../decisions/random.js';
@@ -125,7 +126,19 @@
 	}
 
 	const ctx: GatewayContext = {
-		clock, log, random, metrics, codec, connections, configuration, readServers: servers.servers.read, picker, flows, progress, isTakingStreams: () => isTakingStreams,
+		clock,
+		log,
+		random,
+		metrics,
+		codec,
+		connections,
+		configuration,
+		readServers: servers.servers.read,
+		picker,
+		flows,
+		progress,
+		groupRefusals: createGroupRefusals(),
+		isTakingStreams: () => isTakingStreams,
 	};
 	const listening = await listenForCallers({
 		address: settings.callerListen,
