--- a/src/decisions/flow/__tests__/server-picker.test.ts
+++ b/src/decisions/flow/__tests__/server-picker.test.ts
@@ -8,7 +8,15 @@
 
 function createPicker() {
 	const clock = createManualClock();
-	return {clock, picker: createServerPicker({clock, random: createSeededRandom(1)})};
+	const avoided: string[] = [];
+	const picker = createServerPicker({
+		clock,
+		random: createSeededRandom(1),
+		onAvoided(id) {
+			avoided.push(id);
+		},
+	});
+	return {clock, picker, avoided};
 }
 
 /** How often each candidate is picked, each request held. */
@@ -76,3 +84,20 @@
 	const picked = picker.pick<Candidate>([]);
 	assert.equal(picked, undefined);
 });
+
+void test('that a backend server is avoided is told once, and again when it fails anew', () => {
+	const {picker, clock, avoided} = createPicker();
+	for (let i = 0; i < 6; i++) {
+		picker.noteStart('a');
+		picker.noteEnd('a', 'failed');
+	}
+
+	assert.deepEqual(avoided, ['a']);
+	clock.advance(20_000);
+	for (let i = 0; i < 3; i++) {
+		picker.noteStart('a');
+		picker.noteEnd('a', 'failed');
+	}
+
+	assert.deepEqual(avoided, ['a', 'a']);
+});
--- a/src/decisions/flow/server-picker.ts
+++ b/src/decisions/flow/server-picker.ts
@@ -44,8 +44,16 @@
 /** Weight of a refusal against that of a failure. */
 const REFUSAL_WEIGHT = 0.5;
 
+/** What a picker needs. */
+export type ServerPickerDeps = Readonly<{
+	clock: Clock;
+	random: RandomSource;
+	/** Told when a backend server has failed so often that others go first, and for how long if it fails no more. */
+	onAvoided: (id: string, avoided: Readonly<{failures: number; forMillis: number}>) => void;
+}>;
+
 /** Creates a picker that knows nothing yet. */
-export function createServerPicker({clock, random}: Readonly<{clock: Clock; random: RandomSource}>): ServerPicker {
+export function createServerPicker({clock, random, onAvoided}: ServerPickerDeps): ServerPicker {
 	const states = new Map<string, ServerState>();
 	const read = (id: string) => states.get(id) ?? UNKNOWN;
 
@@ -104,6 +112,7 @@
 		},
 		noteEnd(id, outcome, millis) {
 			const nowMillis = clock.monotonicMillis();
+			const failuresBefore = readFailures(read(id), nowMillis);
 			change(id, state => {
 				const weight = {served: 0, refused: REFUSAL_WEIGHT, failed: 1}[outcome];
 				const latencyMillis = millis === undefined || outcome !== 'served'
@@ -117,6 +126,10 @@
 					latencyMillis,
 				};
 			});
+			const {failures} = read(id);
+			if (failuresBefore < EJECTION_FAILURES && failures >= EJECTION_FAILURES) {
+				onAvoided(id, {failures, forMillis: FAILURE_HALF_LIFE_MILLIS * Math.log2(failures / EJECTION_FAILURES)});
+			}
 		},
 		noteLoad(id, {running, waiting}) {
 			change(id, state => ({
--- a/src/explain/explain-request.ts
+++ b/src/explain/explain-request.ts
@@ -25,7 +25,7 @@
 	'configuration in force', 'lost the table', 'regained the table', 'stop signal', 'takes no streams any more', 'listens no more', 'started', 'heartbeat not written',
 ]);
 /** Changes of a backend server, which matter for those that the request met. */
-const SERVER_CHANGES: ReadonlySet<string> = new Set(['backend server', 'backend server gone', 'entry names no backend server']);
+const SERVER_CHANGES: ReadonlySet<string> = new Set(['backend server', 'backend server avoided', 'backend server gone', 'entry names no backend server']);
 /** Changes of rank groups, which all streams of a service may feel. */
 const GROUP_CHANGES: ReadonlySet<string> = new Set(['map switch', 'map switch abandoned', 'fencing a map switch off', 'looked for a switch left behind']);
 
@@ -117,6 +117,7 @@
 	return match(line)
 		.with({message: 'backend server gone'}, () => [`${show(values.server)} had gone: ${show(values.reason)}`])
 		.with({message: 'backend server'}, () => values.state === 'ready' ? [] : [`${show(values.server)} was ${show(values.state)}`])
+		.with({message: 'backend server avoided'}, () => [`${show(values.server)} had failed often: ${show(values.failures)}`])
 		.with({message: 'lost the table'}, () => [`${instanceId} had lost the table ${show(values.table)}: ${show(values.detail)}`])
 		.with({message: 'stop signal'}, () => [`${instanceId} was told to stop`])
 		.with({message: 'started'}, () => [`${instanceId} had just started`])
--- a/src/gateway/start-gateway.ts
+++ b/src/gateway/start-gateway.ts
@@ -88,7 +88,13 @@
 	const flows = createServiceFlows({
 		clock, random, budgetTerms: settings.retryBudget, countEntries: members.countSharing,
 	});
-	const picker = createServerPicker({clock, random});
+	const picker = createServerPicker({
+		clock,
+		random,
+		onAvoided(id, {failures, forMillis}) {
+			log.info('backend server avoided', {server: id, failures, forMillis: Math.round(forMillis)});
+		},
+	});
 	const progress = createProgressWatch();
 	const connections = createBackendConnections({clock, lifeCycle});
 	const interrupt = createFeedInterrupt();
--- a/src/observability/line-schemas.ts
+++ b/src/observability/line-schemas.ts
@@ -80,6 +80,7 @@
 		server: z.string(), state: z.string(), service: z.string(), address: z.string(), startedAt: z.number(),
 	}),
 	'backend server gone': z.strictObject({server: z.string(), reason: z.string()}),
+	'backend server avoided': z.strictObject({server: z.string(), failures: z.number(), forMillis: millis}),
 	entry: z.strictObject({
 		entry: z.string(), state: z.string(), incarnation: z.string(), address: z.string(),
 	}),
