--- a/bench/main.ts
+++ b/bench/main.ts
@@ -7,6 +7,7 @@
 import {admissionCommand} from './admission-command.js';
 import {capacityCommand} from './capacity-command.js';
 import {callerRoutingCommand} from './caller-routing-command.js';
+import {plotCommand} from './plot-command.js';
 import {routingCommand} from './routing-command.js';
 import {soakCommand} from './soak-command.js';
 import {traceCommand} from './trace-command.js';
@@ -22,6 +23,7 @@
 		routing: routingCommand,
 		'placement-suite': placementSuiteCommand,
 		soak: soakCommand,
+		plot: plotCommand,
 		trace: traceCommand,
 	},
 });
