Verify promises from the log lines of the platform's processes

pollenport audit logs FILE... says of six promises whether the lines hold to them, break them or do not show them. Tests: a case for each verdict.

--- a/bench/plot/__tests__/plot.test.ts
+++ b/bench/plot/__tests__/plot.test.ts
@@ -7,7 +7,7 @@
 
 function line(timeMillis: number, message: string, values: LogLine['values']): LogLine {
 	return {
-		timeMillis, instanceId: 'g', role: 'gateway', sequence: 0, message, values,
+		timeMillis, instanceId: 'g', incarnation: 'x', role: 'gateway', sequence: 0, message, values,
 	};
 }
 
--- /dev/null
+++ b/src/audit/__tests__/verify-logs.test.ts
@@ -0,0 +1,70 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import type {LogLine} from '../../explain/log-line.js';
+import {verifyLogs} from '../verify-logs.js';
+
+function line(timeMillis: number, message: string, values: LogLine['values'], incarnation = 'x'): LogLine {
+	return {
+		timeMillis, instanceId: 'g', incarnation, role: 'gateway', sequence: timeMillis, message, values,
+	};
+}
+
+const refusal = line(20, 'refused', {request: 'a', outcome: 'not_run', reason: 'overload'});
+const call = line(30, 'call', {
+	request: 'b', servers: 's1', elapsedMillis: 10, outcome: 'answered',
+});
+const leaves = line(1000, 'backend server', {server: 's1', state: 'draining'});
+
+const cases: ReadonlyArray<Readonly<{name: string; promise: string; lines: readonly LogLine[]; verdict: string}>> = [
+	{
+		name: 'a refusal before any attempt', promise: 'not_run_is_true', lines: [refusal], verdict: 'held',
+	},
+	{
+		name: 'a refusal behind a lost attempt', promise: 'not_run_is_true', lines: [line(10, 'attempt failed', {request: 'a', end: 'lost'}), refusal], verdict: 'broken',
+	},
+	{
+		name: 'a refusal behind a refused attempt', promise: 'not_run_is_true', lines: [line(10, 'attempt failed', {request: 'a', end: 'not_run'}), refusal], verdict: 'held',
+	},
+	{
+		name: 'no refusal', promise: 'not_run_is_true', lines: [call], verdict: 'not_shown',
+	},
+	{
+		name: 'two ends of an attempt', promise: 'at_most_once', lines: [call, {...call, instanceId: 'h'}], verdict: 'broken',
+	},
+	{
+		name: 'growing versions', promise: 'configuration_never_reverts', lines: [line(1, 'configuration in force', {version: 2, former: 1})], verdict: 'held',
+	},
+	{
+		name: 'a version that goes back', promise: 'configuration_never_reverts', lines: [line(1, 'configuration in force', {version: 1, former: 2})], verdict: 'broken',
+	},
+	{
+		name: 'a call just behind a leave', promise: 'leaving_gets_no_new_work', lines: [leaves, {...call, timeMillis: 2900}], verdict: 'held',
+	},
+	{
+		name: 'a call long behind a leave', promise: 'leaving_gets_no_new_work', lines: [leaves, {...call, timeMillis: 3100}], verdict: 'broken',
+	},
+	{
+		name: 'a call behind the return', promise: 'leaving_gets_no_new_work', lines: [leaves, line(2000, 'backend server', {server: 's1', state: 'ready'}), {...call, timeMillis: 3100}], verdict: 'held',
+	},
+	{
+		name: 'a call of another process', promise: 'leaving_gets_no_new_work', lines: [leaves, {...call, timeMillis: 3100, incarnation: 'y'}], verdict: 'held',
+	},
+	{
+		name: 'one version twice', promise: 'one_expert_map_per_step', lines: [line(1, 'map switch', {outcome: 'switched', version: 4}), line(2, 'map switch', {outcome: 'switched', version: 4})], verdict: 'broken',
+	},
+	{
+		name: 'a stop that cut calls off', promise: 'stop_cuts_nothing_off', lines: [line(1, 'stopped', {cutOff: 1})], verdict: 'broken',
+	},
+];
+
+for (const {name, promise, lines, verdict} of cases) {
+	void test(`${name}: ${promise} is ${verdict}`, () => {
+		const found = verifyLogs(lines).promises.find(finding => finding.name === promise);
+		assert.equal(found?.verdict, verdict);
+		assert.equal(found.lines.length, verdict === 'broken' ? 1 : 0);
+	});
+}
+
+void test('what was left out is counted', () => {
+	assert.equal(verifyLogs([{...call, values: {...call.values, leftOut: 40}}]).leftOut, 40);
+});
--- a/src/cli/commands/audit.ts
+++ b/src/cli/commands/audit.ts
@@ -1,10 +1,12 @@
 import {defineCommand} from 'citty';
 import {match} from 'ts-pattern';
 import {createHttpObjectStore} from '../../adapters/http-object-store.js';
+import {verifyLogs, type LogReport} from '../../audit/verify-logs.js';
 import {readChains, verifyAudit} from '../../audit/verify-audit.js';
 import {createLifeCycle} from '../../core/life-cycle.js';
 import {EXIT_OK, EXIT_REFUSED, EXIT_UNREACHABLE} from '../../daemon/exit-code.js';
-import {printReport, type Report} from '../report.js';
+import {readLogs} from '../../explain/read-logs.js';
+import {printReport, usageReport, type Report} from '../report.js';
 import type {AuditRecord} from '../../audit/audit-record.js';
 import type {AuditReport} from '../../audit/audit-report.js';
 import type {ObjectError, ObjectStore} from '../../ports/object-store.js';
@@ -99,8 +101,40 @@
 	},
 });
 
+function describeLogReport(report: LogReport): readonly string[] {
+	return [
+		`${report.lines} lines; ${report.leftOut} about calls that went well were left out`,
+		...report.promises.flatMap(({name, verdict, detail, lines}) => [
+			`${verdict.padEnd('not_shown'.length)}  ${name}: ${detail}`,
+			...lines.map(line => `           ${line.instanceId} #${line.sequence} ${line.message} ${JSON.stringify(line.values)}`),
+		]),
+	];
+}
+
+async function verifyLogFiles(files: readonly string[]): Promise<Report> {
+	const logs = files.length === 0 ? undefined : await readLogs(files);
+	if (!logs?.ok) {
+		return usageReport(logs ? logs.error : 'name the files that hold the output of the processes');
+	}
+
+	const report = verifyLogs(logs.value.lines);
+	return {
+		lines: [...describeLogReport(report), ...(logs.value.unreadable > 0 ? [`${logs.value.unreadable} lines are not of a process and were skipped`] : [])],
+		document: {...report, unreadable: logs.value.unreadable},
+		exitCode: report.promises.some(({verdict}) => verdict === 'broken') ? EXIT_REFUSED : EXIT_OK,
+	};
+}
+
+const logsCommand = defineCommand({
+	meta: {name: 'logs', description: 'Say of each promise what the log lines of the platform\'s processes show'},
+	args: {json: auditArguments.json},
+	async run({args}) {
+		printReport(await verifyLogFiles(args._.map(String)), args.json);
+	},
+});
+
 /** `pollenport audit` */
 export const auditCommand = defineCommand({
 	meta: {name: 'audit', description: 'The record for the auditor'},
-	subCommands: {verify: verifyCommand, show: showCommand},
+	subCommands: {verify: verifyCommand, show: showCommand, logs: logsCommand},
 });
--- a/src/cli/commands/explain.ts
+++ b/src/cli/commands/explain.ts
@@ -1,34 +1,10 @@
-import {open} from 'node:fs/promises';
 import {defineCommand} from 'citty';
-import {describeError} from '../../core/describe-error.js';
-import {fail, succeed, type Result} from '../../core/result.js';
 import {EXIT_OK, EXIT_REFUSED} from '../../daemon/exit-code.js';
 import {explainRequest, type Explanation} from '../../explain/explain-request.js';
-import {parseLogLine, type LogLine} from '../../explain/log-line.js';
+import type {LogLine} from '../../explain/log-line.js';
+import {readLogs} from '../../explain/read-logs.js';
 import {printReport, usageReport, type Report} from '../report.js';
 
-type LogFile = Readonly<{lines: readonly LogLine[]; unreadable: number}>;
-
-async function readLog(file: string): Promise<Result<LogFile, string>> {
-	const lines: LogLine[] = [];
-	let unreadable = 0;
-	try {
-		const handle = await open(file);
-		for await (const text of handle.readLines()) {
-			const line = parseLogLine(text);
-			if (line) {
-				lines.push(line);
-			} else {
-				unreadable++;
-			}
-		}
-	} catch (error) {
-		return fail(`${file}: ${describeError(error)}`);
-	}
-
-	return succeed({lines, unreadable});
-}
-
 function describeLine({timeMillis, instanceId, message, values}: LogLine, startMillis: number): string {
 	const shown = Object.entries(values).filter(([name]) => name !== 'request').map(([name, value]) => `${name}=${String(value)}`);
 	return `  ${String(Math.round(timeMillis - startMillis)).padStart(6)} ms  ${instanceId}  ${message}  ${shown.join(' ')}`;
@@ -50,19 +26,12 @@
 		return usageReport('name the files that hold the output of the processes');
 	}
 
-	const lines: LogLine[] = [];
-	let unreadable = 0;
-	for (const file of files) {
-		// eslint-disable-next-line no-await-in-loop -- One file after the other bounds what is open.
-		const log = await readLog(file);
-		if (!log.ok) {
-			return usageReport(log.error);
-		}
-
-		lines.push(...log.value.lines);
-		unreadable += log.value.unreadable;
+	const logs = await readLogs(files);
+	if (!logs.ok) {
+		return usageReport(logs.error);
 	}
 
+	const {lines, unreadable} = logs.value;
 	const skipped = unreadable > 0 ? [`${unreadable} lines are not of a process and were skipped`] : [];
 	const explanation = explainRequest(request, lines);
 	return explanation
--- a/src/explain/log-line.ts
+++ b/src/explain/log-line.ts
@@ -13,6 +13,8 @@
 	/** Wall time in milliseconds. */
 	timeMillis: number;
 	instanceId: string;
+	/** Start of the process. */
+	incarnation: string;
 	role: string;
 	/** Place among the lines of its process. */
 	sequence: number;
@@ -57,6 +59,7 @@
 	return {
 		timeMillis: time,
 		instanceId: context.instanceId,
+		incarnation: context.incarnation,
 		role: context.role,
 		sequence,
 		message,
