--- a/bench/soak/__tests__/judge-soak.test.ts
+++ b/bench/soak/__tests__/judge-soak.test.ts
@@ -10,6 +10,7 @@
 const RUN: SeenRun = {
 	attemptId: 'a', path: '/once/x', serverId: 's0', atMillis: 1050, hasRun: true, lastEventId: undefined,
 };
+const LEAVE = {serverId: 's0', fromMillis: 1000, toMillis: 9000};
 const NOTHING: SoakEvidence = {
 	attempts: [], runs: [], leaves: [], stops: [], troubles: [], mixedPasses: [], reported: [],
 };
@@ -34,12 +35,8 @@
 		evidence: {attempts: [{...ATTEMPT, status: 0, isWhole: false}], runs: [RUN], troubles: [{fromMillis: 900, toMillis: 1010}]},
 		broken: undefined,
 	},
-	{
-		name: 'a request at a server that left', evidence: {attempts: [ATTEMPT], runs: [{...RUN, atMillis: 3500}], leaves: [{serverId: 's0', fromMillis: 1000, toMillis: 9000}]}, broken: /^drain/v,
-	},
-	{
-		name: 'a request at a server that is just leaving', evidence: {attempts: [ATTEMPT], runs: [{...RUN, atMillis: 2500}], leaves: [{serverId: 's0', fromMillis: 1000, toMillis: 9000}]}, broken: undefined,
-	},
+	{name: 'a request at a server that left', evidence: {attempts: [ATTEMPT], runs: [{...RUN, atMillis: 3500}], leaves: [LEAVE]}, broken: /^drain/v},
+	{name: 'a request at a server that is just leaving', evidence: {attempts: [ATTEMPT], runs: [{...RUN, atMillis: 2500}], leaves: [LEAVE]}, broken: undefined},
 	{name: 'a run that nobody asked for', evidence: {runs: [RUN]}, broken: /^unasked/v},
 	{name: 'a pass on two maps', evidence: {mixedPasses: [7]}, broken: /^map/v},
 ];
--- a/bench/soak/soak-system.ts
+++ b/bench/soak/soak-system.ts
@@ -86,7 +86,19 @@
 				HealthPath: '/health',
 				MaxConns: 200,
 				Engine: {
-					Slots: 8, Stride: 4, KvCapacity: 100_000, step_ms: 5, per_seq_ms: 1, read_per_s: 60_000, usual: {prompt: 800, answer: 100}, Sets: SOAK_LAYOUT.layers, Experts: SOAK_LAYOUT.expertsPerLayer, Placements: SOAK_LAYOUT.slotsPerRank, Spare: 2, ExpertMb: 1, LinkMbps: 1000,
+					Slots: 8,
+					Stride: 4,
+					KvCapacity: 100_000,
+					step_ms: 5,
+					per_seq_ms: 1,
+					read_per_s: 60_000,
+					usual: {prompt: 800, answer: 100},
+					Sets: SOAK_LAYOUT.layers,
+					Experts: SOAK_LAYOUT.expertsPerLayer,
+					Placements: SOAK_LAYOUT.slotsPerRank,
+					Spare: 2,
+					ExpertMb: 1,
+					LinkMbps: 1000,
 				},
 			},
 		],
@@ -148,7 +160,14 @@
 	const name = `agent-${index}`;
 	const store = await startTcpRelay({port: 0}, Number(new URL(provider.url).port));
 	const settings = {
-		NodeName: name, Ip: ip, Zone: `zone-${index % 3}`, Region: 'region', Provider: {Address: store.address}, app: `${ip}:${PORTS.engine}`, Service: MODEL_SERVICE, PortRange: [PORTS.ranks, PORTS.ranks + 10],
+		NodeName: name,
+		Ip: ip,
+		Zone: `zone-${index % 3}`,
+		Region: 'region',
+		Provider: {Address: store.address},
+		app: `${ip}:${PORTS.engine}`,
+		Service: MODEL_SERVICE,
+		PortRange: [PORTS.ranks, PORTS.ranks + 10],
 	};
 	const node = createNode({
 		name, dir, settings, isReady: async () => true,
--- a/src/audit/__tests__/verify-logs.test.ts
+++ b/src/audit/__tests__/verify-logs.test.ts
@@ -14,6 +14,8 @@
 	request: 'b', servers: 's1', elapsedMillis: 10, outcome: 'answered',
 });
 const leaves = line(1000, 'backend server', {server: 's1', state: 'draining'});
+const returns = line(2000, 'backend server', {server: 's1', state: 'ready'});
+const switched = line(1, 'map switch', {outcome: 'switched', version: 4});
 
 const cases: ReadonlyArray<Readonly<{name: string; promise: string; lines: readonly LogLine[]; verdict: string}>> = [
 	{
@@ -44,13 +46,13 @@
 		name: 'a call long behind a leave', promise: 'leaving_gets_no_new_work', lines: [leaves, {...call, timeMillis: 3100}], verdict: 'broken',
 	},
 	{
-		name: 'a call behind the return', promise: 'leaving_gets_no_new_work', lines: [leaves, line(2000, 'backend server', {server: 's1', state: 'ready'}), {...call, timeMillis: 3100}], verdict: 'held',
+		name: 'a call behind the return', promise: 'leaving_gets_no_new_work', lines: [leaves, returns, {...call, timeMillis: 3100}], verdict: 'held',
 	},
 	{
 		name: 'a call of another process', promise: 'leaving_gets_no_new_work', lines: [leaves, {...call, timeMillis: 3100, incarnation: 'y'}], verdict: 'held',
 	},
 	{
-		name: 'one version twice', promise: 'one_expert_map_per_step', lines: [line(1, 'map switch', {outcome: 'switched', version: 4}), line(2, 'map switch', {outcome: 'switched', version: 4})], verdict: 'broken',
+		name: 'one version twice', promise: 'one_expert_map_per_step', lines: [switched, {...switched, timeMillis: 2}], verdict: 'broken',
 	},
 	{
 		name: 'a stop that cut calls off', promise: 'stop_cuts_nothing_off', lines: [line(1, 'stopped', {cutOff: 1})], verdict: 'broken',
