--- a/src/map-switch/__tests__/map-switch.test.ts
+++ b/src/map-switch/__tests__/map-switch.test.ts
@@ -282,3 +282,55 @@
 
 	assert.ok(released > undecided, `${released} released, ${undecided} undecided`);
 });
+
+/** Ends whatever switch it finds, without the planner's rank, until the signal aborts; how often it came to an end. */
+async function interfere(group: ReturnType<typeof createFakeRankGroup>, ranks: GroupRanks, signal: AbortSignal): Promise<number> {
+	let ends = 0;
+	/* eslint-disable no-await-in-loop -- One try after the other. */
+	while (!signal.aborted) {
+		ends += Number(await finishSwitch({
+			ranks, clock: group.clock, log: silentLog, readExperts: async () => readExperts(ranks, false),
+		}, signal));
+		await group.clock.sleep(200, signal);
+	}
+	/* eslint-enable no-await-in-loop */
+
+	return ends;
+}
+
+void test('a watch that cannot reach the planner\'s rank, while the planner goes on, never makes a pass run on two maps', async () => {
+	let interventions = 0;
+	for (let seed = 1; seed <= SEEDS * 2; seed++) {
+		const random = createSeededRandom(seed);
+		const group = createFakeRankGroup(RANKS, createExperts(0), random);
+		group.setFaults({
+			lost: 0.15, late: 0.15, doubled: 0.08, dropped: 0.1, stale: 0.1,
+		});
+		const stop = new AbortController();
+		const planner = createPlanner(group, createTable(), 'a');
+		const ranks = group.openAccess().ranks.map((rank, i): RankEngine => ({
+			...rank,
+			readState: async () => i === PLANNER_RANK ? fail({tag: 'unavailable', detail: 'no answer'}) : rank.readState(),
+			async readLoad() {
+				const state = await rank.readState();
+				return state.ok ? succeed({state: state.value, counts: Array.from({length: RANKS * 2}, () => 0)}) : state;
+			},
+			order: async (order, epoch) => i === PLANNER_RANK ? {tag: 'unknown', detail: 'no answer'} : rank.order(order, epoch),
+		}));
+		void planner.run(stop.signal);
+		const ended = new AbortController();
+		const watching = interfere(group, ranks, ended.signal);
+		/* eslint-disable no-await-in-loop -- One run after the other. */
+		await takeTurns(group, RUN_TURNS);
+		stop.abort();
+		ended.abort();
+		await takeTurns(group, RUN_TURNS / 4);
+		group.settle();
+		await takeTurns(group, RUN_TURNS / 4);
+		interventions += await watching;
+		/* eslint-enable no-await-in-loop */
+		assert.deepEqual(group.readMixedPasses(), [], `seed ${seed}: passes on two maps`);
+	}
+
+	assert.ok(interventions > SEEDS, `${interventions} interventions`);
+});
