--- a/bench/soak/__tests__/judge-soak.test.ts
+++ b/bench/soak/__tests__/judge-soak.test.ts
@@ -12,7 +12,7 @@
 };
 const LEAVE = {serverId: 's0', fromMillis: 1000, toMillis: 9000};
 const NOTHING: SoakEvidence = {
-	attempts: [], runs: [], leaves: [], stops: [], troubles: [], mixedPasses: [], reported: [],
+	attempts: [], runs: [], leaves: [], troubles: [], mixedPasses: [], reported: [],
 };
 
 const cases: ReadonlyArray<Readonly<{name: string; evidence: Partial<SoakEvidence>; broken: RegExp | undefined}>> = [
--- a/bench/soak/judge-soak.ts
+++ b/bench/soak/judge-soak.ts
@@ -10,8 +10,6 @@
 	runs: readonly SeenRun[];
 	/** Times in which a backend server was leaving; `toMillis` is Infinity while it still is. */
 	leaves: ReadonlyArray<Readonly<{serverId: string; fromMillis: number; toMillis: number}>>;
-	/** Gateways that were told to stop, and when. */
-	stops: ReadonlyArray<Readonly<{gateway: string; atMillis: number}>>;
 	/** Times in which some fault that is no planned work lasted, and a while behind each. */
 	troubles: ReadonlyArray<Readonly<{fromMillis: number; toMillis: number}>>;
 	mixedPasses: readonly number[];
--- a/bench/soak/run-soak.ts
+++ b/bench/soak/run-soak.ts
@@ -3,6 +3,7 @@
 import process from 'node:process';
 import {setTimeout as wait} from 'node:timers/promises';
 import {Agent} from 'node:http';
+import {sum} from '../../src/decisions/sum.js';
 import {createSeededRandom, type RandomSource} from '../../src/decisions/random.js';
 import {judgeSoak} from './judge-soak.js';
 import {
@@ -91,7 +92,6 @@
 
 type Observed = {
 	leaves: Array<{serverId: string; fromMillis: number; toMillis: number}>;
-	stops: Array<{gateway: string; atMillis: number}>;
 	troubles: Array<{fromMillis: number; toMillis: number}>;
 	reported: string[];
 	faults: string[];
@@ -168,7 +168,7 @@
 	const kinds = SOAK_FAULTS.filter(({name}) => only.length === 0 || only.includes(name));
 	const system = await startSoakSystem(size, createSeededRandom(seed + 1), now);
 	const observed: Observed = {
-		leaves: [], stops: [], troubles: [{fromMillis: 0, toMillis: now()}], reported: [], faults: [],
+		leaves: [], troubles: [{fromMillis: 0, toMillis: now()}], reported: [], faults: [],
 	};
 	const ctx: SoakContext = {
 		system,
@@ -177,9 +177,6 @@
 		report(breach) {
 			observed.reported.push(breach);
 		},
-		noteStop(gateway, atMillis) {
-			observed.stops.push({gateway, atMillis});
-		},
 		noteDraining(serverId, atMillis) {
 			if (atMillis === undefined) {
 				for (const leave of observed.leaves.filter(known => known.serverId === serverId && known.toMillis === Infinity)) {
@@ -210,7 +207,8 @@
 	await wait(CALL_DEADLINE_MILLIS);
 	const nodes = [...system.gateways, ...system.agents];
 	const memoryMegabytes = {
-		soak: Math.round(process.memoryUsage().rss / BYTES_PER_MEGABYTE), system: Math.round(nodes.map(node => readMemory(node.pid())).reduce((total, size_) => total + size_, 0)),
+		soak: Math.round(process.memoryUsage().rss / BYTES_PER_MEGABYTE),
+		system: Math.round(sum(nodes.map(node => readMemory(node.pid())))),
 	};
 	for (const node of nodes.filter(({pid}) => pid() === undefined)) {
 		observed.reported.push(`end: ${node.name} does not run at the end`);
--- a/bench/soak/soak-faults.ts
+++ b/bench/soak/soak-faults.ts
@@ -18,8 +18,6 @@
 	report: (breach: string) => void;
 	/** Backend servers that leave, with the time at which the store showed it. */
 	noteDraining: (serverId: string, atMillis: number | undefined) => void;
-	/** A gateway that was told to stop, and when; calls at it then must not be cut. */
-	noteStop: (gateway: string, atMillis: number) => void;
 }>;
 
 /** A kind of fault; `isPlanned` when it excuses no lost call. */
@@ -76,7 +74,7 @@
 const stopGateway: SoakFault = {
 	name: 'stop_gateway',
 	isPlanned: true,
-	async inject({system, random, report, noteStop, now}) {
+	async inject({system, random, report, now}) {
 		const victim = pick(system.gateways.filter(gateway => listSpare(system.gateways).includes(gateway)), random);
 		if (!victim) {
 			return nothing;
@@ -84,7 +82,6 @@
 
 		const startedAtMillis = now();
 		const ended = victim.waitEnd();
-		noteStop(victim.callers, startedAtMillis);
 		victim.signal('SIGTERM');
 		victim.signal('SIGTERM');
 		return async () => {
