--- a/bench/plot/summarize-day.ts
+++ b/bench/plot/summarize-day.ts
@@ -1,4 +1,5 @@
 /** Figures of a day over time, from the log lines of its processes. */
+import {sum} from '../../src/decisions/sum.js';
 import type {LogLine} from '../../src/explain/log-line.js';
 
 /** A value of one kind at one time. */
@@ -18,10 +19,8 @@
 
 const MILLIS_PER_SECOND = 1000;
 
-type Sample = Readonly<{second: number; kind: string; value: number}>;
-
-function groupSamples(samples: readonly Sample[]): ReadonlyMap<string, readonly Sample[]> {
-	const groups = new Map<string, Sample[]>();
+function groupByTime(samples: readonly Point[]): ReadonlyMap<string, readonly Point[]> {
+	const groups = new Map<string, Point[]>();
 	for (const sample of samples) {
 		const key = `${sample.second} ${sample.kind}`;
 		groups.set(key, [...groups.get(key) ?? [], sample]);
@@ -30,15 +29,14 @@
 	return groups;
 }
 
-function reduceSamples(samples: readonly Sample[], reduce: (values: readonly number[]) => number): readonly Point[] {
-	return [...groupSamples(samples).values()].flatMap(group => {
+function reduceSamples(samples: readonly Point[], reduce: (values: readonly number[]) => number): readonly Point[] {
+	return [...groupByTime(samples).values()].flatMap(group => {
 		const [first] = group;
 		return first ? [{second: first.second, kind: first.kind, value: reduce(group.map(({value}) => value))}] : [];
 	});
 }
 
-const total = (values: readonly number[]) => values.reduce((sum, value) => sum + value, 0);
-const mean = (values: readonly number[]) => total(values) / Math.max(1, values.length);
+const mean = (values: readonly number[]) => sum(values) / Math.max(1, values.length);
 
 /** Summarizes a day; seconds count from its first line. */
 export function summarizeDay(lines: readonly LogLine[]): DaySummary {
@@ -50,9 +48,9 @@
 	const calls = collect('call', ({values}) => [[String(values.outcome), 1], ['left out of the log', values.leftOut]]);
 	const refusals = collect('refused', () => [['refused', 1]]);
 	return {
-		outcomes: reduceSamples([...calls, ...refusals], total),
+		outcomes: reduceSamples([...calls, ...refusals], sum),
 		waits: reduceSamples(collect('call', ({values}) => [['for a place', values.waitedMillis], ['to the first byte', values.firstByteMillis]]), mean),
 		skews: reduceSamples(collect('map switch', ({values}) => [['before', values.skewBefore], ['after', values.skewAfter]]), mean),
-		processes: reduceSamples([...collect('started', () => [['started', 1]]), ...collect('stop signal', () => [['stop signal', 1]])], total),
+		processes: reduceSamples([...collect('started', () => [['started', 1]]), ...collect('stop signal', () => [['stop signal', 1]])], sum),
 	};
 }
--- a/src/audit/verify-logs.ts
+++ b/src/audit/verify-logs.ts
@@ -1,4 +1,5 @@
 /** What the log lines of all processes say of the promises. */
+import {sum} from '../decisions/sum.js';
 import type {LogLine} from '../explain/log-line.js';
 import type {PromiseName} from './audit-report.js';
 
@@ -108,7 +109,7 @@
 
 /** Verifies what lines of any processes show. What they do not show is said so; a process that was killed wrote no end. */
 export function verifyLogs(lines: readonly LogLine[]): LogReport {
-	const leftOut = lines.map(({values}) => Number(values.leftOut ?? 0)).reduce((sum, count) => sum + count, 0);
+	const leftOut = sum(lines.map(({values}) => Number(values.leftOut ?? 0)));
 	return {
 		lines: lines.length,
 		leftOut,
