--- a/bench/soak-command.ts
+++ b/bench/soak-command.ts
@@ -1,8 +1,8 @@
 import process from 'node:process';
 import {defineCommand} from 'citty';
 import {invariant} from '../src/core/invariant.js';
-import {SOAK_FAULTS} from './soak/soak-faults.js';
-import {runSoak, type SoakSummary} from './soak/run-soak.js';
+import {SOAK_FAULTS} from '../platform/__tests__/soak/soak-faults.js';
+import {runSoak, type SoakSummary} from '../platform/__tests__/soak/run-soak.js';
 
 const EXIT_BROKEN = 1;
 const MILLIS_PER_MINUTE = 60_000;
