Call one piece where the change had written a second

Behaviour stays as it is; no assertion changed. - Listening: the callers' and the HTTP listener, and five stand-ins, bound, waited and read their port each in their own way; addresses were split in five places. src/core/listen-on.ts serves all. - Backoff of feeds and of retries: src/decisions/retry/backoff.ts. The newest configuration among rows: src/routing/ newest-configuration.ts. Sums: sum. - Log files of explain, audit logs and plot: read-logs says when none are named and what was skipped.

--- a/bench/faults/network-faults.ts
+++ b/bench/faults/network-faults.ts
@@ -1,3 +1,4 @@
+import {pickOne} from '../../src/decisions/random.js';
 import type {FaultKind} from './fault.js';
 
 /** Faults between the processes. */
@@ -5,7 +6,7 @@
 	{
 		name: 'silent_links',
 		async inject({system, random}) {
-			const relay = system.relays[Math.floor(random() * system.relays.length)];
+			const relay = pickOne(system.relays, random);
 			relay?.silenceOpen();
 			return {
 				async heal() {
@@ -17,7 +18,7 @@
 	{
 		name: 'cut_links',
 		async inject({system, random}) {
-			const relay = system.relays[Math.floor(random() * system.relays.length)];
+			const relay = pickOne(system.relays, random);
 			relay?.cut();
 			return {
 				async heal() {
@@ -29,7 +30,7 @@
 	{
 		name: 'silent_engine_connections',
 		async inject({system, random}) {
-			const engine = system.engines[Math.floor(random() * system.engines.length)];
+			const engine = pickOne(system.engines, random);
 			if (engine?.pid() !== undefined) {
 				await engine.setFaults({silenceOpenConnections: true});
 			}
--- a/bench/faults/process-faults.ts
+++ b/bench/faults/process-faults.ts
@@ -1,3 +1,4 @@
+import {pickOne} from '../../src/decisions/random.js';
 import type {DaemonProcess} from '../system/daemon-process.js';
 import type {LocalSystem} from '../system/local-system.js';
 import type {ManagedProcess} from '../system/managed-process.js';
@@ -5,10 +6,6 @@
 
 type Choose = (system: LocalSystem) => readonly ManagedProcess[];
 
-function pick<T>(items: readonly T[], random: () => number): T | undefined {
-	return items[Math.floor(random() * items.length)];
-}
-
 const NOTHING: ActiveFault = {
 	async heal() {
 		// Nothing was brought about.
@@ -25,7 +22,7 @@
 	return {
 		name,
 		async inject(ctx) {
-			const victim = pick(running(choose, ctx), ctx.random);
+			const victim = pickOne(running(choose, ctx), ctx.random);
 			if (!victim) {
 				return NOTHING;
 			}
@@ -47,7 +44,7 @@
 	return {
 		name,
 		async inject(ctx) {
-			const victim = pick(running(choose, ctx), ctx.random);
+			const victim = pickOne(running(choose, ctx), ctx.random);
 			victim?.signal('SIGSTOP');
 			return {
 				async heal() {
@@ -63,7 +60,7 @@
 	return {
 		name,
 		async inject(ctx) {
-			const victim = pick(running(choose, ctx), ctx.random);
+			const victim = pickOne(running(choose, ctx), ctx.random);
 			if (!victim) {
 				return NOTHING;
 			}
--- a/bench/faults/run-faults.ts
+++ b/bench/faults/run-faults.ts
@@ -1,8 +1,9 @@
 import {invariant} from '../../src/core/invariant.js';
 import {systemClock} from '../../src/core/system-clock.js';
-import {createSeededRandom, type RandomSource} from '../../src/decisions/random.js';
+import {createSeededRandom, pickOne, type RandomSource} from '../../src/decisions/random.js';
 import {parseAuditReport} from '../system/audit-summary.js';
 import {allTries, countOutcomes, type LoggedCall} from '../system/call-log.js';
+import {countNames} from '../system/count-names.js';
 import {createCallWorker, type CallWorker} from '../system/call-worker.js';
 import {startLocalSystem, type LocalSystem} from '../system/local-system.js';
 import {runTool} from '../system/run-tool.js';
@@ -56,7 +57,7 @@
 }>;
 
 function drawCredential(random: RandomSource): string {
-	return CREDENTIALS[Math.floor(random() * CREDENTIALS.length)] ?? CREDENTIALS[0];
+	return pickOne(CREDENTIALS, random) ?? CREDENTIALS[0];
 }
 
 function createWorker(system: LocalSystem, random: RandomSource, credential: string = drawCredential(random)): CallWorker {
@@ -74,7 +75,7 @@
 /** One fault, two different ones, or one kind twice. */
 function drawFaults(random: RandomSource): readonly FaultKind[] {
 	const draw = () => {
-		const kind = FAULT_KINDS[Math.floor(random() * FAULT_KINDS.length)];
+		const kind = pickOne(FAULT_KINDS, random);
 		invariant(kind, 'there are kinds of faults');
 		return kind;
 	};
@@ -134,15 +135,6 @@
 	return {kinds, calls: await calls, recoveryMillis: answeredAt - begunMillis};
 }
 
-function countKinds(rounds: readonly Round[]): Readonly<Record<string, number>> {
-	const counts: Record<string, number> = {};
-	for (const {name} of rounds.flatMap(round => round.kinds)) {
-		counts[name] = (counts[name] ?? 0) + 1;
-	}
-
-	return counts;
-}
-
 async function applyFirstTargets(system: LocalSystem): Promise<void> {
 	const run = await runTool('apply', TARGETS_FILE, '--entry', system.entries.map(entry => entry.operatorUrl).join(','));
 	invariant(run.exitCode === 0, `the first targets are accepted: ${run.text}`);
@@ -196,7 +188,7 @@
 	return {
 		seed,
 		rounds: rounds.length,
-		faults: countKinds(rounds),
+		faults: countNames(rounds.flatMap(({kinds}) => kinds.map(({name}) => name))),
 		calls: calls.length,
 		outcomes,
 		refusedShare: (outcomes.not_run ?? 0) / Math.max(1, allTries(calls).length),
--- a/bench/plot-command.ts
+++ b/bench/plot-command.ts
@@ -1,6 +1,6 @@
-import {readFile, writeFile} from 'node:fs/promises';
+import {writeFile} from 'node:fs/promises';
 import {defineCommand} from 'citty';
-import {parseLogLine} from '../src/explain/log-line.js';
+import {readLogs} from '../src/explain/read-logs.js';
 import {drawDay} from './plot/draw-day.js';
 import {summarizeDay} from './plot/summarize-day.js';
 
@@ -14,12 +14,12 @@
 		name: {type: 'string', description: 'Title', default: ''},
 	},
 	async run({args}) {
-		if (args._.length === 0) {
-			throw new Error('name the files that hold the output of the processes');
+		const logs = await readLogs(args._.map(String));
+		if (!logs.ok) {
+			throw new Error(logs.error);
 		}
 
-		const texts = await Promise.all(args._.map(async file => readFile(file, 'utf8')));
-		const lines = texts.flatMap(text => text.split('\n')).map(line => parseLogLine(line)).filter(line => line !== undefined);
+		const {lines} = logs.value;
 		if (lines.length === 0) {
 			throw new Error('no line of a process is in these files');
 		}
--- a/bench/system/call-log.ts
+++ b/bench/system/call-log.ts
@@ -1,4 +1,5 @@
 import type {CallerOutcome} from './caller.js';
+import {countNames} from './count-names.js';
 
 /** One try of a call at one entry. */
 export type CallTry = Readonly<{
@@ -22,10 +23,5 @@
 
 /** Counts tries by the tag of their outcome. */
 export function countOutcomes(calls: readonly LoggedCall[]): Readonly<Record<string, number>> {
-	const counts: Record<string, number> = {};
-	for (const {outcome} of allTries(calls)) {
-		counts[outcome.tag] = (counts[outcome.tag] ?? 0) + 1;
-	}
-
-	return counts;
+	return countNames(allTries(calls).map(({outcome}) => outcome.tag));
 }
--- a/bench/system/tcp-relay.ts
+++ b/bench/system/tcp-relay.ts
@@ -1,6 +1,7 @@
 import {once} from 'node:events';
 import {connect, createServer, type Socket} from 'node:net';
 import {invariant} from '../../src/core/invariant.js';
+import {listenOn} from '../../src/core/listen-on.js';
 
 /** Way of the bytes that a relay drops. */
 export type SilentWay = 'none' | 'requests' | 'answers' | 'both';
@@ -113,13 +114,11 @@
 		pump(pair, outer, inner, 'requests');
 		pump(pair, inner, outer, 'answers');
 	});
-	server.listen(port, host);
-	await once(server, 'listening');
-	const bound = server.address();
-	invariant(typeof bound === 'object' && bound, 'a TCP server has a port');
+	const listening = await listenOn(server, `${host}:${port}`);
+	invariant(listening.ok, 'the relay listens');
 
 	return {
-		address: `${host}:${bound.port}`,
+		address: `${host}:${listening.value}`,
 		silenceOpen() {
 			for (const pair of pairs) {
 				pair.isSilent = true;
--- a/fakes/http/stand-in.ts
+++ b/fakes/http/stand-in.ts
@@ -3,6 +3,7 @@
 import {getRequestListener, type HttpBindings} from '@hono/node-server';
 import {Hono} from 'hono';
 import {invariant} from '../../src/core/invariant.js';
+import {parseHostPort} from '../../src/core/listen-on.js';
 import {createFaultControl, type FaultControl} from '../faults/fault-control.js';
 import {registerFaultMiddleware} from '../faults/fault-middleware.js';
 import {registerControlRoutes} from './control-routes.js';
@@ -33,16 +34,11 @@
 	stop?: () => void;
 }>;
 
-function splitListen(listen: string): Readonly<{hostname: string; port: number}> {
-	const at = listen.lastIndexOf(':');
-	return {hostname: listen.slice(0, at), port: Number(listen.slice(at + 1))};
-}
-
 async function startListening(server: Server, listen: string): Promise<AddressInfo> {
-	const {hostname, port} = splitListen(listen);
+	const {host, port} = parseHostPort(listen);
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
-		server.listen(port, hostname, resolve);
+		server.listen(port, host, resolve);
 	});
 	const address = server.address();
 	invariant(address !== null && typeof address !== 'string', 'a listener on TCP has an address');
--- a/src/adapters/http-client.ts
+++ b/src/adapters/http-client.ts
@@ -87,11 +87,14 @@
 	}
 
 	return {
-		exchange: async req => send(
-			req,
-			req.signal ? AbortSignal.any([req.signal, AbortSignal.timeout(req.timeoutMillis ?? timeoutMillis)]) : AbortSignal.timeout(req.timeoutMillis ?? timeoutMillis),
-			async reply => ({status: reply.statusCode, body: await reply.body.bytes()}),
-		),
+		async exchange(req) {
+			const timeout = AbortSignal.timeout(req.timeoutMillis ?? timeoutMillis);
+			return send(
+				req,
+				req.signal ? AbortSignal.any([req.signal, timeout]) : timeout,
+				async reply => ({status: reply.statusCode, body: await reply.body.bytes()}),
+			);
+		},
 		openStream: async (req, signal) => send(
 			req,
 			signal,
--- a/src/agent/link-server.ts
+++ b/src/agent/link-server.ts
@@ -3,6 +3,7 @@
 import type {LinkAccess} from '../access/link-access.js';
 import type {Clock} from '../core/clock.js';
 import type {ListenError} from '../core/listen-error.js';
+import {parseHostPort} from '../core/listen-on.js';
 import {fail, succeed, type Result} from '../core/result.js';
 import {CLOSE_MILLIS, MAX_FRAME_BYTES} from './agent-constants.js';
 
@@ -44,8 +45,7 @@
 				return;
 			}
 
-			const host = address.slice(0, address.lastIndexOf(':'));
-			resolve(succeed({address: `${host}:${port}`, close: async () => closeServer(server, clock)}));
+			resolve(succeed({address: `${parseHostPort(address).host}:${port}`, close: async () => closeServer(server, clock)}));
 		});
 	});
 }
--- a/src/audit/audit-report.ts
+++ b/src/audit/audit-report.ts
@@ -19,12 +19,16 @@
 	detail: string;
 }>;
 
-/** What the records say of one promise. */
-export type PromiseFinding = Readonly<{
+/** What evidence says of one promise. */
+export type PromiseVerdict = Readonly<{
 	name: PromiseName;
 	verdict: 'held' | 'broken' | 'not_shown';
 	/** Why, in one line. */
 	detail: string;
+}>;
+
+/** What the records say of one promise. */
+export type PromiseFinding = PromiseVerdict & Readonly<{
 	/** The records that show a breach. */
 	records: readonly AuditRecord[];
 }>;
--- a/src/audit/verify-logs.ts
+++ b/src/audit/verify-logs.ts
@@ -1,14 +1,10 @@
 /** What the log lines of all processes say of the promises. */
 import {sum} from '../decisions/sum.js';
 import type {LogLine} from '../explain/log-line.js';
-import type {PromiseName} from './audit-report.js';
+import type {PromiseName, PromiseVerdict} from './audit-report.js';
 
 /** What the lines say of one promise. */
-export type LogFinding = Readonly<{
-	name: PromiseName;
-	verdict: 'held' | 'broken' | 'not_shown';
-	/** Why, in one line. */
-	detail: string;
+export type LogFinding = PromiseVerdict & Readonly<{
 	/** The lines that show a breach. */
 	lines: readonly LogLine[];
 }>;
--- a/src/cli/commands/audit.ts
+++ b/src/cli/commands/audit.ts
@@ -5,10 +5,10 @@
 import {readChains, verifyAudit} from '../../audit/verify-audit.js';
 import {createLifeCycle} from '../../core/life-cycle.js';
 import {EXIT_OK, EXIT_REFUSED, EXIT_UNREACHABLE} from '../../daemon/exit-code.js';
-import {readLogs} from '../../explain/read-logs.js';
+import {describeUnreadable, readLogs} from '../../explain/read-logs.js';
 import {printReport, usageReport, type Report} from '../report.js';
 import type {AuditRecord} from '../../audit/audit-record.js';
-import type {AuditReport} from '../../audit/audit-report.js';
+import type {AuditReport, PromiseVerdict} from '../../audit/audit-report.js';
 import type {ObjectError, ObjectStore} from '../../ports/object-store.js';
 
 /** Longest wait for one object, in milliseconds. */
@@ -46,12 +46,16 @@
 	return `${record.at}  ${record.instanceId}  #${record.sequence}  ${kind}  ${JSON.stringify(fields)}`;
 }
 
+function describeVerdict({name, verdict, detail}: PromiseVerdict): string {
+	return `${verdict.padEnd('not_shown'.length)}  ${name}: ${detail}`;
+}
+
 function describeReport(report: AuditReport): readonly string[] {
 	return [
 		`${report.records} records in ${report.chains} chains, ${report.dropped} dropped, ${report.faults.length} faults`,
 		...report.faults.map(fault => `fault: ${fault.chain} #${fault.sequence} ${fault.kind}: ${fault.detail}`),
 		...report.promises.flatMap(promise => [
-			`${promise.verdict.padEnd('not_shown'.length)}  ${promise.name}: ${promise.detail}`,
+			describeVerdict(promise),
 			...promise.records.map(record => `           ${describeRecord(record)}`),
 		]),
 	];
@@ -104,22 +108,22 @@
 function describeLogReport(report: LogReport): readonly string[] {
 	return [
 		`${report.lines} lines; ${report.leftOut} about calls that went well were left out`,
-		...report.promises.flatMap(({name, verdict, detail, lines}) => [
-			`${verdict.padEnd('not_shown'.length)}  ${name}: ${detail}`,
-			...lines.map(line => `           ${line.instanceId} #${line.sequence} ${line.message} ${JSON.stringify(line.values)}`),
+		...report.promises.flatMap(promise => [
+			describeVerdict(promise),
+			...promise.lines.map(line => `           ${line.instanceId} #${line.sequence} ${line.message} ${JSON.stringify(line.values)}`),
 		]),
 	];
 }
 
 async function verifyLogFiles(files: readonly string[]): Promise<Report> {
-	const logs = files.length === 0 ? undefined : await readLogs(files);
-	if (!logs?.ok) {
-		return usageReport(logs ? logs.error : 'name the files that hold the output of the processes');
+	const logs = await readLogs(files);
+	if (!logs.ok) {
+		return usageReport(logs.error);
 	}
 
 	const report = verifyLogs(logs.value.lines);
 	return {
-		lines: [...describeLogReport(report), ...(logs.value.unreadable > 0 ? [`${logs.value.unreadable} lines are not of a process and were skipped`] : [])],
+		lines: [...describeLogReport(report), ...describeUnreadable(logs.value)],
 		document: {...report, unreadable: logs.value.unreadable},
 		exitCode: report.promises.some(({verdict}) => verdict === 'broken') ? EXIT_REFUSED : EXIT_OK,
 	};
--- a/src/cli/commands/explain.ts
+++ b/src/cli/commands/explain.ts
@@ -2,7 +2,7 @@
 import {EXIT_OK, EXIT_REFUSED} from '../../daemon/exit-code.js';
 import {explainRequest, type Explanation} from '../../explain/explain-request.js';
 import type {LogLine} from '../../explain/log-line.js';
-import {readLogs} from '../../explain/read-logs.js';
+import {describeUnreadable, readLogs} from '../../explain/read-logs.js';
 import {printReport, usageReport, type Report} from '../report.js';
 
 function describeLine({timeMillis, instanceId, message, values}: LogLine, startMillis: number): string {
@@ -22,17 +22,13 @@
 }
 
 async function explain(request: string, files: readonly string[]): Promise<Report> {
-	if (files.length === 0) {
-		return usageReport('name the files that hold the output of the processes');
-	}
-
 	const logs = await readLogs(files);
 	if (!logs.ok) {
 		return usageReport(logs.error);
 	}
 
 	const {lines, unreadable} = logs.value;
-	const skipped = unreadable > 0 ? [`${unreadable} lines are not of a process and were skipped`] : [];
+	const skipped = describeUnreadable(logs.value);
 	const explanation = explainRequest(request, lines);
 	return explanation
 		? {lines: [...describeExplanation(explanation), ...skipped], document: {...explanation, unreadable}, exitCode: EXIT_OK}
--- a/src/decisions/placement/layer-layout.ts
+++ b/src/decisions/placement/layer-layout.ts
@@ -1,3 +1,4 @@
+import {sum} from '../sum.js';
 import type {LayerMap} from '../../ports/model-engine.js';
 import {EMPTY_SLOT} from './initial-map.js';
 import {countCopies, measureRankTimes} from './layer-skew.js';
@@ -48,27 +49,13 @@
 
 /** Time of each rank if the load could be divided at will. */
 function measureIdealTime(loads: readonly number[], slowFactors: readonly number[]): number {
-	let tokens = 0;
-	for (const load of loads) {
-		tokens += load;
-	}
-
-	let speed = 0;
-	for (const slowFactor of slowFactors) {
-		speed += 1 / slowFactor;
-	}
-
-	return tokens / speed;
+	return sum(loads) / sum(slowFactors.map(slowFactor => 1 / slowFactor));
 }
 
 /** Weights that add up to one; even where none is given. */
 function normalizeWeights(scenarios: readonly LoadScenario[]): Float64Array {
-	let sum = 0;
-	for (const {weight} of scenarios) {
-		sum += weight;
-	}
-
-	return Float64Array.from(scenarios, ({weight}) => sum > 0 ? weight / sum : 1 / scenarios.length);
+	const total = sum(scenarios.map(({weight}) => weight));
+	return Float64Array.from(scenarios, ({weight}) => total > 0 ? weight / total : 1 / scenarios.length);
 }
 
 /** Creates a working copy of a layer. */
@@ -251,12 +238,12 @@
 	}
 
 	function measureRelativeTime(rank: number): number {
-		let sum = 0;
+		let share = 0;
 		for (let kind = 0; kind < kinds; kind++) {
-			sum += potentials[(rank * kinds) + kind]!;
+			share += potentials[(rank * kinds) + kind]!;
 		}
 
-		return sum ** (1 / exponent);
+		return share ** (1 / exponent);
 	}
 
 	function measureSkew(): number {
--- a/src/decisions/random.ts
+++ b/src/decisions/random.ts
@@ -16,3 +16,8 @@
 
 	return () => uniformFloat64(generator);
 }
+
+/** Picks one of the items, each as likely; undefined when there is none. */
+export function pickOne<T>(items: readonly T[], random: RandomSource): T | undefined {
+	return items[Math.floor(random() * items.length)];
+}
--- a/src/decisions/retry/retry-budget.ts
+++ b/src/decisions/retry/retry-budget.ts
@@ -1,5 +1,6 @@
 import type {Clock} from '../../core/clock.js';
 import type {RandomSource} from '../random.js';
+import {chooseBackoffMillis} from './backoff.js';
 
 /** Delay before the first retry, before jitter. */
 const FIRST_DELAY_MILLIS = 25;
@@ -50,12 +51,6 @@
 	return {saved, atMillis: nowMillis};
 }
 
-/** Exponential backoff with full jitter above half of the delay. */
-function chooseDelayMillis(retries: number, random: RandomSource): number {
-	const delayMillis = Math.min(MAX_DELAY_MILLIS, FIRST_DELAY_MILLIS * (2 ** retries));
-	return Math.round(delayMillis * (0.5 + (random() * 0.5)));
-}
-
 /** Creates a budget in which each class starts with its reserve. */
 export function createRetryBudget({clock, random}: RetryBudgetDeps): RetryBudget {
 	const accounts = new Map<string, Account>();
@@ -75,7 +70,7 @@
 				return {tag: 'give_up', reason: 'attempts'};
 			}
 
-			const delayMillis = chooseDelayMillis(retries, random);
+			const delayMillis = Math.round(chooseBackoffMillis({firstMillis: FIRST_DELAY_MILLIS, maxMillis: MAX_DELAY_MILLIS}, retries, random));
 			if (delayMillis >= remainingMillis) {
 				return {tag: 'give_up', reason: 'deadline'};
 			}
--- a/src/explain/read-logs.ts
+++ b/src/explain/read-logs.ts
@@ -6,8 +6,17 @@
 /** What files of log lines hold; `unreadable` counts what is no line of a process. */
 export type Logs = Readonly<{lines: readonly LogLine[]; unreadable: number}>;
 
+/** What people are told of the lines that were skipped, if any. */
+export function describeUnreadable({unreadable}: Logs): readonly string[] {
+	return unreadable > 0 ? [`${unreadable} lines are not of a process and were skipped`] : [];
+}
+
 /** Reads files one after the other; the error names the one that cannot be read. */
 export async function readLogs(files: readonly string[]): Promise<Result<Logs, string>> {
+	if (files.length === 0) {
+		return fail('name the files that hold the output of the processes');
+	}
+
 	const lines: LogLine[] = [];
 	let unreadable = 0;
 	for (const file of files) {
--- a/src/feeds/follow-table.ts
+++ b/src/feeds/follow-table.ts
@@ -1,6 +1,7 @@
 /** Follows a table of the platform through outages and lost history. */
 import type {Clock} from '../core/clock.js';
 import type {RandomSource} from '../decisions/random.js';
+import {chooseBackoffMillis} from '../decisions/retry/backoff.js';
 import type {Log} from '../observability/log.js';
 import type {Result} from '../core/result.js';
 import type {
@@ -53,13 +54,9 @@
 	isAnswered: boolean;
 }>;
 
+const BACKOFF = {firstMillis: FIRST_RETRY_MILLIS, maxMillis: MAX_RETRY_MILLIS};
 const START: Position = {version: undefined, failures: 0, isAnswered: true};
 
-/** Exponential backoff with jitter over the upper half. */
-function chooseRetryMillis(failures: number, random: RandomSource): number {
-	return Math.min(MAX_RETRY_MILLIS, FIRST_RETRY_MILLIS * (2 ** failures)) * (0.5 + (random() / 2));
-}
-
 function noteFailure(options: FollowOptions, before: Position, err: FeedError): Position {
 	if (err.tag === 'history_lost') {
 		options.log.info('history of the table dropped; reading all rows', {table: options.table, version: before.version});
@@ -121,7 +118,7 @@
 		const elapsedMillis = clock.monotonicMillis() - startedAtMillis;
 		const pauseMillis = position.isAnswered
 			? Math.max(0, paceMillis - elapsedMillis)
-			: chooseRetryMillis(position.failures - 1, random);
+			: chooseBackoffMillis(BACKOFF, position.failures - 1, random);
 		await clock.sleep(pauseMillis, signal);
 	}
 	/* eslint-enable no-await-in-loop */
--- a/src/gateway/caller-listener.ts
+++ b/src/gateway/caller-listener.ts
@@ -1,13 +1,11 @@
 /** Listens for callers: reads requests whole, hands them on, and writes answers back. */
 import {Buffer} from 'node:buffer';
-import {once} from 'node:events';
-import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
-} from 'node:http';
+import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import type {Clock} from '../core/clock.js';
 import {describeError} from '../core/describe-error.js';
 import type {LifeCycle} from '../core/life-cycle.js';
 import type {ListenError} from '../core/listen-error.js';
+import {listenOn} from '../core/listen-on.js';
 import {fail, succeed, type Result} from '../core/result.js';
 import type {Log} from '../observability/log.js';
 import type {CallCodec} from '../ports/call-codec.js';
@@ -172,12 +170,9 @@
 		void handle(req, res);
 	});
 	server.maxConnections = deps.maxConnections;
-	const separator = address.lastIndexOf(':');
-	server.listen(Number(address.slice(separator + 1)), address.slice(0, separator));
-	try {
-		await once(server, 'listening');
-	} catch (error) {
-		return fail({tag: 'listen_failed', address, detail: describeError(error)});
+	const listening = await listenOn(server, address);
+	if (!listening.ok) {
+		return listening;
 	}
 
 	function setLimits(next: CallerLimits): void {
@@ -192,7 +187,7 @@
 		server.closeAllConnections();
 	});
 	return succeed({
-		port: readPort(server),
+		port: listening.value,
 		setLimits,
 		closeBetweenCalls() {
 			isClosing = true;
@@ -208,8 +203,3 @@
 		},
 	});
 }
-
-function readPort(server: Server): number {
-	const bound = server.address();
-	return typeof bound === 'object' && bound ? bound.port : 0;
-}
--- a/src/gateway/configuration-in-force.ts
+++ b/src/gateway/configuration-in-force.ts
@@ -3,6 +3,7 @@
 import type {TableListener} from '../feeds/follow-table.js';
 import type {Log} from '../observability/log.js';
 import type {FeedRow} from '../ports/table-feed.js';
+import type {ReadConfiguration} from '../routing/newest-configuration.js';
 import {createRouteTable, type RouteTable} from '../routing/route-table.js';
 import type {RoutingConfiguration} from '../routing/routing-configuration.js';
 import {STALE_CONFIGURATION_MILLIS} from './gateway-constants.js';
@@ -21,9 +22,6 @@
 	listener: TableListener;
 }>;
 
-/** Reads the operators' row; undefined when it is no configuration. */
-export type ReadConfiguration = (row: FeedRow) => RoutingConfiguration | undefined;
-
 type Deps = Readonly<{
 	clock: Clock;
 	log: Log;
--- a/src/gateway/service-flows.ts
+++ b/src/gateway/service-flows.ts
@@ -6,6 +6,7 @@
 import {createOutageWatch, type OutageWatch} from '../decisions/flow/outage-watch.js';
 import {createPauseLimit, type PauseLimit} from '../decisions/flow/pause-limit.js';
 import type {RandomSource} from '../decisions/random.js';
+import {sum} from '../decisions/sum.js';
 import {createSharedRetryBudget, type SharedBudgetTerms, type SharedRetryBudget} from '../decisions/retry/shared-retry-budget.js';
 import type {RoutingConfiguration} from '../routing/routing-configuration.js';
 import type {BackendServer} from './backend-server.js';
@@ -49,15 +50,6 @@
 	return server.service === service && server.state === 'ready' && server.group?.isOpen !== false;
 }
 
-function countSlots(servers: readonly BackendServer[]): number {
-	let slots = 0;
-	for (const server of servers) {
-		slots += server.slots;
-	}
-
-	return slots;
-}
-
 /** Creates flows; a service gets its own when it is first asked for. */
 export function createServiceFlows({clock, random, budgetTerms, countEntries}: Deps): ServiceFlows {
 	const flows = new Map<string, ServiceFlow>();
@@ -99,7 +91,7 @@
 			for (const [name, {engine, maxConnections}] of cfg?.services ?? []) {
 				maxIdle.set(name, Math.max(1, Math.floor(maxConnections * IDLE_CONNECTION_SHARE / entries)));
 				const ready = [...servers.values()].filter(server => isAvailable(server, name));
-				const slots = countSlots(ready);
+				const slots = sum(ready.map(server => server.slots));
 				const {limit, lane} = read(name);
 				if (engine) {
 					limit.setPlaces(slots / entries);
--- a/src/gateway/start-gateway.ts
+++ b/src/gateway/start-gateway.ts
@@ -12,13 +12,14 @@
 import {followTable, type TableListener} from '../feeds/follow-table.js';
 import {createEntryMembers, MEMBER_TABLE, type EntryMembers} from '../membership/entry-members.js';
 import type {Log} from '../observability/log.js';
+import type {ReadConfiguration} from '../routing/newest-configuration.js';
 import type {CallCodec} from '../ports/call-codec.js';
 import type {TableFeed} from '../ports/table-feed.js';
 import type {TableStore} from '../ports/table-store.js';
 import {createBackendConnections} from './backend-connections.js';
 import {createBackendServerList, type BackendServerList, type ReadBackendServer} from './backend-server-list.js';
 import {listenForCallers, type CallerListener} from './caller-listener.js';
-import {createConfigurationInForce, type ReadConfiguration} from './configuration-in-force.js';
+import {createConfigurationInForce} from './configuration-in-force.js';
 import {drainGateway} from './drain-gateway.js';
 import {
 	FEED_WAIT_MILLIS, HEARTBEAT_SHARE, MEMBER_LIST_PACE_SHARE, MEMBER_TIMEOUT_SHARE, MEMBER_WAIT_MILLIS, SERVER_LIST_PACE_MILLIS, SHARING_TIMEOUT_MILLIS,
--- a/src/http/http-listener.ts
+++ b/src/http/http-listener.ts
@@ -1,15 +1,14 @@
 /** HTTP listeners. */
 import {Buffer} from 'node:buffer';
-import {once} from 'node:events';
 import {createServer, type Server} from 'node:http';
 import {createServer as createTlsServer} from 'node:https';
 import {getRequestListener} from '@hono/node-server';
 import type {TlsMaterial} from '../access/link-access.js';
 import type {Clock} from '../core/clock.js';
 import type {LifeCycle} from '../core/life-cycle.js';
-import {describeError} from '../core/describe-error.js';
 import type {ListenError} from '../core/listen-error.js';
-import {fail, succeed, type Result} from '../core/result.js';
+import {listenOn} from '../core/listen-on.js';
+import type {Result} from '../core/result.js';
 import {CLOSE_TIMEOUT_MILLIS, CONNECTION_CHECK_MILLIS, REQUEST_TIMEOUT_MILLIS} from './http-listener-constants.js';
 
 /** What answers requests. */
@@ -61,17 +60,12 @@
 /** Listens until the life cycle ends; the clean-up lets responses under way finish. The value is the port. */
 export async function listenHttp(handler: FetchHandler, options: ListenOptions): Promise<Result<number, ListenError>> {
 	const server = createHttpServer(handler, options.tls);
-	const separator = options.address.lastIndexOf(':');
-	server.listen(Number(options.address.slice(separator + 1)), options.address.slice(0, separator));
-	try {
-		await once(server, 'listening');
-	} catch (error) {
-		return fail({tag: 'listen_failed', address: options.address, detail: describeError(error)});
+	const listening = await listenOn(server, options.address);
+	if (listening.ok) {
+		options.lifeCycle.own(options.name, async () => closeServer(server, options.clock));
 	}
 
-	options.lifeCycle.own(options.name, async () => closeServer(server, options.clock));
-	const bound = server.address();
-	return succeed(typeof bound === 'object' && bound ? bound.port : 0);
+	return listening;
 }
 
 async function closeServer(server: Server, clock: Clock): Promise<void> {
--- a/src/map-switch/__tests__/fake-rank-group.ts
+++ b/src/map-switch/__tests__/fake-rank-group.ts
@@ -2,7 +2,7 @@
 import {match} from 'ts-pattern';
 import type {Clock} from '../../core/clock.js';
 import {fail, succeed} from '../../core/result.js';
-import type {RandomSource} from '../../decisions/random.js';
+import {pickOne, type RandomSource} from '../../decisions/random.js';
 import type {
 	GroupExperts, OrderOutcome, RankEngine, RankOrder, RankState,
 } from '../../ports/rank-engine.js';
@@ -190,7 +190,7 @@
 		}
 
 		if (late.length > 0 && random() < LATE_CHANCE) {
-			const chosen = late[Math.floor(random() * late.length)];
+			const chosen = pickOne(late, random);
 			late = late.filter(order => order !== chosen);
 			chosen?.();
 		}
--- a/src/map-switch/__tests__/map-switch.test.ts
+++ b/src/map-switch/__tests__/map-switch.test.ts
@@ -231,6 +231,19 @@
 	assert.ok(longestMillis < MAX_HELD_MILLIS, `held for ${longestMillis} ms`);
 });
 
+/** Access to a group whose planner's rank answers nobody while `isAway` holds. */
+function openWithoutPlanner(group: ReturnType<typeof createFakeRankGroup>, isAway: () => boolean): GroupRanks {
+	return group.openAccess().ranks.map((rank, i): RankEngine => ({
+		...rank,
+		readState: async () => i === PLANNER_RANK && isAway() ? fail({tag: 'unavailable', detail: 'no answer'}) : rank.readState(),
+		async readLoad() {
+			const state = await rank.readState();
+			return state.ok ? succeed({state: state.value, counts: Array.from({length: RANKS * 2}, () => 0)}) : state;
+		},
+		order: async (order, epoch) => i === PLANNER_RANK && isAway() ? {tag: 'unknown', detail: 'no answer'} : rank.order(order, epoch),
+	}));
+}
+
 void test('a planner whose instance stands still together with its engine holds the group for a bounded time', async () => {
 	let undecided = 0;
 	let released = 0;
@@ -240,16 +253,7 @@
 		const stop = new AbortController();
 		const planner = createPlanner(group, createTable(), 'a');
 		let isAway = false;
-		const access = group.openAccess();
-		const ranks = access.ranks.map((rank, i): RankEngine => ({
-			...rank,
-			readState: async () => i === PLANNER_RANK && isAway ? fail({tag: 'unavailable', detail: 'no answer'}) : rank.readState(),
-			async readLoad() {
-				const state = await rank.readState();
-				return state.ok ? succeed({state: state.value, counts: Array.from({length: RANKS * 2}, () => 0)}) : state;
-			},
-			order: async (order, epoch) => i === PLANNER_RANK && isAway ? {tag: 'unknown', detail: 'no answer'} : rank.order(order, epoch),
-		}));
+		const ranks = openWithoutPlanner(group, () => isAway);
 		void planner.run(stop.signal);
 		void watchSwitch({
 			clock: group.clock, log: silentLog, engine: ranks[1]!, readRanks: () => ranks,
@@ -308,15 +312,7 @@
 		});
 		const stop = new AbortController();
 		const planner = createPlanner(group, createTable(), 'a');
-		const ranks = group.openAccess().ranks.map((rank, i): RankEngine => ({
-			...rank,
-			readState: async () => i === PLANNER_RANK ? fail({tag: 'unavailable', detail: 'no answer'}) : rank.readState(),
-			async readLoad() {
-				const state = await rank.readState();
-				return state.ok ? succeed({state: state.value, counts: Array.from({length: RANKS * 2}, () => 0)}) : state;
-			},
-			order: async (order, epoch) => i === PLANNER_RANK ? {tag: 'unknown', detail: 'no answer'} : rank.order(order, epoch),
-		}));
+		const ranks = openWithoutPlanner(group, () => true);
 		void planner.run(stop.signal);
 		const ended = new AbortController();
 		const watching = interfere(group, ranks, ended.signal);
--- a/src/map-switch/finish-switch.ts
+++ b/src/map-switch/finish-switch.ts
@@ -65,6 +65,10 @@
 	return armed === undefined && preparedVersion !== undefined && preparedVersion > version;
 }
 
+async function release({ranks}: FinishDeps, {size, epoch}: GroupState, heldStep: number): Promise<void> {
+	await orderRanks(ranks, [chooseAnchor(size)], {tag: 'go', step: heldStep}, epoch);
+}
+
 /** One step back to the map in force; the next look shows what it did. */
 async function takeStepBack(deps: FinishDeps, state: GroupState, version: number): Promise<void> {
 	const {ranks, log} = deps;
@@ -96,7 +100,7 @@
 		log.info('map switch abandoned', {
 			version, epoch, heldStep, isPlannerAway: !isWhole(state),
 		});
-		await orderRanks(ranks, [chooseAnchor(state.size)], {tag: 'go', step: heldStep}, epoch);
+		await release(deps, state, heldStep);
 	}
 }
 
@@ -123,7 +127,7 @@
 		const heldStep = readHeldStep(state);
 		if (heldStep !== undefined && version !== undefined && areAllArmed(state, version, heldStep)) {
 			deps.log.info('map switch completed', {version, epoch: state.epoch, heldStep});
-			await orderRanks(deps.ranks, [chooseAnchor(state.size)], {tag: 'go', step: heldStep}, state.epoch);
+			await release(deps, state, heldStep);
 		} else if (version !== undefined) {
 			if (!isWhole(state) && listRanks(state, ({armed}) => armed === undefined).length === 0) {
 				// The planner's rank may be armed or not, and only it can tell.
@@ -134,7 +138,7 @@
 		} else if (heldStep !== undefined) {
 			// No rank has a proposal prepared, so none can be armed; the planner's rank has none that the others never had.
 			deps.log.info('releasing a hold without a proposal', {epoch: state.epoch, heldStep});
-			await orderRanks(deps.ranks, [chooseAnchor(state.size)], {tag: 'go', step: heldStep}, state.epoch);
+			await release(deps, state, heldStep);
 		}
 
 		await deps.clock.sleep(RECOVERY_PAUSE_MILLIS, signal);
--- a/src/rank-agent/__tests__/group-planner.test.ts
+++ b/src/rank-agent/__tests__/group-planner.test.ts
@@ -6,7 +6,7 @@
 import {silentLog} from '../../observability/log.js';
 import type {GroupExperts, RankEngine} from '../../ports/rank-engine.js';
 import type {ExpertLayout} from '../../routing/routing-configuration.js';
-import {planGroup} from '../group-planner.js';
+import {planGroup, type GroupPlannerDeps} from '../group-planner.js';
 
 const LAYOUT: ExpertLayout = {
 	layers: 1, experts: 8, slotsPerRank: 3, maxLoadsPerRank: 1, copyMillis: 20,
@@ -32,6 +32,16 @@
 	});
 }
 
+type Group = ReturnType<typeof createFakeRankGroup>;
+
+type PlannerTerms = Readonly<{group: Group; ranks: readonly RankEngine[]; layout: ExpertLayout; versions: GroupPlannerDeps['versions']}>;
+
+function startPlanner({group, ranks, layout, versions}: PlannerTerms, signal: AbortSignal): void {
+	void planGroup({
+		clock: group.clock, log: silentLog, readRanks: () => ranks, readLayout: () => layout, versions,
+	}, signal);
+}
+
 type Run = Readonly<{versions: readonly number[]; mixed: readonly number[]; experts: GroupExperts}>;
 
 /** Plans a group; `reformTurn` is the turn at which it forms anew, and from which on its ranks are idle. */
@@ -41,18 +51,15 @@
 	const ranks = addCounts(group.openAccess().ranks, shares, () => isIdle);
 	const stop = new AbortController();
 	let version = 0;
-	void planGroup({
-		clock: group.clock,
-		log: silentLog,
-		readRanks: () => ranks,
-		readLayout: () => layout,
-		versions: {
-			async takeVersion() {
-				version += 2;
-				return version;
-			},
-			reserveStep: async () => true,
+	const versions = {
+		async takeVersion() {
+			version += 2;
+			return version;
 		},
+		reserveStep: async () => true,
+	};
+	startPlanner({
+		group, ranks, layout, versions,
 	}, stop.signal);
 	for (let i = 0; i < TURNS; i++) {
 		if (i === reformTurn) {
@@ -106,18 +113,15 @@
 	const ranks = addCounts(group.openAccess().ranks, [50, 1, 1, 1, 1, 1, 1, 1], () => false);
 	const stop = new AbortController();
 	let asked = 0;
-	void planGroup({
-		clock: group.clock,
-		log: silentLog,
-		readRanks: () => ranks,
-		readLayout: () => LAYOUT,
-		versions: {
-			async takeVersion() {
-				asked++;
-				return undefined;
-			},
-			reserveStep: async () => false,
+	const versions = {
+		async takeVersion() {
+			asked++;
+			return undefined;
 		},
+		reserveStep: async () => false,
+	};
+	startPlanner({
+		group, ranks, layout: LAYOUT, versions,
 	}, stop.signal);
 	for (let i = 0; i < TURNS; i++) {
 		// eslint-disable-next-line no-await-in-loop -- Turns come one after the other.
--- a/src/rank-agent/rank-service.ts
+++ b/src/rank-agent/rank-service.ts
@@ -38,33 +38,23 @@
 		return {outcome: tag, detail};
 	}
 
-	return {
-		definition: RankAgentService,
-		implementation: {
-			read(call: ServerUnaryCall<ReadRank, RankReading>, reply: sendUnaryData<RankReading>) {
-				if (!access.isAuthorised(call.metadata)) {
-					reply({code: status.UNAUTHENTICATED, details: 'no valid token'});
-					return;
-				}
-
-				void read(call.request).then(reading => {
-					if (reading) {
-						reply(null, reading);
-					} else {
-						reply({code: status.UNAVAILABLE, details: 'the engine does not answer'});
-					}
-				});
-			},
-			order(call: ServerUnaryCall<RankOrder, OrderOutcome>, reply: sendUnaryData<OrderOutcome>) {
-				if (!access.isAuthorised(call.metadata)) {
-					reply({code: status.UNAUTHENTICATED, details: 'no valid token'});
-					return;
+	/** Answers the calls of other agents with what `run` gives; undefined when the engine does not answer. */
+	function createHandler<T, U>(run: (message: T) => Promise<U | undefined>) {
+		return ({metadata, request}: ServerUnaryCall<T, U>, reply: sendUnaryData<U>): void => {
+			if (!access.isAuthorised(metadata)) {
+				reply({code: status.UNAUTHENTICATED, details: 'no valid token'});
+				return;
+			}
+
+			void run(request).then(answer => {
+				if (answer) {
+					reply(null, answer);
+				} else {
+					reply({code: status.UNAVAILABLE, details: 'the engine does not answer'});
 				}
+			});
+		};
+	}
 
-				void carryOut(call.request).then(outcome => {
-					reply(null, outcome);
-				});
-			},
-		},
-	};
+	return {definition: RankAgentService, implementation: {read: createHandler(read), order: createHandler(carryOut)}};
 }
--- a/src/rank-agent/start-rank-agent.ts
+++ b/src/rank-agent/start-rank-agent.ts
@@ -5,6 +5,7 @@
 import type {Incarnation} from '../core/ids.js';
 import type {LifeCycle} from '../core/life-cycle.js';
 import type {ListenError} from '../core/listen-error.js';
+import {parseHostPort} from '../core/listen-on.js';
 import {succeed, type Result} from '../core/result.js';
 import type {RandomSource} from '../decisions/random.js';
 import {followTable, type TableListener} from '../feeds/follow-table.js';
@@ -16,6 +17,7 @@
 import type {RankEngine} from '../ports/rank-engine.js';
 import type {TableFeed} from '../ports/table-feed.js';
 import type {TableStore} from '../ports/table-store.js';
+import {findNewestConfiguration, type ReadConfiguration} from '../routing/newest-configuration.js';
 import type {ExpertLayout, RoutingConfiguration} from '../routing/routing-configuration.js';
 import {planGroup} from './group-planner.js';
 import {RANK_LIST_WAIT_MILLIS} from './rank-agent-constants.js';
@@ -43,7 +45,7 @@
 	feed: TableFeed;
 	table: TableStore;
 	backendServers: Readonly<{table: string; read: ReadBackendServer}>;
-	configuration: Readonly<{table: string; read: (row: Parameters<TableListener['onSnapshot']>[0][number]) => RoutingConfiguration | undefined}>;
+	configuration: Readonly<{table: string; read: ReadConfiguration}>;
 }>;
 
 /** Pause before an agent looks again at the rank of its engine, in milliseconds. */
@@ -67,7 +69,7 @@
 	}
 
 	lifeCycle.own('rank listener', server.value.close);
-	const port = deps.listen.slice(deps.listen.lastIndexOf(':') + 1);
+	const {port} = parseHostPort(deps.listen);
 	const servers = createBackendServerList({clock, log, read: deps.backendServers.read});
 	const remotes = new Map<string, RemoteRank>();
 	const directs = new Map<string, RankEngine>();
@@ -90,7 +92,7 @@
 			return engine;
 		}
 
-		const agentAddress = `${address.slice(0, address.lastIndexOf(':'))}:${port}`;
+		const agentAddress = `${parseHostPort(address).host}:${port}`;
 		const remote = remotes.get(agentAddress) ?? openRemoteRank(agentAddress, access, clock);
 		remotes.set(agentAddress, remote);
 		return createPlannerRank(remote, openDirectRank(server));
@@ -130,12 +132,7 @@
 	}
 
 	function takeConfiguration(rows: Parameters<TableListener['onSnapshot']>[0]): void {
-		for (const row of rows) {
-			const read = deps.configuration.read(row);
-			if (read && read.version > (cfg?.version ?? -1)) {
-				cfg = read;
-			}
-		}
+		cfg = findNewestConfiguration(rows, deps.configuration.read, cfg);
 	}
 
 	function follow(table: string, listener: TableListener, signal: AbortSignal): void {
--- a/src/routing/route-table.ts
+++ b/src/routing/route-table.ts
@@ -1,4 +1,5 @@
 import type {RandomSource} from '../decisions/random.js';
+import {sum} from '../decisions/sum.js';
 import type {Route, RoutingConfiguration} from './routing-configuration.js';
 
 /** Index of the routes of one configuration version. */
@@ -36,12 +37,7 @@
 
 /** Draws a service of the route by the weights of its shares. */
 export function drawService(route: Route, random: RandomSource): string | undefined {
-	let total = 0;
-	for (const {weight} of route.shares) {
-		total += weight;
-	}
-
-	let left = random() * total;
+	let left = random() * sum(route.shares.map(({weight}) => weight));
 	for (const {service, weight} of route.shares) {
 		left -= weight;
 		if (left < 0) {
--- a/src/status/read-status.ts
+++ b/src/status/read-status.ts
@@ -4,12 +4,11 @@
 import {succeed, type Result} from '../core/result.js';
 import {createBackendServerList, type ReadBackendServer} from '../gateway/backend-server-list.js';
 import type {BackendServer} from '../gateway/backend-server.js';
-import type {ReadConfiguration} from '../gateway/configuration-in-force.js';
 import {createEntryMembers, MEMBER_TABLE} from '../membership/entry-members.js';
 import {silentLog, type Log} from '../observability/log.js';
 import type {FeedError, TableFeed} from '../ports/table-feed.js';
 import type {TableStore} from '../ports/table-store.js';
-import type {RoutingConfiguration} from '../routing/routing-configuration.js';
+import {findNewestConfiguration, type ReadConfiguration} from '../routing/newest-configuration.js';
 
 /** What is needed to look. */
 export type StatusDeps = Readonly<{
@@ -60,11 +59,7 @@
 		return lost;
 	}
 
-	let cfg: RoutingConfiguration | undefined;
-	for (const row of rows.ok ? rows.value.rows : []) {
-		cfg = deps.configuration.read(row) ?? cfg;
-	}
-
+	const cfg = rows.ok ? findNewestConfiguration(rows.value.rows, deps.configuration.read) : undefined;
 	const list = createBackendServerList({clock, log: silentLog, read: deps.backendServers.read});
 	if (servers.ok) {
 		list.listener.onSnapshot(servers.value.rows, {storeMillis: servers.value.storeMillis, wasLost: false});
