--- a/src/feeds/__tests__/follow-table.test.ts
+++ b/src/feeds/__tests__/follow-table.test.ts
@@ -54,7 +54,7 @@
 		log: silentLog,
 		random: () => 1,
 		signal: stop.signal,
-		waitMillis: 1000,
+		chooseWaitMillis: () => 1000,
 		minIntervalMillis: 30,
 		listener: {
 			onSnapshot(rows, {isAfterOutage}) {
@@ -99,7 +99,7 @@
 		},
 	};
 	const shared = {
-		clock, log: silentLog, random: () => 1, signal: stop.signal, waitMillis: 5000, minIntervalMillis: 0, listener: {onSnapshot: ignore, onChanges: ignore}, interrupt,
+		clock, log: silentLog, random: () => 1, signal: stop.signal, chooseWaitMillis: () => 5000, minIntervalMillis: 0, listener: {onSnapshot: ignore, onChanges: ignore}, interrupt,
 	};
 	const waiting = followTable({
 		...shared,
--- a/src/feeds/feed-interrupt.ts
+++ b/src/feeds/feed-interrupt.ts
@@ -6,25 +6,27 @@
 
 /** An interrupt that the feeds of a process share. */
 export type FeedInterrupt = Readonly<{
-	/** Calls `onInterrupt` each time a feed loses the store, until the returned function is called. */
-	register: (onInterrupt: () => void) => Teardown;
-	/** Notifies the feeds that the store was lost. */
-	raise: () => void;
+	/** Calls `onInterrupt` each time the feed of `table` should call the store again, until the returned function is called. */
+	register: (table: string, onInterrupt: () => void) => Teardown;
+	/** Interrupts the feed of a table, or all feeds. */
+	raise: (table?: string) => void;
 }>;
 
 /** Creates an interrupt for the feeds of one process. */
 export function createFeedInterrupt(): FeedInterrupt {
-	const listeners = new Set<() => void>();
+	const listeners = new Map<() => void, string>();
 	return {
-		register(onInterrupt) {
-			listeners.add(onInterrupt);
+		register(table, onInterrupt) {
+			listeners.set(onInterrupt, table);
 			return () => {
 				listeners.delete(onInterrupt);
 			};
 		},
-		raise() {
-			for (const listener of listeners) {
-				listener();
+		raise(table) {
+			for (const [listener, listenerTable] of listeners) {
+				if (table === undefined || table === listenerTable) {
+					listener();
+				}
 			}
 		},
 	};
--- a/src/feeds/follow-table.ts
+++ b/src/feeds/follow-table.ts
@@ -1,14 +1,14 @@
 /** Follows a table of the platform across outages and losses of its change history. */
 import type {Clock} from '../core/clock.js';
 import type {RandomSource} from '../decisions/random.js';
-import {chooseBackoffMillis} from '../decisions/retry/backoff.js';
+import {chooseBackoffMillis, type BackoffOptions} from '../decisions/retry/backoff.js';
 import type {Log} from '../observability/log.js';
 import type {Result} from '../core/result.js';
 import type {
 	FeedError, FeedPage, FeedRow, TableFeed,
 } from '../ports/table-feed.js';
 import type {FeedInterrupt} from './feed-interrupt.js';
-import {FIRST_RETRY_MILLIS, MAX_RETRY_MILLIS} from './follow-table-constants.js';
+import {FIRST_RETRY_MILLIS, MIN_RETRY_CAP_MILLIS} from './follow-table-constants.js';
 
 /** Information about an answer of the store. */
 export type StoreContact = Readonly<{
@@ -25,6 +25,14 @@
 	onChanges: (rows: readonly FeedRow[], contact: StoreContact) => void;
 }>;
 
+/** Observes the calls of feeds. */
+export type FeedObserver = Readonly<{
+	/** Receives, after each answer, the version up to which all changes are known, and that of the last change in the answer. */
+	onAnswer: (table: string, versions: Readonly<{position: number; newestChange: number}>) => void;
+	/** Called for each call that the store did not answer. */
+	onFailure: (table: string) => void;
+}>;
+
 /** Options of `followTable`. */
 export type FollowOptions = Readonly<{
 	feed: TableFeed;
@@ -34,15 +42,16 @@
 	random: RandomSource;
 	/** Stops following when it aborts. */
 	signal: AbortSignal;
-	/** Maximum time that one call waits for a change, in milliseconds. */
-	waitMillis: number;
+	/** Chooses the maximum time that one call waits for a change, in milliseconds. */
+	chooseWaitMillis: () => number;
 	/** Minimum time between the starts of two calls, in milliseconds; bounds the call rate when rows change all the time. */
 	minIntervalMillis: number;
 	listener: TableListener;
 	/** Shared with the other feeds of the process; optional. */
 	interrupt?: FeedInterrupt;
-	/** Called for each successful answer of the store. */
-	onContact?: () => void;
+	observer?: FeedObserver;
+	/** Chooses the delays after failed calls; optional. */
+	chooseBackoff?: () => BackoffOptions;
 }>;
 
 type Position = Readonly<{
@@ -52,51 +61,70 @@
 	failures: number;
 	/** Whether the store answered the last call. */
 	isAnswered: boolean;
+	/** Whether the last call was interrupted; the next one must not wait for changes. */
+	isInterrupted: boolean;
 }>;
 
-const BACKOFF = {initialMillis: FIRST_RETRY_MILLIS, maxMillis: MAX_RETRY_MILLIS};
-const INITIAL_POSITION: Position = {version: undefined, failures: 0, isAnswered: true};
+const DEFAULT_BACKOFF: BackoffOptions = {initialMillis: FIRST_RETRY_MILLIS, maxMillis: MIN_RETRY_CAP_MILLIS};
+const INITIAL_POSITION: Position = {
+	version: undefined, failures: 0, isAnswered: true, isInterrupted: false,
+};
 
-function handleFailure(options: FollowOptions, previous: Position, err: FeedError): Position {
+function handleFailure({log, table, signal, observer, interrupt}: FollowOptions, previous: Position, err: FeedError): Position {
 	if (err.tag === 'history_lost') {
-		options.log.info('table history no longer available; reading all rows', {table: options.table, version: previous.version});
-		return {version: undefined, failures: previous.failures, isAnswered: true};
+		log.info('table history no longer available; reading all rows', {table, version: previous.version});
+		return {
+			version: undefined, failures: previous.failures, isAnswered: true, isInterrupted: false,
+		};
+	}
+
+	if (!signal.aborted) {
+		observer?.onFailure(table);
 	}
 
-	if (previous.failures === 0 && !options.signal.aborted) {
-		options.log.warn('lost the table', {table: options.table, detail: err.detail, version: previous.version});
-		options.interrupt?.raise();
+	if (previous.failures === 0 && !signal.aborted) {
+		log.warn('lost the table', {table, detail: err.detail, version: previous.version});
+		interrupt?.raise();
 	}
 
-	return {version: previous.version, failures: previous.failures + 1, isAnswered: false};
+	return {
+		version: previous.version, failures: previous.failures + 1, isAnswered: false, isInterrupted: false,
+	};
 }
 
-async function readChanges({feed, table, interrupt, waitMillis}: FollowOptions, version: number, failures: number): Promise<Result<FeedPage, FeedError>> {
+/** Reads changes; undefined when the call was interrupted. */
+async function readChanges(options: FollowOptions, version: number, {failures, isInterrupted}: Position): Promise<Result<FeedPage, FeedError> | undefined> {
+	const {feed, table, interrupt, chooseWaitMillis} = options;
 	const interrupted = new AbortController();
-	const unregister = interrupt?.register(() => {
+	const unregister = interrupt?.register(table, () => {
 		interrupted.abort();
 	});
 	// Calls after a failure do not wait, so that the changes made during an outage are known as soon as it ends.
-	const page = await feed.readChanges(table, version, failures > 0 ? 0 : waitMillis, interrupted.signal);
+	const waitMillis = failures > 0 || isInterrupted ? 0 : chooseWaitMillis();
+	const page = await feed.readChanges(table, version, waitMillis, interrupted.signal);
 	unregister?.();
-	return page;
+	return !page.ok && interrupted.signal.aborted ? undefined : page;
 }
 
 async function pollOnce(options: FollowOptions, previous: Position): Promise<Position> {
 	const {feed, table, listener} = options;
 	const page = previous.version === undefined
 		? await feed.readAll(table)
-		: await readChanges(options, previous.version, previous.failures);
+		: await readChanges(options, previous.version, previous);
+	if (!page) {
+		return {...previous, isAnswered: true, isInterrupted: true};
+	}
+
 	if (!page.ok) {
 		return handleFailure(options, previous, page.error);
 	}
 
-	options.onContact?.();
 	if (previous.failures > 0) {
 		options.log.info('regained the table', {table, failures: previous.failures, version: page.value.version});
 	}
 
-	const {rows, storeMillis, version} = page.value;
+	const {rows, storeMillis} = page.value;
+	const version = Math.max(page.value.version, previous.version ?? 0);
 	const contact = {storeMillis, isAfterOutage: previous.failures > 0};
 	if (previous.version === undefined) {
 		listener.onSnapshot(rows, contact);
@@ -104,12 +132,15 @@
 		listener.onChanges(rows, contact);
 	}
 
-	return {version: Math.max(version, previous.version ?? 0), failures: 0, isAnswered: true};
+	options.observer?.onAnswer(table, {position: version, newestChange: Math.max(0, ...rows.map(row => row.version))});
+	return {
+		version, failures: 0, isAnswered: true, isInterrupted: false,
+	};
 }
 
 /** Follows the table until the signal aborts; errors are logged and retried. */
 export async function followTable(options: FollowOptions): Promise<void> {
-	const {clock, signal, random, minIntervalMillis} = options;
+	const {clock, signal, random, minIntervalMillis, chooseBackoff = () => DEFAULT_BACKOFF} = options;
 	let position = INITIAL_POSITION;
 	/* eslint-disable no-await-in-loop -- Calls are sequential. */
 	while (!signal.aborted) {
@@ -118,7 +149,7 @@
 		const elapsedMillis = clock.monotonicMillis() - startedAtMillis;
 		const pauseMillis = position.isAnswered
 			? Math.max(0, minIntervalMillis - elapsedMillis)
-			: chooseBackoffMillis(BACKOFF, position.failures - 1, random);
+			: chooseBackoffMillis(chooseBackoff(), position.failures - 1, random);
 		await clock.sleep(pauseMillis, signal);
 	}
 	/* eslint-enable no-await-in-loop */
--- a/src/gateway/backend-server-list.ts
+++ b/src/gateway/backend-server-list.ts
@@ -19,7 +19,13 @@
 	listener: TableListener;
 }>;
 
-type Deps = Readonly<{clock: Clock; log: Log; read: ReadBackendServer}>;
+type Deps = Readonly<{
+	clock: Clock;
+	log: Log;
+	read: ReadBackendServer;
+	/** Time since any process noticed that the store did not answer, in milliseconds; optional. */
+	readOutageAgeMillis?: () => number;
+}>;
 
 /** Whether an entry is older than the one already known for the same backend server. */
 function isOutdated(next: BackendServer, known: BackendServer | undefined): boolean {
@@ -32,7 +38,7 @@
 }
 
 /** Creates an empty list. */
-export function createBackendServerList({clock, log, read}: Deps): BackendServerList {
+export function createBackendServerList({clock, log, read, readOutageAgeMillis = () => Infinity}: Deps): BackendServerList {
 	const servers = createSnapshotStore<BackendServers>(new Map());
 	let reconnectedAtMillis = -Infinity;
 
@@ -79,7 +85,8 @@
 	}
 
 	function remove(removed: readonly BackendServer[]): void {
-		const isRecentlyReconnected = clock.monotonicMillis() - reconnectedAtMillis < EXPIRED_ENTRY_GRACE_MILLIS;
+		const sinceOutageMillis = Math.min(readOutageAgeMillis(), clock.monotonicMillis() - reconnectedAtMillis);
+		const isRecentlyReconnected = sinceOutageMillis < EXPIRED_ENTRY_GRACE_MILLIS;
 		const expired = isRecentlyReconnected ? removed.filter(server => server.state === 'ready') : [];
 		drop(removed.filter(server => !expired.includes(server)), 'its entry was removed');
 		if (expired.length > 0) {
--- a/src/gateway/configuration-in-force.ts
+++ b/src/gateway/configuration-in-force.ts
@@ -1,5 +1,4 @@
 /** Holds the newest configuration known to this process. */
-import type {Clock} from '../core/clock.js';
 import type {TableListener} from '../feeds/follow-table.js';
 import type {Log} from '../observability/log.js';
 import type {FeedRow} from '../ports/table-feed.js';
@@ -16,23 +15,21 @@
 	read: () => IndexedConfiguration | undefined;
 	/** Whether the store has answered recently, so that a newer version would be known. */
 	isFresh: () => boolean;
-	/** Time since the store last answered a request of any feed, in milliseconds. */
+	/** Time since the store last answered this entry, or another one that knows no more, in milliseconds. */
 	ageMillis: () => number;
-	noteContact: () => void;
 	listener: TableListener;
 }>;
 
 type Deps = Readonly<{
-	clock: Clock;
 	log: Log;
+	readContactAgeMillis: () => number;
 	read: ReadConfiguration;
 	onChange: (cfg: RoutingConfiguration) => void;
 }>;
 
 /** Creates a holder without a configuration. */
-export function createConfigurationInForce({clock, log, read, onChange}: Deps): ConfigurationInForce {
+export function createConfigurationInForce({log, readContactAgeMillis, read, onChange}: Deps): ConfigurationInForce {
 	let current: IndexedConfiguration | undefined;
-	let contactAtMillis = -Infinity;
 
 	function applyRows(rows: readonly FeedRow[]): void {
 		for (const row of rows) {
@@ -45,14 +42,10 @@
 		}
 	}
 
-	const ageMillis = () => clock.monotonicMillis() - contactAtMillis;
 	return {
 		read: () => current,
-		isFresh: () => ageMillis() < STALE_CONFIGURATION_MILLIS,
-		ageMillis,
-		noteContact() {
-			contactAtMillis = clock.monotonicMillis();
-		},
+		isFresh: () => readContactAgeMillis() < STALE_CONFIGURATION_MILLIS,
+		ageMillis: readContactAgeMillis,
 		listener: {onSnapshot: applyRows, onChanges: applyRows},
 	};
 }
--- a/src/gateway/gateway-constants.ts
+++ b/src/gateway/gateway-constants.ts
@@ -20,26 +20,10 @@
 export const DEFAULT_RETRY_AFTER_MILLIS = 500;
 /** Time without an answer of the store after which an unknown route or credential gets a retryable refusal, in milliseconds. */
 export const STALE_CONFIGURATION_MILLIS = 4000;
-/**
- * Longest wait for a heartbeat in one store call, in milliseconds. An unresponsive store is noticed soon after it, within the
- * bound for changes.
- */
-export const MEMBER_LONG_POLL_MILLIS = 2000;
-/**
- * Longest wait for other changes in one store call, in milliseconds. It is longer because the heartbeats reveal an unresponsive
- * store and each store call costs money.
- */
-export const FEED_LONG_POLL_MILLIS = 5000;
-/** Minimum interval between reads of the backend server list, in milliseconds; a fifth of the time a draining one still serves. */
-export const SERVER_LIST_MIN_INTERVAL_MILLIS = 400;
-/** Heartbeat interval of an entry, as a share of the time within which its failure must be detected; each store call costs money. */
-export const HEARTBEAT_INTERVAL_SHARE = 0.25;
-/** Heartbeat age at which an entry is considered dead, as a share of that detection time; two missed heartbeats and a slow store. */
-export const MEMBER_TIMEOUT_SHARE = 0.7;
-/** Heartbeat age at which an entry no longer gets a share of the limits, in milliseconds; longer than a restart of all. */
+/** Minimum interval between reads of the backend server list, as a share of the time for which a draining one still serves. */
+export const SERVER_LIST_MIN_INTERVAL_SHARE = 0.3;
+/** Time for which an entry that is no longer known to live keeps its share of the limits, in milliseconds; longer than a restart of all. */
 export const SHARING_TIMEOUT_MILLIS = 10_000;
-/** Minimum interval between reads of the heartbeats, as a share of that detection time; with the timeout it leaves a tenth for the answer. */
-export const MEMBER_LIST_MIN_INTERVAL_SHARE = 0.2;
 /** Time for which callers may cache an address answer, in milliseconds; a draining gateway listens for three of these. */
 export const ADDRESS_LIFETIME_MILLIS = 2000;
 /** Maximum number of addresses in one answer; the platform's callers use no more. */
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -12,8 +12,18 @@
 export function createGatewayMetrics() {
 	const registry = new Registry();
 	const registers = [registry];
+	const members = new Gauge({
+		name: 'pollenport_members', help: 'Entries by the state that this one believes them to be in', labelNames: ['state'], registers,
+	});
 	return {
 		registry,
+		/** Counts the entries by state. */
+		setMembers(beliefs: ReadonlyArray<Readonly<{state: string}>>) {
+			members.reset();
+			for (const {state} of beliefs) {
+				members.inc({state});
+			}
+		},
 		calls: new Counter({
 			name: 'pollenport_calls_total', help: 'Calls by route kind and outcome', labelNames: ['kind', 'outcome'], registers,
 		}),
--- a/src/gateway/start-gateway.ts
+++ b/src/gateway/start-gateway.ts
@@ -10,10 +10,13 @@
 import type {RandomSource} from '../decisions/random.js';
 import {createFeedInterrupt} from '../feeds/feed-interrupt.js';
 import {followTable, type TableListener} from '../feeds/follow-table.js';
-import {createEntryMembers, MEMBER_TABLE, type EntryMembers} from '../membership/entry-members.js';
+import {chooseLongPollMillis, chooseRetryBackoff} from '../feeds/long-poll.js';
+import {createEntryMembers, type EntryMembers} from '../membership/entry-members.js';
+import {createStoreObservations} from '../membership/store-observations.js';
 import type {Log} from '../observability/log.js';
 import type {ReadConfiguration} from '../routing/newest-configuration.js';
 import type {CallCodec} from '../ports/call-codec.js';
+import type {DatagramSocket} from '../ports/datagram-socket.js';
 import type {TableFeed} from '../ports/table-feed.js';
 import type {TableStore} from '../ports/table-store.js';
 import {createBackendConnections} from './backend-connections.js';
@@ -21,9 +24,7 @@
 import {listenForCallers, type CallerListener} from './caller-listener.js';
 import {createConfigurationInForce} from './configuration-in-force.js';
 import {drainGateway} from './drain-gateway.js';
-import {
-	FEED_LONG_POLL_MILLIS, HEARTBEAT_INTERVAL_SHARE, MEMBER_LIST_MIN_INTERVAL_SHARE, MEMBER_TIMEOUT_SHARE, MEMBER_LONG_POLL_MILLIS, SERVER_LIST_MIN_INTERVAL_MILLIS, SHARING_TIMEOUT_MILLIS,
-} from './gateway-constants.js';
+import {SERVER_LIST_MIN_INTERVAL_SHARE, SHARING_TIMEOUT_MILLIS} from './gateway-constants.js';
 import type {GatewayContext} from './gateway-context.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import type {GatewaySettings} from './gateway-settings.js';
@@ -42,6 +43,8 @@
 	codec: CallCodec;
 	feed: TableFeed;
 	table: TableStore;
+	/** Socket for the datagrams between entries. */
+	socket: DatagramSocket;
 	configuration: Readonly<{table: string; read: ReadConfiguration}>;
 	backendServers: Readonly<{table: string; read: ReadBackendServer}>;
 }>;
@@ -62,29 +65,37 @@
 	let isStopping = false;
 	let isAcceptingStreams = true;
 	let hasServers = false;
-	const servers: BackendServerList = createBackendServerList({clock, log, read: deps.backendServers.read});
+	const interrupt = createFeedInterrupt();
+	const store = createStoreObservations({clock, log, interrupt});
+	const servers: BackendServerList = createBackendServerList({
+		clock, log, read: deps.backendServers.read, readOutageAgeMillis: store.readOutageAgeMillis,
+	});
 	const configuration = createConfigurationInForce({
-		clock,
 		log,
+		readContactAgeMillis: store.readContactAgeMillis,
 		read: deps.configuration.read,
 		onChange(cfg) {
 			metrics.configVersion.set(cfg.version);
 			opened.listener?.setLimits(cfg.limits);
 			updateFlows();
+			noteReadiness();
 		},
 	});
 	const isReady = () => !isStopping && hasServers && configuration.read() !== undefined;
 	const members = createEntryMembers({
-		clock,
-		log,
-		table: deps.table,
+		...deps,
+		store,
 		self: {
-			id: settings.instanceId, incarnation: deps.incarnation, callerAddress: settings.callerListen, failureDomain: settings.failureDomain,
+			id: settings.instanceId,
+			incarnation: deps.incarnation,
+			callerAddress: settings.callerListen,
+			gossipAddress: settings.gossipListen,
+			statusAddress: settings.statusListen,
+			failureDomain: settings.failureDomain,
 		},
-		isReady,
-		heartbeatMillis: settings.deadEntryMillis * HEARTBEAT_INTERVAL_SHARE,
-		timeoutMillis: settings.deadEntryMillis * MEMBER_TIMEOUT_SHARE,
+		deadEntryMillis: settings.deadEntryMillis,
 		sharingTimeoutMillis: SHARING_TIMEOUT_MILLIS,
+		onChange: noteMembers,
 	});
 	const flows = createServiceFlows({
 		clock, random, retryBudgetOptions: settings.retryBudget, countEntries: members.countSharingEntries,
@@ -98,15 +109,24 @@
 	});
 	const progress = createProgressTracker();
 	const connections = createBackendConnections({clock, lifeCycle});
-	const interrupt = createFeedInterrupt();
 
 	function updateFlows(): void {
 		flows.update(servers.servers.read(), configuration.read()?.cfg);
 	}
 
+	function noteMembers(): void {
+		metrics.setMembers(members.listBeliefs());
+		updateFlows();
+	}
+
+	function noteReadiness(): void {
+		members.setReady(isReady());
+	}
+
 	servers.servers.registerListener((after, before) => {
 		hasServers ||= after.size > 0;
 		updateFlows();
+		noteReadiness();
 		picker.retain(id => after.has(id));
 		progress.retain(id => after.has(id));
 		for (const [id, server] of before) {
@@ -116,7 +136,7 @@
 		}
 	});
 
-	function follow(table: string, {waitMillis, minIntervalMillis}: Readonly<{waitMillis: number; minIntervalMillis: number}>, tableListener: TableListener): void {
+	function follow(table: string, minIntervalMillis: number, tableListener: TableListener): void {
 		void followTable({
 			feed,
 			table,
@@ -124,11 +144,12 @@
 			log,
 			random,
 			signal: lifeCycle.signal,
-			waitMillis,
+			chooseWaitMillis: () => chooseLongPollMillis(members.countSharingEntries(), random),
+			chooseBackoff: () => chooseRetryBackoff(members.countSharingEntries()),
 			minIntervalMillis,
 			listener: tableListener,
 			interrupt,
-			onContact: configuration.noteContact,
+			observer: store,
 		});
 	}
 
@@ -161,19 +182,9 @@
 	}
 
 	opened.listener = listening.value;
-	follow(deps.configuration.table, {waitMillis: FEED_LONG_POLL_MILLIS, minIntervalMillis: 0}, configuration.listener);
-	follow(deps.backendServers.table, {waitMillis: FEED_LONG_POLL_MILLIS, minIntervalMillis: SERVER_LIST_MIN_INTERVAL_MILLIS}, servers.listener);
-	follow(MEMBER_TABLE, {waitMillis: MEMBER_LONG_POLL_MILLIS, minIntervalMillis: settings.deadEntryMillis * MEMBER_LIST_MIN_INTERVAL_SHARE}, {
-		onSnapshot(rows, contact) {
-			members.listener.onSnapshot(rows, contact);
-			updateFlows();
-		},
-		onChanges(rows, contact) {
-			members.listener.onChanges(rows, contact);
-			updateFlows();
-		},
-	});
-	void members.runHeartbeat(lifeCycle.signal);
+	follow(deps.configuration.table, 0, configuration.listener);
+	follow(deps.backendServers.table, settings.backendDrainMillis * SERVER_LIST_MIN_INTERVAL_SHARE, servers.listener);
+	void members.run(lifeCycle.signal);
 	const {value} = listening;
 	return succeed({
 		port: value.port,
--- a/src/membership/__tests__/entry-members.test.ts
+++ b/src/membership/__tests__/entry-members.test.ts
@@ -1,138 +1,238 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {setImmediate as nextTurn} from 'node:timers/promises';
-import {createManualClock} from '../../core/manual-clock.js';
-import {fail, succeed} from '../../core/result.js';
-import {silentLog} from '../../observability/log.js';
-import type {FeedRow} from '../../ports/table-feed.js';
-import type {TableStore, Transaction} from '../../ports/table-store.js';
-import {HEARTBEAT_INTERVAL_SHARE, MEMBER_LIST_MIN_INTERVAL_SHARE, MEMBER_TIMEOUT_SHARE} from '../../gateway/gateway-constants.js';
-import {createEntryMembers} from '../entry-members.js';
-
-const TIMEOUT_MILLIS = 5000;
-const HEARTBEAT_MILLIS = 2000;
-const SHARING_TIMEOUT_MILLIS = 9000;
-
-function row(id: string, beatAtMillis: number, state = 'ready'): FeedRow {
-	return {
-		key: id,
-		version: 1,
-		text: JSON.stringify({
-			incarnation: 'x', callerAddress: `${id}:80`, failureDomain: 'a', state, beatAtMillis,
-		}),
-	};
-}
+import {createManualClock, type ManualClock} from '../../core/manual-clock.js';
+import {fail, succeed, type Result} from '../../core/result.js';
+import {createSeededRandom} from '../../decisions/random.js';
+import {silentLog, type Log, type LogContext} from '../../observability/log.js';
+import {findLineFault} from '../../observability/line-schemas.js';
+import type {DatagramSocket} from '../../ports/datagram-socket.js';
+import type {FeedRow, TableFeed} from '../../ports/table-feed.js';
+import type {Row, TableError, TableStore} from '../../ports/table-store.js';
+import {chooseDetectorTiming, createEntryMembers} from '../entry-members.js';
+
+const DEAD_MILLIS = 4000;
+const SHARING_MILLIS = 10_000;
+const STEP_MILLIS = 20;
 
-function createSystem({isReady = true, isStoreDown = false} = {}) {
-	const clock = createManualClock();
-	const written: Transaction[] = [];
+/** Rows of the store, and datagrams between sockets without loss. */
+function createWorld() {
+	const clock: ManualClock = createManualClock();
+	const rows = new Map<string, FeedRow>();
+	const sockets = new Map<string, (bytes: Uint8Array, from: string) => void>();
+	const cut = new Set<string>();
+	let version = 0;
+	let isStoreDown = false;
+
+	const feed: TableFeed = {
+		readAll: async () => isStoreDown ? fail({tag: 'unavailable', detail: 'status 503'}) : succeed({rows: [...rows.values()], version, storeMillis: 0}),
+		readChanges: async () => fail({tag: 'unavailable', detail: 'not used'}),
+	};
 	const table: TableStore = {
 		read: async () => succeed(undefined),
 		list: async () => succeed([]),
-		async transact(tx) {
-			written.push(tx);
-			return isStoreDown ? fail({tag: 'unavailable', detail: 'status 503'}) : succeed([]);
-		},
-	};
-	const members = createEntryMembers({
-		clock,
-		log: silentLog,
-		table,
-		self: {
-			id: 'self', incarnation: 'i', callerAddress: 'self:80', failureDomain: 'a',
+		async transact({writes, conditions}): Promise<Result<readonly Row[], TableError>> {
+			if (isStoreDown) {
+				return fail({tag: 'unavailable', detail: 'status 503'});
+			}
+
+			const [write] = writes;
+			if (!write || conditions.some(({key, version: expected}) => rows.get(key)?.version !== expected)) {
+				return fail({tag: 'conflict', rows: []});
+			}
+
+			version++;
+			if (write.value === undefined) {
+				rows.delete(write.key);
+				return succeed([]);
+			}
+
+			rows.set(write.key, {key: write.key, text: JSON.stringify(write.value), version});
+			return succeed([{...write, version}]);
 		},
-		isReady: () => isReady,
-		heartbeatMillis: HEARTBEAT_MILLIS,
-		timeoutMillis: TIMEOUT_MILLIS,
-		sharingTimeoutMillis: SHARING_TIMEOUT_MILLIS,
-	});
-	const list = () => members.listReady().map(({id}) => id);
-	return {
-		clock, members, written, list,
 	};
-}
 
-const CONTACT = {storeMillis: 100_000, isAfterOutage: false};
+	function openSocket(address: string): DatagramSocket {
+		return {
+			port: 1,
+			send(to, bytes) {
+				if (!cut.has(address) && !cut.has(to)) {
+					sockets.get(to)?.(bytes, address);
+				}
+			},
+			registerListener(listener) {
+				sockets.set(address, listener);
+				return () => {
+					sockets.delete(address);
+				};
+			},
+		};
+	}
 
-void test('the ready entries are this one and those whose heartbeat says ready', () => {
-	const {members, list} = createSystem();
-	assert.deepEqual(list(), ['self']);
-	members.listener.onSnapshot([row('a', 99_000), row('b', 99_000, 'leaving'), row('c', 99_000, 'starting'), {key: 'torn', text: '{', version: 1}], CONTACT);
-	assert.deepEqual(list(), ['self', 'a']);
-});
+	function start(id: string, log: Log = silentLog) {
+		const stop = new AbortController();
+		let changes = 0;
+		const members = createEntryMembers({
+			clock,
+			log,
+			random: createSeededRandom(id.length + version),
+			table,
+			feed,
+			socket: openSocket(`${id}:8`),
+			store: {
+				describe: () => ({tables: []}), merge() {
+					// The store is not observed here.
+				},
+			},
+			self: {
+				id, incarnation: 'x', callerAddress: `${id}:80`, failureDomain: 'a', gossipAddress: `${id}:8`, statusAddress: `${id}:9`,
+			},
+			deadEntryMillis: DEAD_MILLIS,
+			sharingTimeoutMillis: SHARING_MILLIS,
+			onChange() {
+				changes++;
+			},
+		});
+		const running = members.run(stop.signal);
+		return {
+			...members, running, countChanges: () => changes, list: () => members.listReady().map(({id: listed}) => listed).toSorted(),
+			kill() {
+				cut.add(`${id}:8`);
+				stop.abort();
+			},
+		};
+	}
 
-void test('an entry that is not ready is not listed', () => {
-	const {members, list} = createSystem({isReady: false});
-	members.listener.onSnapshot([row('a', 99_000)], CONTACT);
-	assert.deepEqual(list(), ['a']);
-});
+	async function run(millis: number): Promise<void> {
+		for (let i = 0; i < millis / STEP_MILLIS; i++) {
+			clock.advance(STEP_MILLIS);
+			// eslint-disable-next-line no-await-in-loop -- Time advances in small steps.
+			await nextTurn();
+		}
+	}
 
-void test('an entry whose heartbeat has reached the timeout, as after a restart of all entries, is not listed', () => {
-	const {members, list} = createSystem();
-	members.listener.onSnapshot([row('a', 100_000 - TIMEOUT_MILLIS)], CONTACT);
-	assert.deepEqual(list(), ['self']);
-});
+	return {
+		start, run, rows, cut, setStoreDown(isDown: boolean) {
+			isStoreDown = isDown;
+		},
+	};
+}
 
-void test('after a restart of all entries, the previous ones count as sharing until their heartbeats reach the longer timeout', () => {
-	const {members, list} = createSystem();
-	assert.equal(members.countSharingEntries(), 1);
-	const before = [row('a', 100_000 - TIMEOUT_MILLIS), row('b', 100_000 - TIMEOUT_MILLIS, 'starting'), row('c', 99_000, 'leaving'), row('d', 100_000 - SHARING_TIMEOUT_MILLIS)];
-	members.listener.onSnapshot(before, CONTACT);
-	assert.deepEqual(list(), ['self'], 'none of them is listed as ready');
-	assert.equal(members.countSharingEntries(), 3);
+void test('an entry lists itself and the others while they are ready', async () => {
+	const world = createWorld();
+	const [one, two, three] = ['e1', 'e2', 'e3'].map(id => world.start(id));
+	one?.setReady(true);
+	two?.setReady(true);
+	await world.run(2000);
+	assert.deepEqual(one?.list(), ['e1', 'e2']);
+	assert.deepEqual(three?.list(), ['e1', 'e2'], 'one that is not ready lists the others');
+	assert.equal(three?.countSharingEntries(), 3, 'entries share the backend servers before they are ready');
+	three?.setReady(true);
+	await world.run(400);
+	assert.deepEqual(one?.list(), ['e1', 'e2', 'e3']);
+	two?.setReady(false);
+	await world.run(400);
+	assert.deepEqual(three?.list(), ['e1', 'e3']);
+	assert.ok((one?.countChanges() ?? 0) >= 3);
 });
 
-void test('an entry without new heartbeats is dropped once the store reports a later time', () => {
-	const {members, list, clock} = createSystem();
-	members.listener.onSnapshot([row('a', 99_000)], CONTACT);
-	clock.advance(TIMEOUT_MILLIS * 2);
-	assert.deepEqual(list(), ['self', 'a'], 'without the store, later heartbeats are unknown');
-	members.listener.onChanges([], {storeMillis: 100_000 + TIMEOUT_MILLIS, isAfterOutage: false});
-	assert.deepEqual(list(), ['self']);
-});
+void test('a dead entry leaves the list within the bound without the store, and keeps its share for a while', async () => {
+	const world = createWorld();
+	const entries = ['e1', 'e2', 'e3', 'e4'].map(id => world.start(id));
+	for (const entry of entries) {
+		entry.setReady(true);
+	}
 
-void test('removing a row removes its entry', () => {
-	const {members, list} = createSystem();
-	members.listener.onSnapshot([row('a', 99_000)], CONTACT);
-	members.listener.onChanges([{key: 'a', text: undefined, version: 2}], CONTACT);
-	assert.deepEqual(list(), ['self']);
+	await world.run(2000);
+	world.setStoreDown(true);
+	entries[3]?.kill();
+	await world.run(DEAD_MILLIS);
+	assert.deepEqual(entries[0]?.list(), ['e1', 'e2', 'e3']);
+	assert.equal(entries[0]?.countSharingEntries(), 4);
+	await world.run(SHARING_MILLIS);
+	assert.equal(entries[0]?.countSharingEntries(), 3);
+	assert.equal(entries[0]?.listBeliefs().find(({id}) => id === 'e4')?.state, 'dead');
 });
 
-void test('heartbeats carry the monotonic time of the store, and a draining entry announces its state', async () => {
-	const {members, written, clock} = createSystem();
-	members.listener.onSnapshot([], CONTACT);
-	const stop = new AbortController();
-	void members.runHeartbeat(stop.signal);
-	for (let i = 0; i < 50; i++) {
-		// eslint-disable-next-line no-await-in-loop -- Time advances in small steps.
-		await nextTurn();
-		clock.advance(100);
+void test('after a restart of all entries, rows of those that do not return keep their share for a while only', async () => {
+	const world = createWorld();
+	for (const id of ['e1', 'e2', 'e3']) {
+		const text = JSON.stringify({
+			incarnation: 'old', callerAddress: `${id}:80`, gossipAddress: `${id}:8`, statusAddress: '', failureDomain: 'a',
+		});
+		world.rows.set(id, {key: id, version: 1, text});
 	}
 
-	const beatTimesMillis = written.map(({writes}) => Number(Reflect.get(new Object(writes[0]?.value), 'beatAtMillis')));
-	assert.equal(beatTimesMillis.length, 3);
-	assert.ok((beatTimesMillis[1] ?? 0) - (beatTimesMillis[0] ?? 0) >= HEARTBEAT_MILLIS);
-	await members.announceDraining();
-	assert.equal(Reflect.get(new Object(written.at(-1)?.writes[0]?.value), 'state'), 'leaving');
-	stop.abort();
+	const one = world.start('e1');
+	one.setReady(true);
+	await world.run(1000);
+	assert.deepEqual(one.list(), ['e1'], 'a row alone does not make a member');
+	assert.equal(one.countSharingEntries(), 3);
+	await world.run(SHARING_MILLIS);
+	assert.equal(one.countSharingEntries(), 1);
 });
 
-void test('a heartbeat that the store refuses is written again', async () => {
-	const {members, written, clock} = createSystem({isStoreDown: true});
-	members.listener.onSnapshot([], CONTACT);
-	const stop = new AbortController();
-	void members.runHeartbeat(stop.signal);
-	for (let i = 0; i < 45; i++) {
-		// eslint-disable-next-line no-await-in-loop -- Time advances in small steps.
-		await nextTurn();
-		clock.advance(100);
+void test('rows that cannot be read, as those of an earlier version, are skipped', async () => {
+	const world = createWorld();
+	world.rows.set('torn', {key: 'torn', version: 1, text: '{'});
+	world.rows.set('old', {key: 'old', version: 1, text: '{"callerAddress":"a:1","beatAtMillis":1}'});
+	const lines: Array<readonly [string, LogContext | undefined]> = [];
+	const log: Log = {
+		...silentLog,
+		info(message, ctx) {
+			lines.push([message, ctx]);
+		},
+		warn(message, ctx) {
+			lines.push([message, ctx]);
+		},
+	};
+	const one = world.start('e1', log);
+	one.setReady(true);
+	const two = world.start('e2');
+	two.setReady(true);
+	await world.run(1000);
+	assert.deepEqual(one.list(), ['e1', 'e2']);
+	assert.deepEqual(lines.filter(([message]) => message === 'unreadable entry row').map(([, ctx]) => ctx?.key), ['torn', 'old']);
+	for (const [message, ctx = {}] of lines) {
+		assert.equal(findLineFault(message, ctx), undefined);
 	}
+});
+
+void test('a draining entry leaves the lists at once, and its row is removed unless a later start has replaced it', async () => {
+	const world = createWorld();
+	const [one, two] = ['e1', 'e2'].map(id => world.start(id));
+	one?.setReady(true);
+	two?.setReady(true);
+	await world.run(1500);
+	await two?.announceDraining();
+	assert.deepEqual(two?.list(), ['e1']);
+	await world.run(200);
+	assert.deepEqual(one?.list(), ['e1']);
+	assert.equal(one?.countSharingEntries(), 1);
+	assert.equal(world.rows.has('e2'), false);
+	world.rows.set('e1', {key: 'e1', version: 99, text: '{}'});
+	await one?.announceDraining();
+	assert.equal(world.rows.has('e1'), true);
+});
 
-	assert.ok(written.length >= 2);
-	stop.abort();
+void test('an entry registers as soon as the store answers', async () => {
+	const world = createWorld();
+	world.setStoreDown(true);
+	const one = world.start('e1');
+	const two = world.start('e2');
+	one.setReady(true);
+	two.setReady(true);
+	await world.run(5000);
+	assert.deepEqual(one.list(), ['e1']);
+	world.setStoreDown(false);
+	await world.run(3000);
+	assert.deepEqual(one.list(), ['e1', 'e2']);
 });
 
-void test('a dead gateway leaves the address list within the bound of its settings, and one late heartbeat removes no gateway', () => {
-	assert.ok(MEMBER_TIMEOUT_SHARE + MEMBER_LIST_MIN_INTERVAL_SHARE < 1);
-	assert.ok(MEMBER_TIMEOUT_SHARE > 2 * HEARTBEAT_INTERVAL_SHARE);
+void test('a dead entry is concluded to be dead within the bound of the settings, with time left to find a neighbour dead first', () => {
+	const bound = 4000;
+	const {probeIntervalMillis, ackTimeoutMillis, suspicionMillis} = chooseDetectorTiming(bound);
+	const longestInterval = probeIntervalMillis * 1.1;
+	const probe = 3 * ackTimeoutMillis;
+	assert.ok(longestInterval + ackTimeoutMillis + probe + suspicionMillis < bound);
 });
--- a/src/membership/entry-members.ts
+++ b/src/membership/entry-members.ts
@@ -1,174 +1,220 @@
-/** Tracks which entries serve callers, by heartbeat rows in the platform's table store. */
-import {z} from 'zod';
+/** The entries that serve callers together, as one of them knows them. */
 import type {Clock} from '../core/clock.js';
+import {describeError} from '../core/describe-error.js';
 import type {Incarnation, InstanceId} from '../core/ids.js';
-import type {TableListener} from '../feeds/follow-table.js';
+import type {RandomSource} from '../decisions/random.js';
 import type {Log} from '../observability/log.js';
-import type {FeedRow} from '../ports/table-feed.js';
+import type {DatagramSocket} from '../ports/datagram-socket.js';
+import type {TableFeed} from '../ports/table-feed.js';
 import type {TableStore} from '../ports/table-store.js';
-
-/** Table of the heartbeat rows. */
-export const MEMBER_TABLE = 'entries';
-
-const memberSchema = z.object({
-	incarnation: z.string(),
-	callerAddress: z.string().min(1),
-	failureDomain: z.string(),
-	state: z.enum(['starting', 'ready', 'leaving']),
-	/** Monotonic time of the store at the heartbeat, in milliseconds. */
-	beatAtMillis: z.number(),
-});
-
-/** An entry as described by its last heartbeat. */
-export type EntryMember = Readonly<z.infer<typeof memberSchema>> & Readonly<{id: InstanceId}>;
+import {MemberDatagram} from '../wire/generated/membership.js';
+import {
+	listEntryRows, removeEntryRow, writeEntryRow,
+} from './entry-row.js';
+import {createFailureDetector} from './failure-detector.js';
+import type {
+	DetectorTiming, FailureDetector, MemberChange, MemberView, Outgoing,
+} from './failure-detector-types.js';
+import type {MemberState} from './member.js';
+import {ACK_TIMEOUT_SHARE, PROBE_INTERVAL_SHARE, SUSPICION_SHARE} from './membership-constants.js';
+import type {StoreObservations} from './store-observations.js';
+
+/** An entry to which callers may connect. */
+export type EntryMember = Readonly<{id: InstanceId; callerAddress: string; failureDomain: string}>;
+
+/** An entry and what this one believes of it. */
+export type EntryBelief = EntryMember & Readonly<{state: MemberState | 'leaving'; generation: number; incarnation: number; suspectedMillis?: number | undefined}>;
 
 /** The entries as seen by one of them. */
 export type EntryMembers = Readonly<{
 	/** Returns the entries that accept callers, including this one while it is ready. */
 	listReady: () => readonly EntryMember[];
+	/** Returns all known entries, this one first. */
+	listBeliefs: () => readonly EntryBelief[];
 	/**
-	 * Returns how many entries share the backend servers, including this one. Entries with a recent heartbeat count whether or
-	 * not they are ready; otherwise each of several entries that restart together would claim the full capacity.
+	 * Returns how many entries share the backend servers, including this one. Entries count whether or not they are ready, and for a
+	 * while after they were last known to live; otherwise each of several entries that restart together would claim the full capacity.
 	 */
 	countSharingEntries: () => number;
-	listener: TableListener;
-	/** Writes a heartbeat at once and then periodically until `signal` aborts. */
-	runHeartbeat: (signal: AbortSignal) => Promise<void>;
+	/** Tells the other entries whether this one accepts callers. */
+	setReady: (isReady: boolean) => void;
+	/** Joins the other entries and observes them until `signal` aborts. */
+	run: (signal: AbortSignal) => Promise<void>;
 	/** Announces to the other entries that this one is draining. */
 	announceDraining: () => Promise<void>;
 }>;
 
-type Deps = Readonly<{
+export type EntryMembersDeps = Readonly<{
 	clock: Clock;
 	log: Log;
+	random: RandomSource;
 	table: TableStore;
-	self: Readonly<{id: InstanceId; incarnation: Incarnation; callerAddress: string; failureDomain: string}>;
-	isReady: () => boolean;
-	heartbeatMillis: number;
-	/** Heartbeat age from which an entry is considered dead, in milliseconds. */
-	timeoutMillis: number;
-	/** Heartbeat age from which an entry no longer counts as sharing the backend servers, in milliseconds. */
+	feed: TableFeed;
+	socket: DatagramSocket;
+	store: Pick<StoreObservations, 'describe' | 'merge'>;
+	self: EntryMember & Readonly<{incarnation: Incarnation; gossipAddress: string; statusAddress: string}>;
+	/** Time within which a dead entry must no longer be listed, in milliseconds. */
+	deadEntryMillis: number;
+	/** Time for which an entry that is no longer known to live keeps its share of the backend servers, in milliseconds. */
 	sharingTimeoutMillis: number;
+	/** Called when the entries, or their states, have changed. */
+	onChange: () => void;
 }>;
 
-/** Interval between checks of whether the state of this entry has changed, in milliseconds. */
-const STATE_CHECK_MILLIS = 100;
+/** Derives the timing of the failure detector from the time within which a dead entry must be noticed. */
+export function chooseDetectorTiming(deadEntryMillis: number): DetectorTiming {
+	return {
+		probeIntervalMillis: deadEntryMillis * PROBE_INTERVAL_SHARE,
+		ackTimeoutMillis: deadEntryMillis * ACK_TIMEOUT_SHARE,
+		suspicionMillis: deadEntryMillis * SUSPICION_SHARE,
+	};
+}
 
 /** Creates the view of one entry, which at first contains only itself. */
-export function createEntryMembers({clock, log, table, self, isReady, heartbeatMillis, timeoutMillis, sharingTimeoutMillis}: Deps): EntryMembers {
-	let members: ReadonlyMap<string, EntryMember> = new Map();
-	let contact: Readonly<{storeMillis: number; atMillis: number}> | undefined;
+export function createEntryMembers(deps: EntryMembersDeps): EntryMembers {
+	const {clock, log, random, socket, self, sharingTimeoutMillis} = deps;
+	const timing = chooseDetectorTiming(deps.deadEntryMillis);
+	let detector: FailureDetector | undefined;
+	let isReady = false;
 	let isDraining = false;
+	let wake = new AbortController();
 
-	function readState(): EntryMember['state'] {
-		if (isDraining) {
-			return 'leaving';
+	function send(outgoing: readonly Outgoing[]): void {
+		for (const {address, datagram} of outgoing) {
+			socket.send(address, MemberDatagram.encode(datagram).finish());
 		}
-
-		return isReady() ? 'ready' : 'starting';
 	}
 
-	/** Estimates the current time of the store; undefined before the first contact. */
-	function estimateStoreMillis(): number | undefined {
-		return contact && contact.storeMillis + clock.monotonicMillis() - contact.atMillis;
+	function noteChange({claim, before, after}: MemberChange): void {
+		log.info('entry', {
+			entry: claim.id, state: after, former: before, generation: claim.generation, incarnation: claim.incarnation, address: claim.callerAddress,
+		});
+		deps.onChange();
 	}
 
-	function parseMember({key, text}: FeedRow): EntryMember | undefined {
+	function receive(bytes: Uint8Array, from: string): void {
+		if (!detector) {
+			return;
+		}
+
 		try {
-			const parsed = memberSchema.safeParse(JSON.parse(text ?? 'null'));
-			return parsed.success ? {...parsed.data, id: key} : undefined;
+			const dueMillis = detector.nextDueMillis();
+			send(detector.receive(MemberDatagram.decode(bytes), from, clock.monotonicMillis()));
+			if (detector.nextDueMillis() < dueMillis) {
+				wake.abort();
+			}
 		} catch (error) {
-			log.warn('unreadable heartbeat row', {key, detail: String(error)});
-			return undefined;
+			log.warn('unreadable member datagram', {from, detail: describeError(error)});
 		}
 	}
 
-	function applyRows(previous: ReadonlyMap<string, EntryMember>, rows: readonly FeedRow[]): void {
-		const updated = new Map(previous);
-		for (const row of rows) {
-			const member = row.text === undefined ? undefined : parseMember(row);
-			if (!member) {
-				updated.delete(row.key);
-				continue;
-			}
-
-			if (updated.get(row.key)?.state !== member.state) {
-				log.info('entry', {
-					entry: row.key, state: member.state, incarnation: member.incarnation, address: member.callerAddress,
-				});
-			}
-
-			updated.set(row.key, member);
+	/** Registers this entry and starts to look for the others. */
+	async function join(signal: AbortSignal): Promise<FailureDetector | undefined> {
+		const rowDeps = {...deps, signal};
+		const {id, incarnation, ...addresses} = self;
+		const generation = await writeEntryRow(rowDeps, id, {...addresses, incarnation});
+		const seeds = generation === undefined ? undefined : await listEntryRows(rowDeps);
+		if (generation === undefined || seeds === undefined) {
+			return undefined;
 		}
 
-		members = updated;
-	}
-
-	function describeSelf(): EntryMember {
-		const {id, ...rest} = self;
-		return {
-			...rest, id, state: readState(), beatAtMillis: estimateStoreMillis() ?? 0,
-		};
+		const joining = createFailureDetector({
+			self: {
+				id, generation, gossipAddress: self.gossipAddress, callerAddress: self.callerAddress, failureDomain: self.failureDomain,
+			},
+			timing,
+			random,
+			describeStore: deps.store.describe,
+			onStoreView: deps.store.merge,
+			onChange: noteChange,
+			onSuperseded(successor) {
+				log.error('another process has taken over this instance id', {generation, successor});
+			},
+		});
+		joining.addSeeds(seeds, clock.monotonicMillis());
+		joining.setReady(isReady && !isDraining, clock.monotonicMillis());
+		log.info('registered', {generation, entries: seeds.length});
+		return joining;
 	}
 
-	async function writeHeartbeat(): Promise<boolean> {
-		const {id, ...value} = describeSelf();
-		const written = await table.transact({conditions: [], writes: [{table: MEMBER_TABLE, key: id, value}]});
-		if (!written.ok) {
-			log.warn('heartbeat not written', {error: written.error.tag});
+	/** Probes the other entries until the signal aborts. */
+	async function observe({nextDueMillis, tick}: FailureDetector, signal: AbortSignal): Promise<void> {
+		/* eslint-disable no-await-in-loop -- Ticks are sequential. */
+		while (!signal.aborted) {
+			const pauseMillis = nextDueMillis() - clock.monotonicMillis();
+			if (pauseMillis > 0) {
+				wake = new AbortController();
+				await clock.sleep(pauseMillis, AbortSignal.any([wake.signal, signal]));
+			} else {
+				send(tick(clock.monotonicMillis()));
+			}
 		}
-
-		return written.ok;
+		/* eslint-enable no-await-in-loop */
 	}
 
-	/** Waits until the next heartbeat is due, or until the state of this entry changes from `state`. */
-	async function waitForNextHeartbeat(state: EntryMember['state'], signal: AbortSignal): Promise<void> {
-		const dueMillis = clock.monotonicMillis() + heartbeatMillis;
-		while (!signal.aborted && clock.monotonicMillis() < dueMillis && readState() === state) {
-			// eslint-disable-next-line no-await-in-loop -- Checks are sequential.
-			await clock.sleep(STATE_CHECK_MILLIS, signal);
-		}
+	function isSharing({state, addedAtMillis, suspectedAtMillis}: MemberView, nowMillis: number): boolean {
+		return state !== 'left' && (state !== 'dead' || nowMillis - (suspectedAtMillis ?? 0) < sharingTimeoutMillis)
+			&& (state !== 'unverified' || nowMillis - addedAtMillis < sharingTimeoutMillis);
 	}
 
+	const listOthers = (): readonly MemberView[] => detector?.list(clock.monotonicMillis()) ?? [];
 	return {
 		listReady() {
-			// Without contact to the store, later heartbeats are unknown, so ages are computed as of the last contact.
-			const nowMillis = contact?.storeMillis ?? 0;
-			const others = [...members.values()].filter(member =>
-				member.id !== self.id && member.state === 'ready' && nowMillis - member.beatAtMillis < timeoutMillis);
-			return readState() === 'ready' ? [describeSelf(), ...others] : others;
+			// A suspected entry may be alive, and is listed until it is concluded that it is dead.
+			const others = listOthers().filter(({state, claim}) => state === 'ready' || (state === 'suspect' && claim.ready)).map(({claim}) => claim);
+			return isReady && !isDraining ? [self, ...others] : others;
+		},
+		listBeliefs() {
+			const nowMillis = clock.monotonicMillis();
+			const own = detector?.readSelf();
+			const ownState = isReady ? 'ready' : 'starting';
+			return [
+				{
+					id: self.id,
+					callerAddress: self.callerAddress,
+					failureDomain: self.failureDomain,
+					state: isDraining ? 'leaving' : ownState,
+					generation: own?.generation ?? 0,
+					incarnation: own?.incarnation ?? 0,
+				},
+				...listOthers().map(({claim: {id, callerAddress, failureDomain, generation, incarnation}, state, suspectedAtMillis}) => ({
+					id,
+					callerAddress,
+					failureDomain,
+					state,
+					generation,
+					incarnation,
+					suspectedMillis: suspectedAtMillis === undefined ? undefined : Math.round(nowMillis - suspectedAtMillis),
+				})),
+			];
 		},
 		countSharingEntries() {
-			const nowMillis = contact?.storeMillis ?? 0;
-			const others = [...members.values()].filter(member =>
-				member.id !== self.id && member.state !== 'leaving' && nowMillis - member.beatAtMillis < sharingTimeoutMillis);
-			return others.length + 1;
+			const nowMillis = clock.monotonicMillis();
+			return listOthers().filter(member => isSharing(member, nowMillis)).length + 1;
 		},
-		listener: {
-			onSnapshot(rows, {storeMillis}) {
-				contact = {storeMillis, atMillis: clock.monotonicMillis()};
-				applyRows(new Map(), rows);
-			},
-			onChanges(rows, {storeMillis}) {
-				contact = {storeMillis, atMillis: clock.monotonicMillis()};
-				applyRows(members, rows);
-			},
+		setReady(isNowReady) {
+			isReady = isNowReady;
+			detector?.setReady(isReady && !isDraining, clock.monotonicMillis());
+			wake.abort();
 		},
-		async runHeartbeat(signal) {
-			/* eslint-disable no-await-in-loop -- Heartbeats are sequential. */
-			while (!signal.aborted && readState() !== 'leaving') {
-				const state = readState();
-				if (contact) {
-					await writeHeartbeat();
-				}
-
-				await waitForNextHeartbeat(contact ? state : readState(), signal);
+		async run(signal) {
+			const unregister = socket.registerListener(receive);
+			const joined = await join(signal);
+			if (joined) {
+				detector = joined;
+				deps.onChange();
+				await observe(joined, signal);
 			}
-			/* eslint-enable no-await-in-loop */
+
+			unregister();
 		},
 		async announceDraining() {
 			isDraining = true;
-			await writeHeartbeat();
+			if (detector) {
+				send(detector.leave(clock.monotonicMillis()));
+				wake.abort();
+				await removeEntryRow(deps, self.id, detector.readSelf().generation);
+			}
 		},
 	};
 }
--- /dev/null
+++ b/src/membership/member.ts
@@ -0,0 +1,51 @@
+/** Members of the group of entries, and the order of the claims about them. */
+import {crc32} from 'node:zlib';
+import {MemberStatus, type MemberClaim} from '../wire/generated/membership.js';
+
+/** What one entry knows about another. */
+export type MemberRecord = Readonly<{
+	claim: MemberClaim;
+	/** Whether an entry, this one or another, has vouched for the member; rows of the store alone do not. */
+	isVerified: boolean;
+	/** Since when the member has been suspected, by the monotonic clock; undefined while it is not. */
+	suspectedAtMillis: number | undefined;
+	/** Whether only this entry suspects the member, as when its own link may be at fault. */
+	isSuspicionLocal: boolean;
+	/** When the record was created, by the monotonic clock. */
+	addedAtMillis: number;
+}>;
+
+/** State of a member as one entry believes it. */
+export type MemberState = 'unverified' | 'starting' | 'ready' | 'suspect' | 'dead' | 'left';
+
+/** Orders the claims about one member; positive if `left` replaces `right`. */
+export function compareClaims(left: MemberClaim, right: MemberClaim): number {
+	const hasLeft = (claim: MemberClaim) => Number(claim.status === MemberStatus.LEFT);
+	return left.generation - right.generation
+		// Leaving is final for a generation.
+		|| hasLeft(left) - hasLeft(right)
+		|| left.incarnation - right.incarnation
+		|| left.status - right.status;
+}
+
+/** Derives the state of a member; a suspicion that is not refuted within `suspicionMillis` means that it is dead. */
+export function readMemberState({claim, isVerified, suspectedAtMillis}: MemberRecord, nowMillis: number, suspicionMillis: number): MemberState {
+	if (claim.status === MemberStatus.LEFT) {
+		return 'left';
+	}
+
+	if (!isVerified) {
+		return 'unverified';
+	}
+
+	if (suspectedAtMillis !== undefined) {
+		return nowMillis - suspectedAtMillis < suspicionMillis ? 'suspect' : 'dead';
+	}
+
+	return claim.ready ? 'ready' : 'starting';
+}
+
+/** Hash of a claim; the sum of the hashes compares two views. */
+export function hashClaim({id, generation, incarnation, status}: MemberClaim): number {
+	return crc32(`${id}|${generation}|${incarnation}|${status}`);
+}
--- a/src/rank-agent/start-rank-agent.ts
+++ b/src/rank-agent/start-rank-agent.ts
@@ -137,7 +137,7 @@
 
 	function follow(table: string, listener: TableListener, signal: AbortSignal): void {
 		void followTable({
-			feed: deps.feed, table, clock, log, random: deps.random, signal, waitMillis: RANK_FEED_LONG_POLL_MILLIS, minIntervalMillis: ROLE_CHECK_INTERVAL_MILLIS, listener,
+			feed: deps.feed, table, clock, log, random: deps.random, signal, chooseWaitMillis: () => RANK_FEED_LONG_POLL_MILLIS, minIntervalMillis: ROLE_CHECK_INTERVAL_MILLIS, listener,
 		});
 	}
 
