--- a/src/agent/__tests__/model-attempt.test.ts
+++ b/src/agent/__tests__/model-attempt.test.ts
@@ -146,6 +146,19 @@
 	assert.deepEqual(engine.cancelled, ['a1']);
 });
 
+test('cancel: a stream that the entry no longer wants counts as a lost connection, not as a missed deadline', async t => {
+	const engine = createFakeModelEngine(async function * (_req, signal) {
+		yield piece(0, 'a');
+		await waitForAbort(signal);
+	});
+	const {probe, start} = await startEngineAgent(t, engine);
+	start('a1');
+	await probe.take('data');
+	probe.send(0, {$case: 'cancel', cancel: {attemptId: 'a1'}});
+	assert.equal(await probe.read('broken', body => body.broken.reason), 'connection_lost');
+	assert.deepEqual(engine.cancelled, ['a1']);
+});
+
 test('graceful shutdown: a stream in flight completes while its agent drains', async t => {
 	let release: () => void;
 	const isReleased = new Promise<void>(resolve => {
--- a/src/agent/run-model-attempt.ts
+++ b/src/agent/run-model-attempt.ts
@@ -3,6 +3,7 @@
 import {createAnswerSender, type AnswerSender} from '../answer/answer-sender.js';
 import {parseModelCall, type ModelCall} from '../answer/model-call.js';
 import {encodeTokens} from '../answer/payload-units.js';
+import type {UnknownReason} from '../core/outcome.js';
 import type {Result} from '../core/result.js';
 import type {EngineError, ModelEngine, StreamItem} from '../ports/model-engine.js';
 import {OK_STATUS} from './agent-constants.js';
@@ -12,6 +13,8 @@
 type ModelRun = AttemptTask & Readonly<{
 	engine: ModelEngine;
 	sender: AnswerSender;
+	/** Whether the entry no longer wants the answer: it cancelled the attempt, or its link has closed. */
+	isAbandoned: () => boolean;
 }>;
 
 /** Runs a stream to its end, its deadline, or until `signal` aborts. A stream abandoned before its end is cancelled at the engine. */
@@ -32,12 +35,17 @@
 	const sender = createAnswerSender(start.attemptId, start.offset);
 	await channel.send({$case: 'accepted', accepted: {attemptId: start.attemptId}});
 	await relayStream({
-		...task, engine, sender, signal: cancellation.signal,
+		...task, engine, sender, signal: cancellation.signal, isAbandoned: () => signal.aborted,
 	}, call);
 	signal.removeEventListener('abort', cancel);
 	cancel();
 }
 
+/** Why a stream was stopped before its end. */
+function getAbortReason({isAbandoned}: ModelRun): UnknownReason {
+	return isAbandoned() ? 'connection_lost' : 'deadline';
+}
+
 async function relayStream(run: ModelRun, call: ModelCall): Promise<void> {
 	const {attemptId, priority, offset} = run.start;
 	const req = {
@@ -56,7 +64,7 @@
 	// The engine's stream stopped without an end item.
 	if (run.signal.aborted) {
 		await run.engine.cancel(attemptId);
-		return reportBroken(run, 'deadline');
+		return reportBroken(run, getAbortReason(run));
 	}
 
 	await reportBroken(run, 'backend_server_failed');
@@ -111,6 +119,6 @@
 		.with({tag: 'refused'}, async () => hasSentTokens
 			? reportBroken(run, 'backend_server_failed')
 			: refuseAttempt(run, 'overload'))
-		.with({tag: 'no_answer'}, async () => reportBroken(run, run.signal.aborted ? 'deadline' : 'backend_server_failed'))
+		.with({tag: 'no_answer'}, async () => reportBroken(run, run.signal.aborted ? getAbortReason(run) : 'backend_server_failed'))
 		.exhaustive();
 }
