Do not vouch for members that only this entry doubts

Change: claims about members under a suspicion of one's own are neither told nor part of the digest.

--- a/src/membership/__tests__/failure-detector.test.ts
+++ b/src/membership/__tests__/failure-detector.test.ts
@@ -155,6 +155,24 @@
 	assertAllListed(group, group.ids, 'after the freeze');
 });
 
+void test('an entry that outlived all others does not vouch for the dead to one that starts again', () => {
+	for (const seed of [1, 2, 3, 4, 5, 6]) {
+		const group = createSimulatedGroup({seed, size: 3});
+		group.run(JOIN_MILLIS);
+		group.kill('n1');
+		group.kill('n2');
+		group.run(DEAD_MILLIS);
+		group.start('n1');
+		for (let i = 0; i < 40; i++) {
+			group.run(100);
+			assert.ok(!group.listed('n0').includes('n2'), `seed ${seed}: as n0 believes after ${i * 100} ms`);
+			assert.ok(!group.listed('n1').includes('n2'), `seed ${seed}: as n1 believes after ${i * 100} ms`);
+		}
+
+		assertAllListed(group, ['n0', 'n1'], `seed ${seed}`);
+	}
+});
+
 void test('a late datagram of an earlier start neither revives it nor displaces the later one', () => {
 	const group = createSimulatedGroup({seed: 16, size: 5});
 	group.run(JOIN_MILLIS);
@@ -243,3 +261,49 @@
 		},
 	), {numRuns: 60, seed: 20_261_204});
 });
+
+void test('no entry that has run for the time of the bound names one that has been dead for longer', () => {
+	const fault = fc.record({
+		kind: fc.constantFrom('kill' as const, 'restart' as const, 'partition' as const),
+		victim: fc.nat(11),
+		pauseMillis: fc.integer({min: 100, max: 6000}),
+	});
+	fc.assert(fc.property(
+		fc.record({seed: fc.nat(100_000), size: fc.integer({min: 2, max: 12}), loss: fc.integer({min: 0, max: 2})}),
+		fc.array(fault, {minLength: 1, maxLength: 8}),
+		({seed, size, loss}, faults) => {
+			const group = createSimulatedGroup({seed, size, lossShare: loss / 100});
+			group.run(JOIN_MILLIS);
+			const deadSince = new Map<string, number>();
+			const startedAt = new Map<string, number>(group.ids.map(id => [id, 0]));
+			const check = () => {
+				for (const id of group.runningIds()) {
+					const hasRunLong = group.now() - (startedAt.get(id) ?? 0) > DEAD_MILLIS;
+					const named = group.listed(id).filter(other => group.now() - (deadSince.get(other) ?? Infinity) > DEAD_MILLIS);
+					assert.deepEqual(hasRunLong ? named : [], [], `${id} at ${group.now()} ms`);
+				}
+			};
+
+			for (const {kind, victim, pauseMillis} of faults) {
+				const id = `n${victim % size}`;
+				group.kill(id);
+				deadSince.set(id, deadSince.get(id) ?? group.now());
+				if (kind === 'restart') {
+					group.start(id);
+					startedAt.set(id, group.now());
+					deadSince.delete(id);
+				} else if (kind === 'partition') {
+					const isLeft = (node: string) => Number(node.slice(1)) <= victim;
+					group.setNetwork((from, to) => isLeft(from) === isLeft(to));
+				}
+
+				for (let millis = 0; millis < pauseMillis; millis += 250) {
+					group.run(250);
+					check();
+				}
+
+				group.setNetwork(() => true);
+			}
+		},
+	), {numRuns: 60, seed: 20_261_204});
+});
--- a/src/membership/failure-detector.ts
+++ b/src/membership/failure-detector.ts
@@ -78,11 +78,9 @@
 		}));
 	}
 
-	/** Sends all claims, also about members that are dead or have left, which the receiver may believe to be live. */
 	function sendView(address: string, nowMillis: number): readonly Outgoing[] {
 		syncedAtMillis = nowMillis;
-		const known = table.list(nowMillis, state => state !== 'unverified').map(({claim}) => claim);
-		return sendClaims(address, [table.readSelf(), ...known], nowMillis);
+		return sendClaims(address, table.listClaims(), nowMillis);
 	}
 
 	function applyClaim(claim: MemberClaim, nowMillis: number): void {
--- a/src/membership/member-table.ts
+++ b/src/membership/member-table.ts
@@ -37,6 +37,8 @@
 	forget: (nowMillis: number) => void;
 	/** Hash of the live members; equal views have equal digests. */
 	readDigest: (nowMillis: number) => number;
+	/** All claims that this entry stands for, also about members that are dead or have left, which others may believe to be live. */
+	listClaims: () => readonly MemberClaim[];
 	/** Claims that are still to be passed on. */
 	listPendingClaims: () => readonly MemberClaim[];
 	/** Counts a round of gossip with the pending claims. */
@@ -76,6 +78,12 @@
 		members = updated;
 	}
 
+	/** Claim about a member, unless this entry itself doubts it: the others would take it for a proof of life and tell it back. */
+	function findClaimToTell(id: string): MemberClaim | undefined {
+		const record = members.get(id);
+		return record?.isVerified && !record.isSuspicionLocal ? record.claim : undefined;
+	}
+
 	function passOn(id: string, nowMillis: number): void {
 		gossipRounds.set(id, GOSSIP_ROUNDS);
 		changedAtMillis = nowMillis;
@@ -172,11 +180,12 @@
 			}
 		},
 		readDigest(nowMillis) {
-			const claims = list(nowMillis, state => isLive(state) || state === 'suspect').map(({claim}) => claim);
+			const claims = list(nowMillis, state => isLive(state) || state === 'suspect').filter(({isSuspicionLocal}) => !isSuspicionLocal).map(({claim}) => claim);
 			return sum([...claims, ...(own.status === MemberStatus.LEFT ? [] : [own])].map(claim => hashClaim(claim))) % DIGEST_VALUES;
 		},
+		listClaims: () => [own, ...[...members.keys()].map(id => findClaimToTell(id)).filter(claim => claim !== undefined)],
 		listPendingClaims: () => [...gossipRounds.keys()]
-			.map(id => id === self.id ? own : members.get(id)?.claim)
+			.map(id => id === self.id ? own : findClaimToTell(id))
 			.filter(claim => claim !== undefined),
 		finishGossipRound() {
 			for (const [id, rounds] of gossipRounds) {
