--- a/src/gateway/__tests__/backend-server-list.test.ts
+++ b/src/gateway/__tests__/backend-server-list.test.ts
@@ -37,13 +37,14 @@
 	return {key: id, text: undefined, version: 2};
 }
 
-function createList() {
+function createList(readOutageAgeMillis = () => Infinity) {
 	const clock = createManualClock();
 	clock.advance(60_000);
 	const {servers, listener} = createBackendServerList({
 		clock,
 		log: silentLog,
 		read: (_id, text) => written.get(text),
+		readOutageAgeMillis,
 	});
 	return {clock, listener, list: () => [...servers.read().values()]};
 }
@@ -103,3 +104,13 @@
 	listener.onSnapshot([], AFTER_OUTAGE);
 	assert.deepEqual(list(), []);
 });
+
+void test('an entry that lapsed in an outage which only another process noticed has time to come back', async () => {
+	const {listener, list, clock} = createList(() => 1000);
+	listener.onSnapshot([row(READY)], UNINTERRUPTED);
+	listener.onChanges([removal('s1')], UNINTERRUPTED);
+	assert.deepEqual(list(), [READY]);
+	clock.advance(EXPIRED_ENTRY_GRACE_MILLIS);
+	await nextTurn();
+	assert.deepEqual(list(), [], 'it is gone when it is not written again');
+});
--- /dev/null
+++ b/src/membership/__tests__/store-observations.test.ts
@@ -0,0 +1,80 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {setImmediate as nextTurn} from 'node:timers/promises';
+import {createManualClock} from '../../core/manual-clock.js';
+import {createFeedInterrupt} from '../../feeds/feed-interrupt.js';
+import {silentLog} from '../../observability/log.js';
+import {createStoreObservations} from '../store-observations.js';
+
+function createObservations() {
+	const clock = createManualClock();
+	const interrupt = createFeedInterrupt();
+	const interrupted: string[] = [];
+	for (const table of ['op', 'servers']) {
+		interrupt.register(table, () => {
+			interrupted.push(table);
+		});
+	}
+
+	const store = createStoreObservations({clock, log: silentLog, interrupt});
+	return {
+		...store, interrupted,
+		async pass(millis: number) {
+			clock.advance(millis);
+			await nextTurn();
+		},
+		mergeAt(view: Parameters<typeof store.merge>[0]) {
+			store.merge(view, clock.monotonicMillis());
+		},
+	};
+}
+
+void test('a feed that lacks a change which another entry has seen calls again', async () => {
+	const store = createObservations();
+	store.onAnswer('op', {position: 10, newestChange: 4});
+	store.onAnswer('servers', {position: 10, newestChange: 9});
+	store.mergeAt({tables: [{table: 'op', version: 12}, {table: 'servers', version: 9}]});
+	await store.pass(200);
+	assert.deepEqual(store.interrupted, [], 'the change may still arrive');
+	await store.pass(200);
+	assert.deepEqual(store.interrupted, ['op']);
+});
+
+void test('a feed that catches up in time is left alone', async () => {
+	const store = createObservations();
+	store.onAnswer('op', {position: 10, newestChange: 4});
+	store.mergeAt({tables: [{table: 'op', version: 12}]});
+	store.onAnswer('op', {position: 12, newestChange: 12});
+	await store.pass(500);
+	assert.deepEqual(store.interrupted, []);
+});
+
+void test('the contact of another entry counts as this one\'s only if it has seen no change that this one lacks', async () => {
+	const store = createObservations();
+	store.onAnswer('op', {position: 10, newestChange: 4});
+	await store.pass(5000);
+	store.mergeAt({tables: [{table: 'op', version: 12}], contactAgeMillis: 100});
+	assert.equal(store.readContactAgeMillis(), 5000);
+	store.onAnswer('op', {position: 12, newestChange: 12});
+	await store.pass(3000);
+	store.mergeAt({tables: [{table: 'op', version: 12}], contactAgeMillis: 100});
+	assert.equal(store.readContactAgeMillis(), 100);
+});
+
+void test('an outage that another entry has noticed is known here, and told on with its age', async () => {
+	const store = createObservations();
+	assert.equal(store.readOutageAgeMillis(), Infinity);
+	await store.pass(1000);
+	store.mergeAt({tables: [], outageAgeMillis: 400});
+	await store.pass(100);
+	assert.equal(store.readOutageAgeMillis(), 500);
+	assert.equal(store.describe(1100).outageAgeMillis, 500);
+	store.onFailure('op');
+	assert.equal(store.readOutageAgeMillis(), 0);
+});
+
+void test('without contact, nothing is claimed of the store', () => {
+	const store = createObservations();
+	assert.deepEqual(store.describe(0), {tables: [], contactAgeMillis: undefined, outageAgeMillis: undefined});
+	assert.equal(store.readContactAgeMillis(), Infinity);
+});
--- a/src/membership/entry-members.ts
+++ b/src/membership/entry-members.ts
@@ -139,12 +139,15 @@
 
 	/** Probes the other entries until the signal aborts. */
 	async function observe({nextDueMillis, tick}: FailureDetector, signal: AbortSignal): Promise<void> {
+		signal.addEventListener('abort', () => {
+			wake.abort();
+		}, {once: true});
 		/* eslint-disable no-await-in-loop -- Ticks are sequential. */
 		while (!signal.aborted) {
 			const pauseMillis = nextDueMillis() - clock.monotonicMillis();
 			if (pauseMillis > 0) {
 				wake = new AbortController();
-				await clock.sleep(pauseMillis, AbortSignal.any([wake.signal, signal]));
+				await clock.sleep(pauseMillis, wake.signal);
 			} else {
 				send(tick(clock.monotonicMillis()));
 			}
