Do not take the cut of one entry for an outage of the store

Change: failed calls are an outage only if no entry has had an answer for 3 s, which is before rows lapse; it ends with the next answer that any entry gets. Test: store-observations.test.ts.

--- a/src/membership/__tests__/store-observations.test.ts
+++ b/src/membership/__tests__/store-observations.test.ts
@@ -61,20 +61,43 @@
 	assert.equal(store.readContactAgeMillis(), 100);
 });
 
-void test('an outage that another entry has noticed is known here, and told on with its age', async () => {
+void test('an entry that is cut off from the store alone does not make the others believe in an outage', async () => {
 	const store = createObservations();
-	assert.equal(store.readOutageAgeMillis(), Infinity);
-	await store.pass(1000);
-	store.mergeAt({tables: [], outageAgeMillis: 400});
-	await store.pass(100);
-	assert.equal(store.readOutageAgeMillis(), 500);
-	assert.equal(store.describe(1100).outageAgeMillis, 500);
-	store.onFailure('op');
+	store.onAnswer('op', {position: 10, newestChange: 4});
+	for (let i = 0; i < 12; i++) {
+		// eslint-disable-next-line no-await-in-loop -- Time advances in steps.
+		await store.pass(1000);
+		store.mergeAt({tables: [], failureAgeMillis: 100});
+		if (i % 2 === 1) {
+			store.mergeAt({tables: [], contactAgeMillis: 300});
+		}
+
+		assert.equal(store.readOutageAgeMillis(), Infinity, `after ${i + 1} s`);
+	}
+});
+
+void test('when no entry reaches the store for a while and calls fail, it is an outage, until an entry reaches it again', async () => {
+	const store = createObservations();
+	store.onAnswer('op', {position: 10, newestChange: 4});
+	await store.pass(2000);
+	store.mergeAt({tables: [], failureAgeMillis: 400});
+	assert.equal(store.readOutageAgeMillis(), Infinity, 'entries of backend servers do not lapse so soon');
+	await store.pass(2000);
 	assert.equal(store.readOutageAgeMillis(), 0);
+	store.mergeAt({tables: [], contactAgeMillis: 200});
+	await store.pass(500);
+	assert.equal(store.readOutageAgeMillis(), 700);
+});
+
+void test('a failed call is told on with its age', async () => {
+	const store = createObservations();
+	store.onFailure('op');
+	await store.pass(300);
+	assert.equal(store.describe(300).failureAgeMillis, 300);
 });
 
 void test('without contact, nothing is claimed of the store', () => {
 	const store = createObservations();
-	assert.deepEqual(store.describe(0), {tables: [], contactAgeMillis: undefined, outageAgeMillis: undefined});
+	assert.deepEqual(store.describe(0), {tables: [], contactAgeMillis: undefined, failureAgeMillis: undefined});
 	assert.equal(store.readContactAgeMillis(), Infinity);
 });
--- a/src/membership/store-observations.ts
+++ b/src/membership/store-observations.ts
@@ -11,10 +11,13 @@
 /** Time for a change that another entry has seen to arrive over this entry's own feed, in milliseconds. */
 const FEED_LAG_MILLIS = 300;
 
+/** Time without any answer from which failed calls are an outage, in milliseconds; the rows of backend servers lapse no sooner. */
+const MIN_OUTAGE_MILLIS = 3000;
+
 export type StoreObservations = FeedObserver & Readonly<{
 	/** Time since an entry, this one or another, last got an answer of the store, in milliseconds. */
 	readContactAgeMillis: () => number;
-	/** Time since an entry last noticed that the store did not answer, in milliseconds. */
+	/** Time since the end of the last outage of the store, in milliseconds; 0 during one. An entry that alone cannot reach the store does not make an outage. */
 	readOutageAgeMillis: () => number;
 	describe: (nowMillis: number) => StoreView;
 	merge: (view: StoreView, nowMillis: number) => void;
@@ -25,7 +28,8 @@
 /** Creates the observations of an entry that has not reached the store yet. */
 export function createStoreObservations({clock, log, interrupt}: Deps): StoreObservations {
 	let contactAtMillis = -Infinity;
-	let outageAtMillis = -Infinity;
+	let failureAtMillis = -Infinity;
+	let outageEndedAtMillis = -Infinity;
 	/** Version of the last change of each table that an entry has seen. */
 	const newestChanges = new Map<string, number>();
 	/** Version up to which this entry knows all changes of each table that it follows. */
@@ -36,6 +40,19 @@
 		newestChanges.set(table, Math.max(version, newestChanges.get(table) ?? 0));
 	}
 
+	/** Whether all that is known up to a time shows an outage since the last contact. */
+	function isOutage(nowMillis: number): boolean {
+		return Number.isFinite(contactAtMillis) && failureAtMillis > contactAtMillis && nowMillis - contactAtMillis >= MIN_OUTAGE_MILLIS;
+	}
+
+	function noteContact(atMillis: number): void {
+		if (isOutage(atMillis)) {
+			outageEndedAtMillis = atMillis;
+		}
+
+		contactAtMillis = Math.max(contactAtMillis, atMillis);
+	}
+
 	function isBehind(table: string): boolean {
 		const position = positions.get(table);
 		return position !== undefined && (newestChanges.get(table) ?? 0) > position;
@@ -58,22 +75,25 @@
 
 	return {
 		onAnswer(table, {position, newestChange}) {
-			contactAtMillis = clock.monotonicMillis();
+			noteContact(clock.monotonicMillis());
 			positions.set(table, position);
 			noteChange(table, newestChange);
 		},
 		onFailure() {
-			outageAtMillis = clock.monotonicMillis();
+			failureAtMillis = clock.monotonicMillis();
 		},
 		readContactAgeMillis: () => clock.monotonicMillis() - contactAtMillis,
-		readOutageAgeMillis: () => clock.monotonicMillis() - outageAtMillis,
+		readOutageAgeMillis() {
+			const nowMillis = clock.monotonicMillis();
+			return isOutage(nowMillis) ? 0 : nowMillis - outageEndedAtMillis;
+		},
 		describe: nowMillis => ({
 			tables: [...newestChanges].map(([table, version]) => ({table, version})),
 			contactAgeMillis: Number.isFinite(contactAtMillis) ? Math.round(nowMillis - contactAtMillis) : undefined,
-			outageAgeMillis: Number.isFinite(outageAtMillis) ? Math.round(nowMillis - outageAtMillis) : undefined,
+			failureAgeMillis: Number.isFinite(failureAtMillis) ? Math.round(nowMillis - failureAtMillis) : undefined,
 		}),
-		merge({tables, contactAgeMillis, outageAgeMillis}, nowMillis) {
-			outageAtMillis = Math.max(outageAtMillis, nowMillis - (outageAgeMillis ?? Infinity));
+		merge({tables, contactAgeMillis, failureAgeMillis}, nowMillis) {
+			failureAtMillis = Math.max(failureAtMillis, nowMillis - (failureAgeMillis ?? Infinity));
 			for (const {table, version} of tables) {
 				noteChange(table, version);
 				void checkFeed(table);
@@ -81,7 +101,7 @@
 
 			// The other entry's contact says that no change was missed only if this entry knows all that the other one does.
 			if (tables.every(({table}) => !isBehind(table))) {
-				contactAtMillis = Math.max(contactAtMillis, nowMillis - (contactAgeMillis ?? Infinity));
+				noteContact(nowMillis - (contactAgeMillis ?? Infinity));
 			}
 		},
 	};
