Count only an entry's own failed calls as an outage of the store

Change: only the entry's own failed calls give rows time to come back. When others fail and nobody has reached the store for 2 s, the entry calls it after a short random delay, and so learns of dead connections under its waiting feeds.

--- a/src/gateway/backend-server-list.ts
+++ b/src/gateway/backend-server-list.ts
@@ -23,7 +23,7 @@
 	clock: Clock;
 	log: Log;
 	read: ReadBackendServer;
-	/** Time since any process noticed that the store did not answer, in milliseconds; optional. */
+	/** Time since a call of this process to the store last failed, of any feed, in milliseconds; optional. */
 	readOutageAgeMillis?: () => number;
 }>;
 
--- a/src/gateway/start-gateway.ts
+++ b/src/gateway/start-gateway.ts
@@ -66,7 +66,9 @@
 	let isAcceptingStreams = true;
 	let hasServers = false;
 	const interrupt = createFeedInterrupt();
-	const store = createStoreObservations({clock, log, interrupt});
+	const store = createStoreObservations({
+		clock, log, random, interrupt,
+	});
 	const servers: BackendServerList = createBackendServerList({
 		clock, log, read: deps.backendServers.read, readOutageAgeMillis: store.readOutageAgeMillis,
 	});
--- a/src/membership/store-observations.ts
+++ b/src/membership/store-observations.ts
@@ -3,6 +3,7 @@
  * it has seen. One entry that notices that its connection is dead is thus enough for all to find out that theirs are.
  */
 import type {Clock} from '../core/clock.js';
+import type {RandomSource} from '../decisions/random.js';
 import type {FeedInterrupt} from '../feeds/feed-interrupt.js';
 import type {FeedObserver} from '../feeds/follow-table.js';
 import type {Log} from '../observability/log.js';
@@ -11,25 +12,30 @@
 /** Time for a change that another entry has seen to arrive over this entry's own feed, in milliseconds. */
 const FEED_LAG_MILLIS = 300;
 
-/** Time without any answer from which failed calls are an outage, in milliseconds; the rows of backend servers lapse no sooner. */
-const MIN_OUTAGE_MILLIS = 3000;
+/** Age of the last contact of any entry from which a failed call of another makes this one call too, in milliseconds; rows lapse later. */
+const CHECK_AGE_MILLIS = 2000;
+/** Longest delay of such a call, in milliseconds; the entry that calls first saves the others their calls if it is answered. */
+const MAX_CHECK_DELAY_MILLIS = 1000;
 
 export type StoreObservations = FeedObserver & Readonly<{
 	/** Time since an entry, this one or another, last got an answer of the store, in milliseconds. */
 	readContactAgeMillis: () => number;
-	/** Time since the end of the last outage of the store, in milliseconds; 0 during one. An entry that alone cannot reach the store does not make an outage. */
+	/** Time since a call of this entry's own last failed, in milliseconds. */
 	readOutageAgeMillis: () => number;
 	describe: (nowMillis: number) => StoreView;
 	merge: (view: StoreView, nowMillis: number) => void;
 }>;
 
-type Deps = Readonly<{clock: Clock; log: Log; interrupt: FeedInterrupt}>;
+type Deps = Readonly<{clock: Clock; log: Log; random: RandomSource; interrupt: FeedInterrupt}>;
 
 /** Creates the observations of an entry that has not reached the store yet. */
-export function createStoreObservations({clock, log, interrupt}: Deps): StoreObservations {
+export function createStoreObservations({
+	clock, log, random, interrupt,
+}: Deps): StoreObservations {
 	let contactAtMillis = -Infinity;
 	let failureAtMillis = -Infinity;
-	let outageEndedAtMillis = -Infinity;
+	let ownFailureAtMillis = -Infinity;
+	let isCheckScheduled = false;
 	/** Version of the last change of each table that an entry has seen. */
 	const newestChanges = new Map<string, number>();
 	/** Version up to which this entry knows all changes of each table that it follows. */
@@ -40,22 +46,31 @@
 		newestChanges.set(table, Math.max(version, newestChanges.get(table) ?? 0));
 	}
 
-	/** Whether all that is known up to a time shows an outage since the last contact. */
-	function isOutage(nowMillis: number): boolean {
-		return Number.isFinite(contactAtMillis) && failureAtMillis > contactAtMillis && nowMillis - contactAtMillis >= MIN_OUTAGE_MILLIS;
+	function isBehind(table: string): boolean {
+		const position = positions.get(table);
+		return position !== undefined && (newestChanges.get(table) ?? 0) > position;
 	}
 
-	function noteContact(atMillis: number): void {
-		if (isOutage(atMillis)) {
-			outageEndedAtMillis = atMillis;
+	/** Whether calls have failed since any entry last reached the store, some time ago. */
+	function mayBeOutage(): boolean {
+		return failureAtMillis > contactAtMillis && clock.monotonicMillis() - contactAtMillis >= CHECK_AGE_MILLIS;
+	}
+
+	/** Calls the store if another entry cannot reach it and no entry has for a while: this entry's own feeds may wait on dead connections. */
+	async function checkStore(): Promise<void> {
+		if (isCheckScheduled || !mayBeOutage()) {
+			return;
 		}
 
-		contactAtMillis = Math.max(contactAtMillis, atMillis);
-	}
+		isCheckScheduled = true;
+		await clock.sleep(random() * MAX_CHECK_DELAY_MILLIS);
+		if (mayBeOutage()) {
+			interrupt.raise();
+		}
 
-	function isBehind(table: string): boolean {
-		const position = positions.get(table);
-		return position !== undefined && (newestChanges.get(table) ?? 0) > position;
+		// The answer, or the failure, needs time to arrive.
+		await clock.sleep(MAX_CHECK_DELAY_MILLIS);
+		isCheckScheduled = false;
 	}
 
 	/** Interrupts the feed of a table if it still lacks a change after the usual delay. */
@@ -75,18 +90,16 @@
 
 	return {
 		onAnswer(table, {position, newestChange}) {
-			noteContact(clock.monotonicMillis());
+			contactAtMillis = clock.monotonicMillis();
 			positions.set(table, position);
 			noteChange(table, newestChange);
 		},
 		onFailure() {
-			failureAtMillis = clock.monotonicMillis();
+			ownFailureAtMillis = clock.monotonicMillis();
+			failureAtMillis = ownFailureAtMillis;
 		},
 		readContactAgeMillis: () => clock.monotonicMillis() - contactAtMillis,
-		readOutageAgeMillis() {
-			const nowMillis = clock.monotonicMillis();
-			return isOutage(nowMillis) ? 0 : nowMillis - outageEndedAtMillis;
-		},
+		readOutageAgeMillis: () => clock.monotonicMillis() - ownFailureAtMillis,
 		describe: nowMillis => ({
 			tables: [...newestChanges].map(([table, version]) => ({table, version})),
 			contactAgeMillis: Number.isFinite(contactAtMillis) ? Math.round(nowMillis - contactAtMillis) : undefined,
@@ -101,8 +114,10 @@
 
 			// The other entry's contact says that no change was missed only if this entry knows all that the other one does.
 			if (tables.every(({table}) => !isBehind(table))) {
-				noteContact(nowMillis - (contactAgeMillis ?? Infinity));
+				contactAtMillis = Math.max(contactAtMillis, nowMillis - (contactAgeMillis ?? Infinity));
 			}
+
+			void checkStore();
 		},
 	};
 }
