--- a/src/membership/__tests__/entry-members.test.ts
+++ b/src/membership/__tests__/entry-members.test.ts
@@ -149,8 +149,10 @@
 	await world.run(DEAD_MILLIS);
 	assert.deepEqual(entries[0]?.list(), ['e1', 'e2', 'e3']);
 	assert.equal(entries[0]?.countSharingEntries(), 4);
+	const changes = entries[0]?.countChanges() ?? 0;
 	await world.run(SHARING_MILLIS);
 	assert.equal(entries[0]?.countSharingEntries(), 3);
+	assert.equal(entries[0]?.countChanges(), changes + 1, 'the limits are divided anew');
 	assert.equal(entries[0]?.listBeliefs().find(({id}) => id === 'e4')?.state, 'dead');
 });
 
--- a/src/membership/entry-members.ts
+++ b/src/membership/entry-members.ts
@@ -77,6 +77,7 @@
 	let detector: FailureDetector | undefined;
 	let isReady = false;
 	let isDraining = false;
+	let reportedSharing = 1;
 	let wake = new AbortController();
 
 	function send(outgoing: readonly Outgoing[]): void {
@@ -87,7 +88,7 @@
 
 	function noteChange({claim, before, after}: MemberChange): void {
 		log.info('entry', {
-			entry: claim.id, state: after, former: before, generation: claim.generation, incarnation: claim.incarnation, address: claim.callerAddress,
+			entry: claim.id, state: after, former: before, generation: claim.generation, memberIncarnation: claim.incarnation, address: claim.callerAddress,
 		});
 		deps.onChange();
 	}
@@ -137,6 +138,22 @@
 		return joining;
 	}
 
+	const listOthers = (): readonly MemberView[] => detector?.list(clock.monotonicMillis()) ?? [];
+
+	function countSharingEntries(): number {
+		const nowMillis = clock.monotonicMillis();
+		return listOthers().filter(member => isSharing(member, nowMillis)).length + 1;
+	}
+
+	/** Reports when an entry has lost its share, which is some time after its death. */
+	function noteSharing(): void {
+		const sharing = countSharingEntries();
+		if (sharing !== reportedSharing) {
+			reportedSharing = sharing;
+			deps.onChange();
+		}
+	}
+
 	/** Probes the other entries until the signal aborts. */
 	async function observe({nextDueMillis, tick}: FailureDetector, signal: AbortSignal): Promise<void> {
 		signal.addEventListener('abort', () => {
@@ -150,6 +167,7 @@
 				await clock.sleep(pauseMillis, wake.signal);
 			} else {
 				send(tick(clock.monotonicMillis()));
+				noteSharing();
 			}
 		}
 		/* eslint-enable no-await-in-loop */
@@ -160,7 +178,6 @@
 			&& (state !== 'unverified' || nowMillis - addedAtMillis < sharingTimeoutMillis);
 	}
 
-	const listOthers = (): readonly MemberView[] => detector?.list(clock.monotonicMillis()) ?? [];
 	return {
 		listReady() {
 			// A suspected entry may be alive, and is listed until it is concluded that it is dead.
@@ -191,10 +208,7 @@
 				})),
 			];
 		},
-		countSharingEntries() {
-			const nowMillis = clock.monotonicMillis();
-			return listOthers().filter(member => isSharing(member, nowMillis)).length + 1;
-		},
+		countSharingEntries,
 		setReady(isNowReady) {
 			isReady = isNowReady;
 			detector?.setReady(isReady && !isDraining, clock.monotonicMillis());
--- a/src/observability/__tests__/line-schemas.test.ts
+++ b/src/observability/__tests__/line-schemas.test.ts
@@ -15,6 +15,7 @@
 	};
 	assert.equal(findLineFault('not repeated', line), undefined);
 	assert.match(findLineFault('not repeated', {...line, attempts: undefined}) ?? '', /attempts/v);
+	assert.match(findLineFault('not repeated', {...line, incarnation: 1}) ?? '', /incarnation is a value of the process/v);
 	assert.match(findLineFault('not repeated', {...line, extra: 1}) ?? '', /extra/v);
 	assert.match(findLineFault('never written', line) ?? '', /no such line/v);
 });
--- a/src/observability/line-schemas.ts
+++ b/src/observability/line-schemas.ts
@@ -82,7 +82,7 @@
 	'backend server gone': z.strictObject({server: z.string(), reason: z.string()}),
 	'backend server avoided': z.strictObject({server: z.string(), failures: z.number(), forMillis: millis}),
 	entry: z.strictObject({
-		entry: z.string(), state: z.string(), former: z.string().optional(), generation: version, incarnation: z.number().int(), address: z.string(),
+		entry: z.string(), state: z.string(), former: z.string().optional(), generation: version, memberIncarnation: z.number().int(), address: z.string(),
 	}),
 	registered: z.strictObject({generation: version, entries: count}),
 	'another process has taken over this instance id': z.strictObject({generation: version, successor: version}),
@@ -161,6 +161,11 @@
 		return `no such line: ${message}`;
 	}
 
+	const ownName = Object.keys(values).find(name => name in processContextSchema.shape);
+	if (ownName !== undefined) {
+		return `${message}: ${ownName} is a value of the process`;
+	}
+
 	const [issue] = schema.safeParse(values).error?.issues ?? [];
 	return issue && `${message}: ${issue.path.join('.')} ${issue.message}`;
 }
