--- a/src/membership/entry-members.ts
+++ b/src/membership/entry-members.ts
@@ -93,19 +93,25 @@
 		deps.onChange();
 	}
 
+	function decode(bytes: Uint8Array, from: string): MemberDatagram | undefined {
+		try {
+			return MemberDatagram.decode(bytes);
+		} catch (error) {
+			log.debug('unreadable member datagram', {from, detail: describeError(error)});
+			return undefined;
+		}
+	}
+
 	function receive(bytes: Uint8Array, from: string): void {
-		if (!detector) {
+		const datagram = detector && decode(bytes, from);
+		if (!detector || !datagram) {
 			return;
 		}
 
-		try {
-			const dueMillis = detector.nextDueMillis();
-			send(detector.receive(MemberDatagram.decode(bytes), from, clock.monotonicMillis()));
-			if (detector.nextDueMillis() < dueMillis) {
-				wake.abort();
-			}
-		} catch (error) {
-			log.warn('unreadable member datagram', {from, detail: describeError(error)});
+		const dueMillis = detector.nextDueMillis();
+		send(detector.receive(datagram, from, clock.monotonicMillis()));
+		if (detector.nextDueMillis() < dueMillis) {
+			wake.abort();
 		}
 	}
 
