Do not take answers over several paths for slowness

A probe that is repeated over other members is answered up to four times, and each answer but the first counted as a late one, so the entry tripled its timeouts.

--- a/src/membership/__tests__/failure-detector.test.ts
+++ b/src/membership/__tests__/failure-detector.test.ts
@@ -262,6 +262,17 @@
 	), {numRuns: 60, seed: 20_261_204});
 });
 
+void test('lost datagrams do not delay the discovery of a death', () => {
+	for (let seed = 0; seed < 12; seed++) {
+		const group = createSimulatedGroup({seed, size: 9, lossShare: 0.02});
+		group.run(JOIN_MILLIS + 8000);
+		group.kill('n7');
+		group.setNetwork((from, to) => (from === 'n8') === (to === 'n8'));
+		group.run(DEAD_MILLIS);
+		assert.deepEqual(group.listed('n8'), [], `seed ${seed}`);
+	}
+});
+
 void test('no entry that has run for the time of the bound names one that has been dead for longer', () => {
 	const fault = fc.record({
 		kind: fc.constantFrom('kill' as const, 'restart' as const, 'partition' as const),
--- a/src/membership/probe-tracker.ts
+++ b/src/membership/probe-tracker.ts
@@ -13,6 +13,9 @@
 	wasAlone: boolean;
 }>;
 
+/** Number of probes that are remembered after they were given up. */
+const REMEMBERED_PROBES = 50;
+
 /** A probe made for another entry. */
 type Relay = Readonly<{address: string; sequence: number; sentAtMillis: number}>;
 
@@ -22,8 +25,9 @@
 	start: (probe: Pick<Probe, 'target' | 'isOnRing' | 'wasAlone'>, nowMillis: number) => number;
 	/** Notes that the paths through other entries are tried, and that the answer may take longer. */
 	startIndirect: (probe: Probe, nowMillis: number) => void;
+	/** Gives a probe up. */
 	end: (sequence: number) => void;
-	/** Ends a probe that was answered. An answer that comes too late shows that this entry is slow. */
+	/** Ends a probe that was answered. An answer to one that was given up shows that this entry is slow; others came over a second path. */
 	noteAnswer: (sequence: number) => void;
 	/** Notes that others suspect this entry. */
 	noteSuspicion: () => void;
@@ -46,6 +50,8 @@
 	let lastSequence = 0;
 	const probes = new Map<number, Probe>();
 	const relays = new Map<number, Relay>();
+	/** The last probes that were given up without an answer. */
+	let givenUp: readonly number[] = [];
 	/** How much slower than usual this entry is; lengthens its timeouts, so that it does not suspect others for its own delays. */
 	let slowness = 0;
 
@@ -65,10 +71,17 @@
 			probes.set(probe.sequence, {...probe, stage: 'indirect', dueAtMillis: nowMillis + (2 * ackTimeoutMillis * (1 + slowness))});
 		},
 		end(sequence) {
-			probes.delete(sequence);
+			if (probes.delete(sequence)) {
+				givenUp = [...givenUp, sequence].slice(-REMEMBERED_PROBES);
+			}
 		},
 		noteAnswer(sequence) {
-			addSlowness(probes.delete(sequence) ? -1 : 1);
+			if (probes.delete(sequence)) {
+				addSlowness(-1);
+			} else if (givenUp.includes(sequence)) {
+				givenUp = givenUp.filter(other => other !== sequence);
+				addSlowness(1);
+			}
 		},
 		noteSuspicion() {
 			addSlowness(1);
