Name the age of an entry's own failed calls for what it is

readOutageAgeMillis told the age of the last failed call of this entry, not of an outage: readFailureAgeMillis. One comment of the failure detector says which claims a datagram bears.

--- a/src/gateway/__tests__/backend-server-list.test.ts
+++ b/src/gateway/__tests__/backend-server-list.test.ts
@@ -37,14 +37,14 @@
 	return {key: id, text: undefined, version: 2};
 }
 
-function createList(readOutageAgeMillis = () => Infinity) {
+function createList(readFailureAgeMillis = () => Infinity) {
 	const clock = createManualClock();
 	clock.advance(60_000);
 	const {servers, listener} = createBackendServerList({
 		clock,
 		log: silentLog,
 		read: (_id, text) => written.get(text),
-		readOutageAgeMillis,
+		readFailureAgeMillis,
 	});
 	return {clock, listener, list: () => [...servers.read().values()]};
 }
--- a/src/gateway/backend-server-list.ts
+++ b/src/gateway/backend-server-list.ts
@@ -24,7 +24,7 @@
 	log: Log;
 	read: ReadBackendServer;
 	/** Time since a call of this process to the store last failed, of any feed, in milliseconds; optional. */
-	readOutageAgeMillis?: () => number;
+	readFailureAgeMillis?: () => number;
 }>;
 
 /** Whether an entry is older than the one already known for the same backend server. */
@@ -38,7 +38,7 @@
 }
 
 /** Creates an empty list. */
-export function createBackendServerList({clock, log, read, readOutageAgeMillis = () => Infinity}: Deps): BackendServerList {
+export function createBackendServerList({clock, log, read, readFailureAgeMillis = () => Infinity}: Deps): BackendServerList {
 	const servers = createSnapshotStore<BackendServers>(new Map());
 	let reconnectedAtMillis = -Infinity;
 
@@ -85,8 +85,8 @@
 	}
 
 	function remove(removed: readonly BackendServer[]): void {
-		const sinceOutageMillis = Math.min(readOutageAgeMillis(), clock.monotonicMillis() - reconnectedAtMillis);
-		const isRecentlyReconnected = sinceOutageMillis < EXPIRED_ENTRY_GRACE_MILLIS;
+		const sinceFailureMillis = Math.min(readFailureAgeMillis(), clock.monotonicMillis() - reconnectedAtMillis);
+		const isRecentlyReconnected = sinceFailureMillis < EXPIRED_ENTRY_GRACE_MILLIS;
 		const expired = isRecentlyReconnected ? removed.filter(server => server.state === 'ready') : [];
 		drop(removed.filter(server => !expired.includes(server)), 'its entry was removed');
 		if (expired.length > 0) {
--- a/src/gateway/start-gateway.ts
+++ b/src/gateway/start-gateway.ts
@@ -70,7 +70,7 @@
 		clock, log, random, interrupt,
 	});
 	const servers: BackendServerList = createBackendServerList({
-		clock, log, read: deps.backendServers.read, readOutageAgeMillis: store.readOutageAgeMillis,
+		clock, log, read: deps.backendServers.read, readFailureAgeMillis: store.readFailureAgeMillis,
 	});
 	const configuration = createConfigurationInForce({
 		log,
--- a/src/membership/__tests__/store-observations.test.ts
+++ b/src/membership/__tests__/store-observations.test.ts
@@ -73,7 +73,7 @@
 		store.mergeAt({tables: [], contactAgeMillis: 300});
 	}
 
-	assert.equal(store.readOutageAgeMillis(), Infinity);
+	assert.equal(store.readFailureAgeMillis(), Infinity);
 	assert.deepEqual(store.interrupted, []);
 });
 
@@ -86,9 +86,9 @@
 	store.mergeAt({tables: [], failureAgeMillis: 100});
 	await store.pass(1000);
 	assert.deepEqual(store.interrupted, ['op', 'servers']);
-	assert.equal(store.readOutageAgeMillis(), Infinity);
+	assert.equal(store.readFailureAgeMillis(), Infinity);
 	store.onFailure('op');
-	assert.equal(store.readOutageAgeMillis(), 0);
+	assert.equal(store.readFailureAgeMillis(), 0);
 	store.mergeAt({tables: [], failureAgeMillis: 100});
 	await store.pass(100);
 	assert.equal(store.interrupted.length, 2, 'the answer is awaited');
--- a/src/membership/failure-detector.ts
+++ b/src/membership/failure-detector.ts
@@ -61,7 +61,7 @@
 		};
 	}
 
-	/** Addresses a datagram to a member; a suspected one is told so, to refute it, and a stranger learns who is asking. */
+	/** Addresses a datagram to a member; a suspected one gets the claim to refute it, and one that may not know this entry gets the claim about this entry. */
 	function sendTo({claim, isVerified, suspectedAtMillis}: MemberRecord, body: Body, nowMillis: number): Outgoing {
 		const first = [
 			...(claim.status === MemberStatus.SUSPECT ? [claim] : []),
--- a/src/membership/store-observations.ts
+++ b/src/membership/store-observations.ts
@@ -21,7 +21,7 @@
 	/** Time since an entry, this one or another, last got an answer of the store, in milliseconds. */
 	readContactAgeMillis: () => number;
 	/** Time since a call of this entry's own last failed, in milliseconds. */
-	readOutageAgeMillis: () => number;
+	readFailureAgeMillis: () => number;
 	describe: (nowMillis: number) => StoreView;
 	merge: (view: StoreView, nowMillis: number) => void;
 }>;
@@ -99,7 +99,7 @@
 			failureAtMillis = ownFailureAtMillis;
 		},
 		readContactAgeMillis: () => clock.monotonicMillis() - contactAtMillis,
-		readOutageAgeMillis: () => clock.monotonicMillis() - ownFailureAtMillis,
+		readFailureAgeMillis: () => clock.monotonicMillis() - ownFailureAtMillis,
 		describe: nowMillis => ({
 			tables: [...newestChanges].map(([table, version]) => ({table, version})),
 			contactAgeMillis: Number.isFinite(contactAtMillis) ? Math.round(nowMillis - contactAtMillis) : undefined,
