Log the prompt parts, route, account and events of attempts

The logs of the incident could not tell requests with common content from an overload at the reopening of a group: no line said which parts a prompt has, nor how far an attempt had come when its engine ended. `attempt failed` and `call` now name the parts (ids only), and `attempt failed` the route, the account and the whole events of the attempt. Lines of earlier builds still fit the schema.

--- a/src/gateway/finish-call.ts
+++ b/src/gateway/finish-call.ts
@@ -130,6 +130,7 @@
 		account: account?.name,
 		promptTokens: call.head.promptTokens,
 		maxOutputTokens: call.head.maxOutputTokens,
+		promptParts: call.head.promptParts.join(' ') || undefined,
 		version: cfg.version,
 		configurationAgeMillis: Math.round(ctx.configuration.ageMillis()),
 		waitedMillis: Math.round(waitedMillis),
--- a/src/gateway/send-to-backend-server.ts
+++ b/src/gateway/send-to-backend-server.ts
@@ -27,6 +27,7 @@
 	const {answer} = progress;
 	const startedAtMillis = ctx.clock.monotonicMillis();
 	let firstByteMillis: number | undefined;
+	let eventCount = 0;
 	progress.triedServers.add(server.id);
 	ctx.picker.noteStart(server.id);
 	const outcome = await runAttempt(ctx, call, {
@@ -51,6 +52,7 @@
 			isStreaming: route.isStreaming,
 			progress: answer,
 			onEvent(pauseMillis) {
+				eventCount++;
 				flow.outageDetector.noteServed(ctx.clock.monotonicMillis());
 				firstByteMillis ??= ctx.clock.monotonicMillis() - startedAtMillis;
 				progress.firstByteMillis ??= ctx.clock.monotonicMillis() - call.arrivedAtMillis;
@@ -80,11 +82,15 @@
 	if (outcome.tag !== 'passed' && !(outcome.tag === 'answered' && outcome.head.status < 400)) {
 		ctx.log.info('attempt failed', {
 			request: call.head.attemptId,
+			route: route.name,
+			account: account?.name,
+			promptParts: call.head.promptParts.join(' ') || undefined,
 			server: server.id,
 			end: outcome.tag,
 			detail: 'detail' in outcome ? outcome.detail : undefined,
 			status: 'head' in outcome ? outcome.head.status : undefined,
 			faultyServer: 'head' in outcome ? outcome.head.faultyServer : undefined,
+			events: eventCount,
 			lastEventId: answer.lastEventId,
 			tookMillis: Math.round(ctx.clock.monotonicMillis() - startedAtMillis),
 		});
--- a/src/observability/line-schemas.ts
+++ b/src/observability/line-schemas.ts
@@ -16,6 +16,8 @@
 		account: z.string().optional(),
 		promptTokens: count,
 		maxOutputTokens: count,
+		/** Ids of the parts of the prompt, in order. */
+		promptParts: z.string().optional(),
 		version,
 		configurationAgeMillis: millis,
 		waitedMillis: millis,
@@ -33,11 +35,16 @@
 	}),
 	'attempt failed': z.strictObject({
 		request: id,
+		route: z.string().optional(),
+		account: z.string().optional(),
+		promptParts: z.string().optional(),
 		server: z.string(),
 		end: z.enum(['not_sent', 'not_run', 'answered', 'lost', 'late', 'caller_left']),
 		detail: z.string().optional(),
 		status: z.number().int().optional(),
 		faultyServer: z.string().optional(),
+		/** Whole events that the backend server had sent in this attempt. */
+		events: count.optional(),
 		lastEventId: z.number().optional(),
 		tookMillis: millis,
 	}),
--- a/src/ports/call-codec.ts
+++ b/src/ports/call-codec.ts
@@ -16,6 +16,8 @@
 	promptTokens: number;
 	/** Maximum number of output tokens; 0 for a plain request. */
 	maxOutputTokens: number;
+	/** Ids of the parts of the prompt, in order; requests share parts, except for the last, which belongs to the request or its session. Empty for a plain request. */
+	promptParts: readonly string[];
 	/** Id of the last stream event that the caller received; undefined when it requests the stream from the start. */
 	lastEventId: string | undefined;
 }>;
