Quarantine prompt parts that crash backend servers

Cause: a gateway judged engines by their failures, and requests not at all. It forgot what a request held when it was lost, so that the next one with the same part, at any gateway, was sent as if nothing had happened, and the lost one itself was sent once more.

Evidence: the reproduction, whose engines form no group (the overload of a group at its reopening is no condition), and whose requests all differ (so it is no single request that wanders).

Change: a request that is lost before the second event of its answer, at an engine that then accepts no connection, is recorded with the parts of its prompt. Parts on which an engine has since written an answer are cleared. What remains is explained greedily: a part that was in flight in two crashes in a row, in requests of different sessions, is quarantined; one that was sound before, or a single session, needs three. Crashes at the same moment count once. Parts that were never seen apart are quarantined together, and a request with only some of them is sent alone, as a probe. Entries tell one another crashes and sound parts by datagrams at once, and compare digests with each probe, so that one that starts or was cut off learns them. Requests with a quarantined part are refused at once as not run, before they wait for a permit and again before each attempt.

--- /dev/null
+++ b/src/decisions/quarantine/__tests__/prompt-part-quarantine.test.ts
@@ -0,0 +1,129 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {createManualClock} from '../../../core/manual-clock.js';
+import {createPromptPartQuarantine} from '../prompt-part-quarantine.js';
+import {MAX_CRASHES, QUARANTINE_MILLIS} from '../quarantine-constants.js';
+
+function createQuarantine() {
+	const clock = createManualClock();
+	const events: string[] = [];
+	const quarantine = createPromptPartQuarantine({
+		clock,
+		onFound({parts, crashes}) {
+			events.push(`found ${parts.join(' ')} ${crashes.length}`);
+		},
+		onReleased({parts}) {
+			events.push(`released ${parts.join(' ')}`);
+		},
+	});
+	let crashes = 0;
+
+	/** Sends a request that is lost 100 ms later, when its backend server crashes. */
+	function crash(...parts: readonly string[]): void {
+		crashes++;
+		const sentAtMillis = clock.monotonicMillis();
+		clock.advance(100);
+		quarantine.noteLost({server: `s${crashes}`, incarnation: crashes}, {attemptId: `a${crashes}`, parts, sentAtMillis});
+		clock.advance(1);
+	}
+
+	return {
+		...quarantine, clock, crash, events,
+	};
+}
+
+void test('requests with a part are refused after two crashes, and those that share the other parts are not', () => {
+	const {crash, noteSound, judge, clock} = createQuarantine();
+	noteSound(['sys', 'doc', 'y1']);
+	crash('sys', 'doc', 'bad', 'x1');
+	assert.equal(judge(['sys', 'doc', 'bad', 'x2']).tag, 'clear');
+	crash('sys', 'doc', 'bad', 'x2');
+	const verdict = judge(['sys', 'other', 'bad', 'x3']);
+	assert.equal(verdict.tag, 'quarantined');
+	assert.ok(verdict.tag === 'quarantined' && verdict.leftMillis <= QUARANTINE_MILLIS && verdict.leftMillis > QUARANTINE_MILLIS - 1000);
+	assert.equal(judge(['sys', 'doc', 'y2']).tag, 'clear');
+	assert.equal(judge([]).tag, 'clear');
+	clock.advance(QUARANTINE_MILLIS);
+	assert.equal(judge(['sys', 'bad', 'x4']).tag, 'probe');
+});
+
+void test('after a quarantine, one request at a time is a probe, and a further crash doubles the quarantine', () => {
+	const {crash, judge, tryProbe, clock} = createQuarantine();
+	crash('bad', 'x1');
+	crash('bad', 'x2');
+	clock.advance(QUARANTINE_MILLIS);
+	const verdict = judge(['bad', 'x3']);
+	assert.ok(verdict.tag === 'probe');
+	const release = tryProbe(verdict.finding);
+	assert.ok(release);
+	assert.equal(tryProbe(verdict.finding), undefined, 'another one is under way');
+	crash('bad', 'x3');
+	release();
+	const again = judge(['bad', 'x4']);
+	assert.ok(again.tag === 'quarantined' && again.leftMillis > QUARANTINE_MILLIS);
+});
+
+void test('an answer on a quarantined part releases it', () => {
+	const {crash, noteSound, judge, events} = createQuarantine();
+	crash('doc', 'x1');
+	crash('doc', 'x2');
+	assert.equal(judge(['doc', 'x3']).tag, 'quarantined');
+	noteSound(['doc', 'x0']);
+	assert.equal(judge(['doc', 'x3']).tag, 'clear');
+	assert.deepEqual(events, ['found doc 2', 'released doc']);
+});
+
+void test('of two parts that were never seen apart, a request with one of them is a probe', () => {
+	const {crash, noteSound, judge} = createQuarantine();
+	crash('doc', 'bad', 'x1');
+	crash('doc', 'bad', 'x2');
+	assert.equal(judge(['doc', 'bad', 'x3']).tag, 'quarantined');
+	assert.equal(judge(['doc', 'x4']).tag, 'probe');
+	noteSound(['doc', 'x4']);
+	assert.equal(judge(['doc', 'x5']).tag, 'clear');
+	assert.equal(judge(['other', 'bad', 'x6']).tag, 'quarantined');
+});
+
+void test('what an entry missed is merged in any order and leads to the same view', () => {
+	const one = createQuarantine();
+	const other = createQuarantine();
+	one.crash('sys', 'bad', 'x1');
+	one.crash('sys', 'bad', 'x2');
+	one.noteSound(['sys', 'y1']);
+	assert.notEqual(one.readDigest(), other.readDigest());
+	other.clock.advance(one.clock.monotonicMillis());
+	for (const record of one.listCrashes().toReversed()) {
+		other.merge([{...record, lost: []}]);
+		other.merge([record, record]);
+	}
+
+	assert.equal(one.readDigest(), other.readDigest());
+	assert.equal(other.judge(['sys', 'bad', 'x3']).tag, 'quarantined');
+	assert.equal(other.judge(['sys', 'y3']).tag, 'clear');
+});
+
+void test('an entry that has seen a sound answer since a crash tells the others', () => {
+	const one = createQuarantine();
+	const other = createQuarantine();
+	const told: string[] = [];
+	other.registerListener(records => {
+		told.push(...records.flatMap(({soundParts}) => [...soundParts]));
+	});
+	one.crash('doc', 'x1');
+	other.clock.advance(one.clock.monotonicMillis());
+	other.noteSound(['doc', 'y1']);
+	other.merge(one.listCrashes());
+	assert.deepEqual(told, ['doc']);
+});
+
+void test('the number of remembered crashes is bounded, and those that explain a quarantine are kept', () => {
+	const {crash, judge, listCrashes} = createQuarantine();
+	crash('bad', 'x1');
+	crash('bad', 'x2');
+	for (let i = 0; i < MAX_CRASHES * 2; i++) {
+		crash(`doc${i}`, `y${i}`);
+	}
+
+	assert.equal(listCrashes().length, MAX_CRASHES);
+	assert.equal(judge(['bad', 'x3']).tag, 'quarantined');
+});
--- /dev/null
+++ b/src/decisions/quarantine/prompt-part-quarantine.ts
@@ -0,0 +1,239 @@
+/** Keeps requests with parts that crash backend servers away from them, based on the crashes that all entries have seen. */
+import {crc32} from 'node:zlib';
+import type {Clock} from '../../core/clock.js';
+import {createSnapshotStore} from '../../core/snapshot-store.js';
+import type {Teardown} from '../../core/teardown.js';
+import {
+	readCrashKey, type CrashRecord, type LostRequest,
+} from './crash-record.js';
+import {
+	findPoisonParts, isSameFinding, listSuspectParts, type PoisonParts,
+} from './find-poison-parts.js';
+import {
+	CRASH_LIFETIME_MILLIS, MAX_CRASHES, MAX_LOST_REQUESTS, MAX_SOUND_PARTS, MIN_CRASHES, QUARANTINE_MILLIS,
+} from './quarantine-constants.js';
+
+/** Whether a request may be sent. */
+export type QuarantineVerdict
+	= | Readonly<{tag: 'clear'}>
+	/** It may be sent as a probe, one at a time: it has some of several parts of which not all need be poisonous, or the quarantine has lapsed. */
+		| Readonly<{tag: 'probe'; finding: PoisonParts}>
+		| Readonly<{tag: 'quarantined'; finding: PoisonParts; leftMillis: number}>;
+
+/** Quarantine of prompt parts, as one entry knows it. */
+export type PromptPartQuarantine = Readonly<{
+	judge: (parts: readonly string[]) => QuarantineVerdict;
+	/** Takes the right to send one request that is to be judged as a probe; undefined while another one is under way. */
+	tryProbe: (finding: PoisonParts) => Teardown | undefined;
+	/** Records a request that was lost when a backend server crashed. */
+	noteLost: (crash: Pick<CrashRecord, 'server' | 'incarnation'>, lost: LostRequest) => void;
+	/** Records that a backend server writes an answer on these parts. */
+	noteSound: (parts: readonly string[]) => void;
+	/** Adds what another entry knows. */
+	merge: (records: readonly CrashRecord[]) => void;
+	listCrashes: () => readonly CrashRecord[];
+	listFindings: () => readonly PoisonParts[];
+	/** Hash of the known crashes; the same for two entries that know the same. */
+	readDigest: () => number;
+	/** Calls `listener` with what this entry has itself observed, to be told to the others. */
+	registerListener: (listener: (records: readonly CrashRecord[]) => void) => Teardown;
+}>;
+
+type Deps = Readonly<{
+	clock: Clock;
+	onFound: (finding: PoisonParts) => void;
+	/** Called when the parts of an earlier finding are no longer held to be poisonous. */
+	onReleased: (finding: PoisonParts) => void;
+}>;
+
+type Crashes = ReadonlyMap<string, CrashRecord>;
+
+function mergeLost(known: readonly LostRequest[], added: readonly LostRequest[]): readonly LostRequest[] {
+	const byAttempt = new Map(known.map(lost => [lost.attemptId, lost]));
+	for (const lost of added) {
+		const earlier = byAttempt.get(lost.attemptId);
+		if (!earlier || lost.sentAtMillis < earlier.sentAtMillis) {
+			byAttempt.set(lost.attemptId, lost);
+		}
+	}
+
+	// All entries keep the same requests of a crash with too many.
+	return [...byAttempt.values()].toSorted((left, right) => left.attemptId < right.attemptId ? -1 : 1).slice(0, MAX_LOST_REQUESTS);
+}
+
+/** Merges two records of one crash. Times that came over the network are late, so the earlier one holds. */
+function mergeRecord(known: CrashRecord | undefined, added: CrashRecord): CrashRecord {
+	return known
+		? {
+			...known,
+			atMillis: Math.min(known.atMillis, added.atMillis),
+			lost: mergeLost(known.lost, added.lost),
+			soundParts: new Set([...known.soundParts, ...added.soundParts]),
+		}
+		: added;
+}
+
+const hashes = new WeakMap<CrashRecord, number>();
+
+/** Hash of what all entries hold alike about a crash. */
+function hashRecord(record: CrashRecord): number {
+	const known = hashes.get(record);
+	if (known !== undefined) {
+		return known;
+	}
+
+	const lost = record.lost.map(({attemptId}) => attemptId).toSorted();
+	const hash = crc32([readCrashKey(record), ...lost, '', ...[...record.soundParts].toSorted()].join('|'));
+	hashes.set(record, hash);
+	return hash;
+}
+
+/** Time for which a finding holds after its last crash, in milliseconds. */
+function readQuarantineMillis({crashes}: PoisonParts): number {
+	return Math.min(CRASH_LIFETIME_MILLIS, QUARANTINE_MILLIS * (2 ** (crashes.length - MIN_CRASHES)));
+}
+
+/** Creates a quarantine without crashes. */
+export function createPromptPartQuarantine({clock, onFound, onReleased}: Deps): PromptPartQuarantine {
+	const crashes = createSnapshotStore<Crashes>(new Map());
+	const listeners = new Set<(records: readonly CrashRecord[]) => void>();
+	/** Parts with the monotonic time of the last answer on them, the least recent first. */
+	const soundAtMillis = new Map<string, number>();
+	const probing = new Set<string>();
+	let findings: readonly PoisonParts[] = [];
+	/** Parts that may have caused a crash. */
+	let suspectParts: ReadonlySet<string> = new Set();
+	let digest = 0;
+
+	crashes.registerListener(after => {
+		digest = [...after.values()].reduce((total, record) => (total + hashRecord(record)) % (2 ** 32), 0);
+		suspectParts = new Set([...after.values()].flatMap(record => listSuspectParts(record)));
+		const before = findings;
+		findings = findPoisonParts(after.values(), part => soundAtMillis.has(part));
+		for (const finding of findings.filter(next => !before.some(known => isSameFinding(known, next)))) {
+			onFound(finding);
+		}
+
+		for (const finding of before.filter(known => !findings.some(next => next.parts.join(' ') === known.parts.join(' ')))) {
+			onReleased(finding);
+		}
+	});
+
+	/** Forgets the oldest crashes, those that explain nothing first. */
+	function limit(records: Crashes): Crashes {
+		const recent = [...records].filter(([, {atMillis}]) => clock.monotonicMillis() - atMillis < CRASH_LIFETIME_MILLIS);
+		const explained = new Set(findings.flatMap(finding => finding.crashes.map(crash => readCrashKey(crash))));
+		return new Map(recent
+			.toSorted(([leftKey, left], [rightKey, right]) => Number(explained.has(rightKey)) - Number(explained.has(leftKey)) || right.atMillis - left.atMillis)
+			.slice(0, MAX_CRASHES));
+	}
+
+	/** The records with the changes; `before` itself if there are none. */
+	function addRecords(before: Crashes, changed: readonly CrashRecord[]): Crashes {
+		return changed.length > 0 ? limit(new Map([...before, ...changed.map(record => [readCrashKey(record), record] as const)])) : before;
+	}
+
+	/** Clears the parts of which this entry has seen a sound answer since the crash. */
+	function clearSoundParts(record: CrashRecord): CrashRecord {
+		const sound = record.lost.flatMap(({parts}) => parts).filter(part => (soundAtMillis.get(part) ?? -Infinity) > record.atMillis && !record.soundParts.has(part));
+		return sound.length > 0 ? {...record, soundParts: new Set([...record.soundParts, ...sound])} : record;
+	}
+
+	function announce(records: readonly CrashRecord[]): void {
+		if (records.length > 0) {
+			for (const listener of listeners) {
+				listener(records);
+			}
+		}
+	}
+
+	return {
+		judge(parts) {
+			const nowMillis = clock.monotonicMillis();
+			let verdict: QuarantineVerdict = {tag: 'clear'};
+			for (const finding of parts.length > 0 ? findings : []) {
+				const lastCrashAtMillis = finding.crashes.at(-1)?.atMillis ?? nowMillis;
+				const leftMillis = lastCrashAtMillis + readQuarantineMillis(finding) - nowMillis;
+				if (leftMillis > 0 && finding.parts.every(part => parts.includes(part))) {
+					return {tag: 'quarantined', finding, leftMillis};
+				}
+
+				if (finding.parts.some(part => parts.includes(part))) {
+					verdict = {tag: 'probe', finding};
+				}
+			}
+
+			return verdict;
+		},
+		tryProbe({parts}) {
+			const key = parts.join(' ');
+			if (probing.has(key)) {
+				return undefined;
+			}
+
+			probing.add(key);
+			return () => {
+				probing.delete(key);
+			};
+		},
+		noteLost(crash, lost) {
+			const observed = clearSoundParts({
+				...crash, atMillis: clock.monotonicMillis(), lost: [lost], soundParts: new Set(),
+			});
+			crashes.update(before => addRecords(before, [mergeRecord(before.get(readCrashKey(crash)), observed)]));
+			announce([observed]);
+		},
+		noteSound(parts) {
+			const nowMillis = clock.monotonicMillis();
+			const sound = new Set(parts);
+			for (const part of sound) {
+				soundAtMillis.delete(part);
+				soundAtMillis.set(part, nowMillis);
+			}
+
+			while (soundAtMillis.size > MAX_SOUND_PARTS) {
+				soundAtMillis.delete(soundAtMillis.keys().next().value ?? '');
+			}
+
+			if (!parts.some(part => suspectParts.has(part))) {
+				return;
+			}
+
+			const cleared = [...crashes.read().values()]
+				.map(record => ({record, added: listSuspectParts(record).filter(part => sound.has(part))}))
+				.filter(({added}) => added.length > 0);
+			crashes.update(before => addRecords(before, cleared.map(({record, added}) => ({...record, soundParts: new Set([...record.soundParts, ...added])}))));
+			announce(cleared.map(({record, added}) => ({...record, lost: [], soundParts: new Set(added)})));
+		},
+		merge(records) {
+			const cleared: CrashRecord[] = [];
+			crashes.update(before => {
+				let after = before;
+				for (const record of records) {
+					const known = after.get(readCrashKey(record));
+					const merged = mergeRecord(known, record);
+					const result = clearSoundParts(merged);
+					if (result !== merged) {
+						cleared.push({...result, lost: []});
+					}
+
+					if (!known || hashRecord(known) !== hashRecord(result) || known.atMillis !== result.atMillis) {
+						after = addRecords(after, [result]);
+					}
+				}
+
+				return after;
+			});
+			announce(cleared);
+		},
+		listCrashes: () => [...crashes.read().values()],
+		listFindings: () => findings,
+		readDigest: () => digest,
+		registerListener(listener) {
+			listeners.add(listener);
+			return () => {
+				listeners.delete(listener);
+			};
+		},
+	};
+}
--- a/src/explain/__tests__/explain-request.test.ts
+++ b/src/explain/__tests__/explain-request.test.ts
@@ -112,3 +112,28 @@
 	assert.ok(lines.every(line => line !== undefined));
 	assert.deepEqual(lines.map(line => findLineFault(line.message, line.values)).filter(fault => fault !== undefined), []);
 });
+
+void test('a request that was lost in a crash and then quarantined is explained by its parts and the crashes', () => {
+	const explained = explainRequest('d', parseSamples([
+		{
+			atMillis: 1000, message: 'attempt failed', values: {
+				request: 'd', server: 's2', end: 'lost', detail: 'ECONNRESET', promptParts: 'sys bad x2', events: 0, tookMillis: 80,
+			},
+		},
+		{
+			atMillis: 1003, message: 'request lost in a crash', values: {
+				request: 'd', server: 's2', startedAt: 7, promptParts: 'sys bad x2',
+			},
+		},
+		{
+			atMillis: 1004, message: 'refused', values: {
+				request: 'd', outcome: 'unknown', reason: 'lost', cause: 'quarantined', parts: 'bad', crashed: 's1 s2',
+			},
+		},
+	]));
+	assert.deepEqual(explained?.causes, [
+		's2 broke off after 80 ms: ECONNRESET; it may have run',
+		's2 crashed before it had answered',
+		'its prompt has the parts bad, on which s1 s2 crashed before they had answered',
+	]);
+});
--- a/src/explain/explain-request.ts
+++ b/src/explain/explain-request.ts
@@ -72,6 +72,9 @@
 		.with({reason: 'stale_configuration'}, ({configurationAgeMillis}) => [
 			`its route or credential was unknown, and the configuration had last been confirmed ${formatValue(configurationAgeMillis)} ms before`,
 		])
+		.with({parts: P.string}, ({parts, crashed}) => [
+			`its prompt has the parts ${parts}, on which ${formatValue(crashed)} crashed before they had answered`,
+		])
 		.with({reason: 'no_configuration'}, () => ['the process knew no configuration yet'])
 		.with({reason: 'no_backend_server'}, () => ['no backend server of its service was listed as ready'])
 		.with({reason: 'refused_by_backend_server'}, ({asked}) => [`the backend servers asked (${formatValue(asked)}) all refused it`])
@@ -103,6 +106,7 @@
 		.with({message: 'not repeated'}, ({values}) => [Number(values.attempts) < Number(values.maxAttempts)
 			? 'the retry budget of the service was used up'
 			: `all ${formatValue(values.maxAttempts)} attempts that the route allows were made`])
+		.with({message: 'request lost in a crash'}, ({values}) => [`${formatValue(values.server)} crashed before it had answered`])
 		.with({message: 'refused'}, explainRefusal)
 		.otherwise(() => []);
 }
--- a/src/gateway/backend-connections.ts
+++ b/src/gateway/backend-connections.ts
@@ -7,7 +7,7 @@
 import type {RawHeaders} from '../ports/call-codec.js';
 import {isEndedByConnection} from './answer-framing.js';
 import {
-	CONNECT_TIMEOUT_MILLIS, IDLE_MARGIN_MILLIS, IDLE_TIMEOUT_MILLIS, AT_MOST_ONCE_MAX_IDLE_MILLIS,
+	CONNECT_TIMEOUT_MILLIS, IDLE_MARGIN_MILLIS, IDLE_TIMEOUT_MILLIS, AT_MOST_ONCE_MAX_IDLE_MILLIS, LIVENESS_TIMEOUT_MILLIS,
 } from './gateway-constants.js';
 
 /** A request to a backend server. */
@@ -54,6 +54,8 @@
 	send: (address: string, req: BackendRequest, listener: ExchangeListener) => Exchange;
 	/** Closes the idle connections to an address. */
 	closeIdleConnections: (address: string) => void;
+	/** Whether the address accepts a connection, which is closed at once. */
+	isListening: (address: string) => Promise<boolean>;
 }>;
 
 /** A client that has one connection at a time, and how that connection has ended so far. */
@@ -143,7 +145,19 @@
 		}
 	}
 
+	/** Separate from the pool's: a crashed process refuses at once, and nobody should wait long for a silent one. */
+	const connectProbe = buildConnector({timeout: LIVENESS_TIMEOUT_MILLIS});
+
 	return {
+		async isListening(address) {
+			const {hostname, port} = new URL(`http://${address}`);
+			return new Promise(resolve => {
+				connectProbe({hostname, port, protocol: 'http:'}, (error, socket) => {
+					socket?.destroy();
+					resolve(error === null);
+				});
+			});
+		},
 		send(address, req, listener) {
 			const connection = takeConnection(address, req.allowsLongIdleConnection);
 			const {client, socket} = connection;
--- /dev/null
+++ b/src/gateway/crash-watch.ts
@@ -0,0 +1,79 @@
+/** Notices crashes of backend servers that may have been caused by the content of a request. */
+import type {Clock} from '../core/clock.js';
+import type {PromptPartQuarantine} from '../decisions/quarantine/prompt-part-quarantine.js';
+import type {Log} from '../observability/log.js';
+import type {BackendConnections} from './backend-connections.js';
+import type {BackendServer} from './backend-server.js';
+import type {BackendServers} from './backend-server-list.js';
+import type {Call} from './call.js';
+import type {GatewayMetrics} from './gateway-metrics.js';
+
+/** Watches the backend servers that lose requests. */
+export type CrashWatch = Readonly<{
+	/** Checks whether the backend server that lost the call has crashed; resolves once the crash, if it is one, is taken into account. */
+	noteLost: (server: BackendServer, call: Call, sentAtMillis: number) => Promise<void>;
+}>;
+
+type Deps = Readonly<{
+	clock: Clock;
+	log: Log;
+	metrics: GatewayMetrics;
+	connections: Pick<BackendConnections, 'isListening'>;
+	quarantine: Pick<PromptPartQuarantine, 'noteLost'>;
+	readServers: () => BackendServers;
+}>;
+
+/** Time for which the check of a backend server holds for other requests that it lost, in milliseconds; it may be started again after that. */
+const CHECK_LIFETIME_MILLIS = 500;
+
+type Check = Readonly<{atMillis: number; incarnation: number; hasCrashed: Promise<boolean>}>;
+
+/** Creates a watch that has seen no crash. */
+export function createCrashWatch({clock, log, metrics, connections, quarantine, readServers}: Deps): CrashWatch {
+	const checks = new Map<string, Check>();
+
+	async function check(server: BackendServer): Promise<boolean> {
+		const isListening = await connections.isListening(server.address);
+		if (!isListening) {
+			metrics.crashes.inc();
+			log.info('backend server crashed', {server: server.id, startedAt: server.incarnation, address: server.address});
+		}
+
+		return !isListening;
+	}
+
+	/** Connects once for all requests that a backend server lost at about the same time. */
+	async function hasCrashed(server: BackendServer): Promise<boolean> {
+		const nowMillis = clock.monotonicMillis();
+		for (const [id, {atMillis}] of checks) {
+			if (nowMillis - atMillis >= CHECK_LIFETIME_MILLIS) {
+				checks.delete(id);
+			}
+		}
+
+		const known = checks.get(server.id);
+		if (known?.incarnation === server.incarnation) {
+			return known.hasCrashed;
+		}
+
+		const started = check(server);
+		checks.set(server.id, {atMillis: nowMillis, incarnation: server.incarnation, hasCrashed: started});
+		return started;
+	}
+
+	return {
+		async noteLost(server, {head}, sentAtMillis) {
+			const listed = readServers().get(server.id);
+			// One that is leaving ends as announced.
+			const mayHaveCrashed = listed?.incarnation === server.incarnation && listed.state === 'ready';
+			if (head.attemptId === undefined || !mayHaveCrashed || !await hasCrashed(server)) {
+				return;
+			}
+
+			quarantine.noteLost({server: server.id, incarnation: server.incarnation}, {attemptId: head.attemptId, parts: head.promptParts, sentAtMillis});
+			log.info('request lost in a crash', {
+				request: head.attemptId, server: server.id, startedAt: server.incarnation, promptParts: head.promptParts.join(' '),
+			});
+		},
+	};
+}
--- a/src/gateway/finish-call.ts
+++ b/src/gateway/finish-call.ts
@@ -1,6 +1,7 @@
 /** Sends the final answer of a call to its caller and records how the call ended. */
 import {Buffer} from 'node:buffer';
 import type {LogContext} from '../observability/log.js';
+import type {PromptAdmission} from './admit-prompt.js';
 import type {AttemptOutcome} from './attempt-outcome.js';
 import type {Call} from './call.js';
 import type {CallProgress} from './call-progress.js';
@@ -39,8 +40,11 @@
 	call.reply.end();
 }
 
+/** Why a call is not tried at any further backend server; `quarantine` tells more of the cause `quarantined`. */
+export type GiveUp = Readonly<{cause: NotRunCause; quarantine?: Extract<PromptAdmission, {tag: 'quarantined'}>}>;
+
 /** Ends a call whose attempts produced no answer to deliver. */
-export function finishUnanswered(ctx: GatewayContext, routed: RoutedCall, progress: CallProgress, cause: NotRunCause): void {
+export function finishUnanswered(ctx: GatewayContext, routed: RoutedCall, progress: CallProgress, {cause, quarantine}: GiveUp): void {
 	const {call} = routed;
 	if (call.disconnectSignal.aborted) {
 		recordCall(ctx, routed, progress, 'caller_left');
@@ -55,9 +59,9 @@
 	recordCall(ctx, routed, progress, progress.mayHaveRun ? 'unknown' : 'not_run');
 	const refusal: Refusal = progress.mayHaveRun
 		? {tag: 'unknown', reason: cause === 'deadline' ? 'late' : 'lost'}
-		: createNotRunRefusal(cause, routed.flow.outageDetector.chooseRetryAfterMillis(ctx.clock.monotonicMillis(), call.head.deadlineMillis));
+		: createNotRunRefusal(cause, quarantine?.retryAfterMillis ?? routed.flow.outageDetector.chooseRetryAfterMillis(ctx.clock.monotonicMillis(), call.head.deadlineMillis));
 	refuseCall(ctx, call, refusal, {
-		route: routed.route.name, cause, attempts: progress.attempts, asked: [...progress.triedServers].join(' '),
+		route: routed.route.name, cause, attempts: progress.attempts, asked: [...progress.triedServers].join(' '), parts: quarantine?.parts.join(' '), crashed: quarantine?.crashed.join(' '),
 	});
 }
 
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -33,6 +33,12 @@
 		attempts: new Counter({
 			name: 'pollenport_attempts_total', help: 'Attempts at backend servers by how they ended', labelNames: ['end'], registers,
 		}),
+		crashes: new Counter({
+			name: 'pollenport_backend_server_crashes_total', help: 'Backend servers that crashed while they had not answered a request of this process', registers,
+		}),
+		quarantinedParts: new Gauge({
+			name: 'pollenport_quarantined_prompt_parts', help: 'Parts of prompts, or combinations of them, that are held to crash backend servers', registers,
+		}),
 		retries: new Counter({
 			name: 'pollenport_repeats_total', help: 'Attempts beyond the first of a call, by reason', labelNames: ['reason'], registers,
 		}),
--- a/src/gateway/refusal.ts
+++ b/src/gateway/refusal.ts
@@ -19,6 +19,7 @@
 		| 'deadline'
 		| 'refused_by_backend_server'
 		| 'not_sent'
+		| 'quarantined'
 		| 'stopping';
 
 /** Creates the refusal of a call that did not run; the caller may retry after `retryAfterMillis`. */
--- a/src/gateway/send-to-backend-server.ts
+++ b/src/gateway/send-to-backend-server.ts
@@ -1,7 +1,9 @@
 /** Runs one attempt at a backend server and feeds its outcome into load balancing and flow control. */
 import {FIRST_EVENT_TIMEOUT_MILLIS, PAUSE_TIMEOUT_FACTOR, PLAIN_TIMEOUT_FACTOR} from '../decisions/flow/flow-constants.js';
+import {SURVIVED_EVENTS} from '../decisions/quarantine/quarantine-constants.js';
 import type {AttemptOutcome} from './attempt-outcome.js';
 import type {BackendServer} from './backend-server.js';
+import type {Call} from './call.js';
 import type {CallProgress} from './call-progress.js';
 import type {GatewayContext} from './gateway-context.js';
 import type {RoutedCall} from './routed-call.js';
@@ -53,6 +55,10 @@
 			progress: answer,
 			onEvent(pauseMillis) {
 				eventCount++;
+				if (eventCount === SURVIVED_EVENTS) {
+					ctx.quarantine.noteSound(call.head.promptParts);
+				}
+
 				flow.outageDetector.noteServed(ctx.clock.monotonicMillis());
 				firstByteMillis ??= ctx.clock.monotonicMillis() - startedAtMillis;
 				progress.firstByteMillis ??= ctx.clock.monotonicMillis() - call.arrivedAtMillis;
@@ -79,6 +85,10 @@
 
 	progress.attempts += outcome.tag === 'not_sent' ? 0 : 1;
 	recordOutcome(ctx, server, outcome, firstByteMillis);
+	if (call.head.promptParts.length > 0 && eventCount < SURVIVED_EVENTS) {
+		await recordPromptOutcome(ctx, call, outcome, {server, sentAtMillis: startedAtMillis});
+	}
+
 	if (outcome.tag !== 'passed' && !(outcome.tag === 'answered' && outcome.head.status < 400)) {
 		ctx.log.info('attempt failed', {
 			request: call.head.attemptId,
@@ -99,6 +109,15 @@
 	return outcome;
 }
 
+/** Learns from an attempt that ended before the backend server had survived the beginning of an answer, which prompts crash it. */
+async function recordPromptOutcome(ctx: GatewayContext, call: Call, outcome: AttemptOutcome, {server, sentAtMillis}: Readonly<{server: BackendServer; sentAtMillis: number}>): Promise<void> {
+	if (outcome.tag === 'lost') {
+		await ctx.crashWatch.noteLost(server, call, sentAtMillis);
+	} else if (outcome.tag === 'passed' || (outcome.tag === 'answered' && outcome.head.status < 300)) {
+		ctx.quarantine.noteSound(call.head.promptParts);
+	}
+}
+
 function recordOutcome(ctx: GatewayContext, server: BackendServer, outcome: AttemptOutcome, firstByteMillis: number | undefined): void {
 	switch (outcome.tag) {
 		case 'passed':
--- a/src/gateway/serve-call.ts
+++ b/src/gateway/serve-call.ts
@@ -1,6 +1,7 @@
 /** Serves one call: routes it, waits for a permit and tries backend servers until there is an answer to deliver. */
 import {MAX_WAIT_SHARE} from '../decisions/flow/flow-constants.js';
 import type {PermitRequest} from '../decisions/flow/permit-queue.js';
+import {admitPrompt} from './admit-prompt.js';
 import {finishCall, finishUnanswered, refuseCall} from './finish-call.js';
 import {sendToBackendServer} from './send-to-backend-server.js';
 import type {AttemptOutcome} from './attempt-outcome.js';
@@ -36,6 +37,15 @@
 	}
 
 	const {route, flow} = found;
+	const verdict = ctx.quarantine.judge(call.head.promptParts);
+	if (verdict.tag === 'quarantined') {
+		const {finding: {parts, crashes}, leftMillis} = verdict;
+		refuseCall(ctx, call, createNotRunRefusal('quarantined', leftMillis), {
+			route: route.name, parts: parts.join(' '), crashed: crashes.map(({server}) => server).join(' '),
+		});
+		return;
+	}
+
 	flow.retryBudget.noteRequest();
 	const decision = await flow.permitQueue.admit(createPermitRequest(ctx, found), call.disconnectSignal);
 	if (decision.tag === 'refused') {
@@ -68,23 +78,30 @@
 	for (;;) {
 		const leftMillis = routed.deadlineMillis - ctx.clock.monotonicMillis() - DEADLINE_MARGIN_MILLIS;
 		if (leftMillis < MIN_ATTEMPT_MILLIS) {
-			finishUnanswered(ctx, routed, progress, 'deadline');
+			finishUnanswered(ctx, routed, progress, {cause: 'deadline'});
 			return;
 		}
 
 		const server = ctx.picker.pick(listCandidates(ctx, routed.service, progress.triedServers));
 		if (!server) {
-			finishUnanswered(ctx, routed, progress, progress.lastNotRunCause);
+			finishUnanswered(ctx, routed, progress, {cause: progress.lastNotRunCause});
+			return;
+		}
+
+		const admission = admitPrompt(ctx, call.head.promptParts);
+		if (admission.tag === 'quarantined') {
+			finishUnanswered(ctx, routed, progress, {cause: 'quarantined', quarantine: admission});
 			return;
 		}
 
 		const outcome = await sendToBackendServer(ctx, routed, progress, {server, leftMillis});
+		admission.release();
 		ctx.metrics.attempts.inc({end: outcome.tag});
 		const step = chooseNextStep(outcome, route.retryRule);
 		if (step === 'repeat') {
 			recordFailedAttempt(progress, outcome);
 			if (!mayRetry(ctx, routed, progress, outcome)) {
-				finishUnanswered(ctx, routed, progress, progress.lastNotRunCause);
+				finishUnanswered(ctx, routed, progress, {cause: progress.lastNotRunCause});
 				return;
 			}
 
--- a/src/gateway/start-gateway.ts
+++ b/src/gateway/start-gateway.ts
@@ -7,10 +7,12 @@
 import {createGroupRefusals} from '../decisions/flow/group-refusals.js';
 import {createProgressTracker} from '../decisions/flow/progress-tracker.js';
 import {createServerPicker} from '../decisions/flow/server-picker.js';
+import {createPromptPartQuarantine} from '../decisions/quarantine/prompt-part-quarantine.js';
 import type {RandomSource} from '../decisions/random.js';
 import {createFeedInterrupt} from '../feeds/feed-interrupt.js';
 import {followTable, type TableListener} from '../feeds/follow-table.js';
 import {chooseLongPollMillis, chooseRetryBackoff} from '../feeds/long-poll.js';
+import {createCrashEvidence} from '../membership/crash-evidence.js';
 import {createEntryMembers, type EntryMembers} from '../membership/entry-members.js';
 import {createStoreObservations} from '../membership/store-observations.js';
 import type {Log} from '../observability/log.js';
@@ -23,6 +25,7 @@
 import {createBackendServerList, type BackendServerList, type ReadBackendServer} from './backend-server-list.js';
 import {listenForCallers, type CallerListener} from './caller-listener.js';
 import {createConfigurationInForce} from './configuration-in-force.js';
+import {createCrashWatch} from './crash-watch.js';
 import {drainGateway} from './drain-gateway.js';
 import {SERVER_LIST_MIN_INTERVAL_SHARE, SHARING_TIMEOUT_MILLIS} from './gateway-constants.js';
 import type {GatewayContext} from './gateway-context.js';
@@ -84,9 +87,23 @@
 		},
 	});
 	const isReady = () => !isStopping && hasServers && configuration.read() !== undefined;
+	const quarantine = createPromptPartQuarantine({
+		clock,
+		onFound({parts, crashes}) {
+			log.warn('prompt parts quarantined', {
+				parts: parts.join(' '), crashed: crashes.map(crash => crash.server).join(' '), requests: crashes.flatMap(crash => crash.lost.map(lost => lost.attemptId)).join(' '),
+			});
+			noteQuarantine();
+		},
+		onReleased({parts}) {
+			log.info('prompt parts released', {parts: parts.join(' ')});
+			noteQuarantine();
+		},
+	});
 	const members = createEntryMembers({
 		...deps,
 		store,
+		evidence: createCrashEvidence(quarantine, clock),
 		self: {
 			id: settings.instanceId,
 			incarnation: deps.incarnation,
@@ -112,6 +129,14 @@
 	const progress = createProgressTracker();
 	const connections = createBackendConnections({clock, lifeCycle});
 
+	const crashWatch = createCrashWatch({
+		clock, log, metrics, connections, quarantine, readServers: servers.servers.read,
+	});
+
+	function noteQuarantine(): void {
+		metrics.quarantinedParts.set(quarantine.listFindings().length);
+	}
+
 	function updateFlows(): void {
 		flows.update(servers.servers.read(), configuration.read()?.cfg);
 	}
@@ -168,6 +193,8 @@
 		flows,
 		progress,
 		groupRefusals: createGroupRefusals(),
+		quarantine,
+		crashWatch,
 		isAcceptingStreams: () => isAcceptingStreams,
 	};
 	const listening = await listenForCallers({
--- a/src/membership/entry-members.ts
+++ b/src/membership/entry-members.ts
@@ -7,15 +7,16 @@
 import type {DatagramSocket} from '../ports/datagram-socket.js';
 import type {TableFeed} from '../ports/table-feed.js';
 import type {TableStore} from '../ports/table-store.js';
-import {MemberDatagram} from '../wire/generated/membership.js';
+import {MemberDatagram, type Crash} from '../wire/generated/membership.js';
 import {
 	listEntryRows, removeEntryRow, writeEntryRow,
 } from './entry-row.js';
+import type {CrashEvidence} from './crash-evidence.js';
 import {createFailureDetector} from './failure-detector.js';
 import type {
 	DetectorTiming, FailureDetector, MemberChange, MemberView, Outgoing,
 } from './failure-detector-types.js';
-import type {MemberState} from './member.js';
+import {isLive, type MemberState} from './member.js';
 import {ACK_TIMEOUT_SHARE, PROBE_INTERVAL_SHARE, SUSPICION_SHARE} from './membership-constants.js';
 import type {StoreObservations} from './store-observations.js';
 
@@ -52,6 +53,7 @@
 	feed: TableFeed;
 	socket: DatagramSocket;
 	store: Pick<StoreObservations, 'describe' | 'merge'>;
+	evidence: CrashEvidence;
 	self: EntryMember & Readonly<{incarnation: Incarnation; gossipAddress: string; statusAddress: string}>;
 	/** Time within which a dead entry must no longer be listed, in milliseconds. */
 	deadEntryMillis: number;
@@ -72,17 +74,19 @@
 
 /** Creates the view of one entry, which at first contains only itself. */
 export function createEntryMembers(deps: EntryMembersDeps): EntryMembers {
-	const {clock, log, random, socket, self, sharingTimeoutMillis} = deps;
+	const {clock, log, random, socket, self, evidence, sharingTimeoutMillis} = deps;
 	const timing = chooseDetectorTiming(deps.deadEntryMillis);
 	let detector: FailureDetector | undefined;
 	let isReady = false;
 	let isDraining = false;
 	let reportedSharing = 1;
 	let wake = new AbortController();
+	/** When each address was last sent all evidence. */
+	const evidenceSentAtMillis = new Map<string, number>();
 
 	function send(outgoing: readonly Outgoing[]): void {
 		for (const {address, datagram} of outgoing) {
-			socket.send(address, MemberDatagram.encode(datagram).finish());
+			socket.send(address, MemberDatagram.encode({...datagram, crashDigest: evidence.readDigest()}).finish());
 		}
 	}
 
@@ -102,6 +106,28 @@
 		}
 	}
 
+	/** Sends evidence of crashes, an item a datagram. */
+	function sendEvidence(addresses: readonly string[], crashes: readonly Crash[]): void {
+		const base = detector?.createDatagram(clock.monotonicMillis());
+		if (base) {
+			send(crashes.flatMap(crash => addresses.map(address => ({address, datagram: {...base, crashes: [crash]}}))));
+		}
+	}
+
+	/** Takes over the evidence of another entry, and sends it this entry's if theirs differ. */
+	function exchangeEvidence({crashes, crashDigest, body}: MemberDatagram, from: string): void {
+		if (crashes.length > 0) {
+			evidence.merge(crashes);
+		}
+
+		const nowMillis = clock.monotonicMillis();
+		const isRecent = nowMillis - (evidenceSentAtMillis.get(from) ?? -Infinity) < timing.probeIntervalMillis / 2;
+		if (body && crashDigest !== evidence.readDigest() && !isRecent) {
+			evidenceSentAtMillis.set(from, nowMillis);
+			sendEvidence([from], evidence.describeAll());
+		}
+	}
+
 	function receive(bytes: Uint8Array, from: string): void {
 		const datagram = detector && decode(bytes, from);
 		if (!detector || !datagram) {
@@ -110,6 +136,7 @@
 
 		const dueMillis = detector.nextDueMillis();
 		send(detector.receive(datagram, from, clock.monotonicMillis()));
+		exchangeEvidence(datagram, from);
 		if (detector.nextDueMillis() < dueMillis) {
 			wake.abort();
 		}
@@ -222,6 +249,9 @@
 		},
 		async run(signal) {
 			const unregister = socket.registerListener(receive);
+			const unregisterEvidence = evidence.registerListener(crashes => {
+				sendEvidence(listOthers().filter(({state}) => isLive(state) || state === 'suspect').map(({claim}) => claim.gossipAddress), crashes);
+			});
 			const joined = await join(signal);
 			if (joined) {
 				detector = joined;
@@ -230,6 +260,7 @@
 			}
 
 			unregister();
+			unregisterEvidence();
 		},
 		async announceDraining() {
 			isDraining = true;
--- a/src/membership/failure-detector-types.ts
+++ b/src/membership/failure-detector-types.ts
@@ -56,5 +56,7 @@
 	/** The other members. */
 	list: (nowMillis: number) => readonly MemberView[];
 	readSelf: () => MemberClaim;
+	/** Creates a datagram without claims, to which other knowledge can be added. */
+	createDatagram: (nowMillis: number) => MemberDatagram;
 	nextDueMillis: () => number;
 }>;
--- a/src/membership/failure-detector.ts
+++ b/src/membership/failure-detector.ts
@@ -58,6 +58,8 @@
 			store: deps.describeStore(nowMillis),
 			claims: claims.slice(0, CLAIMS_PER_DATAGRAM),
 			body,
+			crashDigest: 0,
+			crashes: [],
 		};
 	}
 
@@ -342,6 +344,7 @@
 			suspectedAtMillis: record.suspectedAtMillis,
 		})),
 		readSelf: table.readSelf,
+		createDatagram: nowMillis => build([], undefined, nowMillis),
 		nextDueMillis: () => nextTickMillis,
 	};
 }
--- a/src/observability/line-schemas.ts
+++ b/src/observability/line-schemas.ts
@@ -70,9 +70,15 @@
 		cause: z.string().optional(),
 		attempts: count.optional(),
 		asked: z.string().optional(),
+		/** Quarantined parts of the prompt, and the backend servers that crashed on them. */
+		parts: z.string().optional(),
+		crashed: z.string().optional(),
 		status: z.number().int().optional(),
 		heldBytes: count.optional(),
 	}),
+	'request lost in a crash': z.strictObject({
+		request: id, server: z.string(), startedAt: z.number(), promptParts: z.string(),
+	}),
 	'request body not received': z.strictObject({detail: z.string(), leftOut: count.optional()}),
 } as const;
 
@@ -82,6 +88,9 @@
 
 /** Lines about the configuration, other processes and expert maps, as the process sees them. */
 const systemLines = {
+	'backend server crashed': z.strictObject({server: z.string(), startedAt: z.number(), address: z.string()}),
+	'prompt parts quarantined': z.strictObject({parts: z.string(), crashed: z.string(), requests: z.string()}),
+	'prompt parts released': z.strictObject({parts: z.string()}),
 	'configuration in force': z.strictObject({version, former: version.optional(), routes: count}),
 	'backend server': z.strictObject({
 		server: z.string(), state: z.string(), service: z.string(), address: z.string(), startedAt: z.number(),
