Take a stream that ends inside an event for broken off

What callers saw: an event stream whose body ended in order (length, last chunk or end of the connection) inside an event was forwarded with that half event and completed, so that it looked whole.

Cause: the sink forwarded what was left behind the last whole event and reported success. Now such an attempt is lost: the stream is resumed behind its last whole event where it may be, and else broken off towards the caller.

--- a/src/gateway/answer-sink.ts
+++ b/src/gateway/answer-sink.ts
@@ -3,7 +3,9 @@
 import type {Clock} from '../core/clock.js';
 import type {FramedHead} from './answer-framing.js';
 import type {CallReply} from './call.js';
-import {createEventSplitter, type EventSplitter, type StreamEvent} from './event-splitter.js';
+import {
+	CARRIAGE_RETURN, createEventSplitter, LINE_FEED, type EventSplitter, type StreamEvent,
+} from './event-splitter.js';
 import {MAX_BUFFERED_ANSWER_BYTES} from './gateway-constants.js';
 
 /** Progress of the answer to a call across its attempts. */
@@ -28,10 +30,19 @@
 export type AnswerSink = Readonly<{
 	/** Returns false if the bytes do not continue what was forwarded before. */
 	push: (bytes: Uint8Array) => boolean;
-	/** Returns the bytes of a complete answer that are still buffered; undefined if all were forwarded. */
-	finish: () => Uint8Array | undefined;
+	/** Ends an answer whose framing is complete. */
+	finish: () => SinkResult;
 }>;
 
+/** What became of an answer whose framing is complete. */
+export type SinkResult
+	/** All of it was forwarded. */
+	= | Readonly<{tag: 'forwarded'}>
+	/** It is still to be delivered. */
+		| Readonly<{tag: 'buffered'; body: Uint8Array}>
+	/** It is a stream that ends inside an event. */
+		| Readonly<{tag: 'truncated'}>;
+
 /** Forwards only complete events, so that another attempt can resume after the last one. */
 function createEventSink(head: FramedHead, {reply, clock, progress, onEvent}: SinkDeps): AnswerSink {
 	const splitter: EventSplitter = createEventSplitter();
@@ -63,12 +74,11 @@
 	return {
 		push: bytes => splitter.push(bytes).every(event => forwardEvent(event)),
 		finish() {
-			const rest = splitter.rest();
-			if (rest.length > 0) {
-				forward(rest);
+			if (splitter.rest().some(byte => byte !== LINE_FEED && byte !== CARRIAGE_RETURN)) {
+				return {tag: 'truncated'};
 			}
 
-			return hasForwarded ? undefined : new Uint8Array(0);
+			return hasForwarded ? {tag: 'forwarded'} : {tag: 'buffered', body: new Uint8Array(0)};
 		},
 	};
 }
@@ -105,10 +115,10 @@
 		finish() {
 			if (isForwarding) {
 				forwardBuffered();
-				return undefined;
+				return {tag: 'forwarded'};
 			}
 
-			return Buffer.concat(buffered);
+			return {tag: 'buffered', body: Buffer.concat(buffered)};
 		},
 	};
 }
--- a/src/gateway/event-splitter.ts
+++ b/src/gateway/event-splitter.ts
@@ -16,8 +16,8 @@
 	rest: () => Uint8Array;
 }>;
 
-const LINE_FEED = 0x0A;
-const CARRIAGE_RETURN = 0x0D;
+export const LINE_FEED = 0x0A;
+export const CARRIAGE_RETURN = 0x0D;
 const ID_LINE = /^id:\s*(?<id>\d+)\s*$/mv;
 
 function readEventId(bytes: Uint8Array): number | undefined {
--- a/src/gateway/run-attempt.ts
+++ b/src/gateway/run-attempt.ts
@@ -1,4 +1,5 @@
 /** Runs one attempt of a call at one backend server. */
+import {match} from 'ts-pattern';
 import type {CallCodec} from '../ports/call-codec.js';
 import type {Clock} from '../core/clock.js';
 import type {FramedHead} from './answer-framing.js';
@@ -63,8 +64,12 @@
 		return {tag: 'lost', detail: 'answer does not come from a backend server'};
 	}
 
-	const rest = sink.finish();
-	return rest === undefined ? {tag: 'passed'} : {tag: 'answered', head, body: rest};
+	return match(sink.finish())
+		.returnType<AttemptOutcome>()
+		.with({tag: 'forwarded'}, () => ({tag: 'passed'}))
+		.with({tag: 'buffered'}, ({body}) => ({tag: 'answered', head, body}))
+		.with({tag: 'truncated'}, () => ({tag: 'lost', detail: 'the stream ended inside an event'}))
+		.exhaustive();
 }
 
 /** Sends the call and resolves once the exchange has ended. */
