Heed a backend server's own notice that it is leaving, and the time for which it wants no requests

An engine that leaves says so in each of its answers, and one that turns a request away may say for how long; both were passed over.

- A notice on an answer of any kind marks this incarnation as draining at once, whatever its entry says then or later, also after the entry was removed and is back; a new incarnation ends it.
Idle connections to it are closed.

Not done: notices are not told to the other entries; probes and orders are not covered.

--- a/src/gateway/__tests__/backend-server-list.test.ts
+++ b/src/gateway/__tests__/backend-server-list.test.ts
@@ -40,13 +40,15 @@
 function createList(readFailureAgeMillis = () => Infinity) {
 	const clock = createManualClock();
 	clock.advance(60_000);
-	const {servers, listener} = createBackendServerList({
+	const {servers, listener, noteLeaving} = createBackendServerList({
 		clock,
 		log: silentLog,
 		read: (_id, text) => written.get(text),
 		readFailureAgeMillis,
 	});
-	return {clock, listener, list: () => [...servers.read().values()]};
+	return {
+		clock, listener, noteLeaving, list: () => [...servers.read().values()],
+	};
 }
 
 void test('an unreadable entry does not replace the known one', () => {
@@ -114,3 +116,18 @@
 	await nextTurn();
 	assert.deepEqual(list(), [], 'it is gone when it is not written again');
 });
+
+void test('a backend server that says itself that it is leaving stays draining until it has started again, whatever its entry says', () => {
+	const {listener, list, noteLeaving} = createList();
+	listener.onSnapshot([row(READY)], UNINTERRUPTED);
+	noteLeaving('s1', READY.incarnation);
+	assert.equal(list()[0]?.state, 'draining', 'at once');
+	listener.onChanges([row({...READY, sequence: 50})], UNINTERRUPTED);
+	listener.onSnapshot([row({...READY, sequence: 51})], AFTER_OUTAGE);
+	assert.equal(list()[0]?.state, 'draining', 'its entry contradicts');
+	listener.onChanges([removal('s1')], UNINTERRUPTED);
+	listener.onChanges([row({...READY, sequence: 52})], UNINTERRUPTED);
+	assert.equal(list()[0]?.state, 'draining', 'its entry was removed and came back');
+	listener.onChanges([row({...READY, incarnation: READY.incarnation + 1, sequence: 1})], UNINTERRUPTED);
+	assert.equal(list()[0]?.state, 'ready', 'it has started again');
+});
--- a/src/gateway/backend-server-list.ts
+++ b/src/gateway/backend-server-list.ts
@@ -5,7 +5,7 @@
 import type {Log} from '../observability/log.js';
 import type {FeedRow} from '../ports/table-feed.js';
 import type {BackendServer} from './backend-server.js';
-import {EXPIRED_ENTRY_GRACE_MILLIS} from './gateway-constants.js';
+import {EXPIRED_ENTRY_GRACE_MILLIS, MAX_LEAVING_SERVERS} from './gateway-constants.js';
 
 /** Backend servers by id. */
 export type BackendServers = ReadonlyMap<string, BackendServer>;
@@ -17,6 +17,8 @@
 export type BackendServerList = Readonly<{
 	servers: SnapshotStore<BackendServers>;
 	listener: TableListener;
+	/** Takes a backend server's own word that it is leaving; until it has started again, it counts as draining whatever its entry says. */
+	noteLeaving: (id: string, incarnation: number) => void;
 }>;
 
 type Deps = Readonly<{
@@ -41,6 +43,8 @@
 export function createBackendServerList({clock, log, read, readFailureAgeMillis = () => Infinity}: Deps): BackendServerList {
 	const servers = createSnapshotStore<BackendServers>(new Map());
 	let reconnectedAtMillis = -Infinity;
+	/** Incarnation of each backend server that said itself that it is leaving. */
+	const leaving = new Map<string, number>();
 
 	function logChange(next: BackendServer, known: BackendServer | undefined): void {
 		if (known?.state !== next.state || known.incarnation !== next.incarnation) {
@@ -50,10 +54,14 @@
 		}
 	}
 
+	function applyNotice(server: BackendServer | undefined): BackendServer | undefined {
+		return server && leaving.get(server.id) === server.incarnation ? {...server, state: 'draining'} : server;
+	}
+
 	function applyRows(before: BackendServers, rows: readonly FeedRow[]): BackendServers {
 		const after = new Map(before);
 		for (const {key, text} of rows) {
-			const next = text === undefined ? undefined : read(key, text);
+			const next = text === undefined ? undefined : applyNotice(read(key, text));
 			const known = after.get(key);
 			if (next && !isOutdated(next, known)) {
 				logChange(next, known);
@@ -107,6 +115,28 @@
 
 	return {
 		servers,
+		noteLeaving(id, incarnation) {
+			if (leaving.get(id) === incarnation) {
+				return;
+			}
+
+			leaving.delete(id);
+			leaving.set(id, incarnation);
+			if (leaving.size > MAX_LEAVING_SERVERS) {
+				leaving.delete(leaving.keys().next().value ?? '');
+			}
+
+			servers.update(before => {
+				const known = before.get(id);
+				const next = applyNotice(known);
+				if (!known || !next || known.state === next.state) {
+					return before;
+				}
+
+				logChange(next, known);
+				return new Map([...before, [id, next]]);
+			});
+		},
 		listener: {
 			onSnapshot(rows, {isAfterOutage}) {
 				noteContact(isAfterOutage);
--- a/src/gateway/finish-call.ts
+++ b/src/gateway/finish-call.ts
@@ -40,11 +40,11 @@
 	call.reply.end();
 }
 
-/** Why a call is not tried at any further backend server; `quarantine` tells more of the cause `quarantined`. */
-export type GiveUp = Readonly<{cause: NotRunCause; quarantine?: Extract<PromptAdmission, {tag: 'quarantined'}>}>;
+/** Why a call is not tried at any further backend server, and when to come back if that is known; `quarantine` tells more of the cause `quarantined`. */
+export type GiveUp = Readonly<{cause: NotRunCause; retryAfterMillis?: number; quarantine?: Extract<PromptAdmission, {tag: 'quarantined'}>}>;
 
 /** Ends a call whose attempts produced no answer to deliver. */
-export function finishUnanswered(ctx: GatewayContext, routed: RoutedCall, progress: CallProgress, {cause, quarantine}: GiveUp): void {
+export function finishUnanswered(ctx: GatewayContext, routed: RoutedCall, progress: CallProgress, {cause, retryAfterMillis, quarantine}: GiveUp): void {
 	const {call} = routed;
 	if (call.disconnectSignal.aborted) {
 		recordCall(ctx, routed, progress, 'caller_left');
@@ -59,7 +59,7 @@
 	recordCall(ctx, routed, progress, progress.mayHaveRun ? 'unknown' : 'not_run');
 	const refusal: Refusal = progress.mayHaveRun
 		? {tag: 'unknown', reason: cause === 'deadline' ? 'late' : 'lost'}
-		: createNotRunRefusal(cause, quarantine?.retryAfterMillis ?? routed.flow.outageDetector.chooseRetryAfterMillis(ctx.clock.monotonicMillis(), call.head.deadlineMillis));
+		: createNotRunRefusal(cause, retryAfterMillis ?? routed.flow.outageDetector.chooseRetryAfterMillis(ctx.clock.monotonicMillis(), call.head.deadlineMillis));
 	refuseCall(ctx, call, refusal, {
 		route: routed.route.name, cause, attempts: progress.attempts, asked: [...progress.triedServers].join(' '), parts: quarantine?.parts.join(' '), crashed: quarantine?.crashed.join(' '),
 	});
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -1,13 +1,14 @@
 import type {Clock} from '../core/clock.js';
 import type {GroupRefusals} from '../decisions/flow/group-refusals.js';
 import type {ProgressTracker} from '../decisions/flow/progress-tracker.js';
+import type {ServerBackoff} from '../decisions/flow/server-backoff.js';
 import type {ServerPicker} from '../decisions/flow/server-picker.js';
 import type {PromptPartQuarantine} from '../decisions/quarantine/prompt-part-quarantine.js';
 import type {RandomSource} from '../decisions/random.js';
 import type {Log} from '../observability/log.js';
 import type {CallCodec} from '../ports/call-codec.js';
 import type {BackendConnections} from './backend-connections.js';
-import type {BackendServers} from './backend-server-list.js';
+import type {BackendServerList, BackendServers} from './backend-server-list.js';
 import type {ConfigurationInForce} from './configuration-in-force.js';
 import type {CrashWatch} from './crash-watch.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
@@ -27,6 +28,8 @@
 	flows: ServiceFlows;
 	progress: ProgressTracker;
 	groupRefusals: GroupRefusals;
+	serverBackoff: ServerBackoff;
+	noteLeaving: BackendServerList['noteLeaving'];
 	quarantine: PromptPartQuarantine;
 	crashWatch: CrashWatch;
 	/** Whether new streams are accepted: false once they could no longer end before the process exits. */
--- a/src/gateway/refusal.ts
+++ b/src/gateway/refusal.ts
@@ -18,6 +18,8 @@
 		| 'overload'
 		| 'deadline'
 		| 'refused_by_backend_server'
+		/** All backend servers of the service have refused requests for some time to come. */
+		| 'backing_off'
 		| 'not_sent'
 		| 'quarantined'
 		| 'stopping';
--- a/src/gateway/send-to-backend-server.ts
+++ b/src/gateway/send-to-backend-server.ts
@@ -74,6 +74,14 @@
 				flow.outageDetector.noteServed(ctx.clock.monotonicMillis());
 			}
 
+			if (head.isLeaving) {
+				ctx.noteLeaving(server.id, server.incarnation);
+			}
+
+			if (head.retryAfterMillis !== undefined) {
+				ctx.serverBackoff.note(server.id, head.retryAfterMillis, ctx.clock.monotonicMillis());
+			}
+
 			if (head.load) {
 				ctx.picker.noteLoad(server.id, head.load);
 			}
@@ -133,7 +141,8 @@
 				ctx.groupRefusals.note(server.group, ctx.clock.monotonicMillis());
 			}
 
-			ctx.picker.noteEnd(server.id, 'refused');
+			// One that says when to come back is not failing.
+			ctx.picker.noteEnd(server.id, outcome.head.retryAfterMillis === undefined ? 'refused' : 'served');
 			break;
 		}
 
--- a/src/gateway/serve-call.ts
+++ b/src/gateway/serve-call.ts
@@ -47,6 +47,12 @@
 	}
 
 	flow.retryBudget.noteRequest();
+	const backoffMillis = readServiceBackoff(ctx, found.service);
+	if (backoffMillis !== undefined) {
+		refuseCall(ctx, call, createNotRunRefusal('backing_off', backoffMillis), {route: route.name});
+		return;
+	}
+
 	const decision = await flow.permitQueue.admit(createPermitRequest(ctx, found), call.disconnectSignal);
 	if (decision.tag === 'refused') {
 		if (!call.disconnectSignal.aborted) {
@@ -67,8 +73,20 @@
 
 /** Available backend servers that have not been tried for this call yet. */
 function listCandidates(ctx: GatewayContext, service: string, triedServers: ReadonlySet<string>): readonly BackendServer[] {
-	const available = [...ctx.readServers().values()].filter(server => isAvailableForService(server, service) && !triedServers.has(server.id));
-	return ctx.groupRefusals.excludeRefusing(available, ctx.clock.monotonicMillis());
+	const nowMillis = ctx.clock.monotonicMillis();
+	const available = [...ctx.readServers().values()].filter(server =>
+		isAvailableForService(server, service) && !triedServers.has(server.id) && ctx.serverBackoff.readLeftMillis(server.id, nowMillis) === 0);
+	return ctx.groupRefusals.excludeRefusing(available, nowMillis);
+}
+
+/** Time until the first backend server of the service takes requests again, in milliseconds; undefined unless all available ones have turned them away. */
+function readServiceBackoff(ctx: GatewayContext, service: string): number | undefined {
+	const nowMillis = ctx.clock.monotonicMillis();
+	const leftMillis = [...ctx.readServers().values()]
+		.filter(server => isAvailableForService(server, service))
+		.map(server => ctx.serverBackoff.readLeftMillis(server.id, nowMillis));
+	const firstMillis = Math.min(...leftMillis);
+	return leftMillis.length > 0 && firstMillis > 0 ? firstMillis : undefined;
 }
 
 async function tryBackendServers(ctx: GatewayContext, routed: RoutedCall): Promise<void> {
@@ -84,13 +102,14 @@
 
 		const server = ctx.picker.pick(listCandidates(ctx, routed.service, progress.triedServers));
 		if (!server) {
-			finishUnanswered(ctx, routed, progress, {cause: progress.lastNotRunCause});
+			const retryAfterMillis = readServiceBackoff(ctx, routed.service);
+			finishUnanswered(ctx, routed, progress, retryAfterMillis === undefined ? {cause: progress.lastNotRunCause} : {cause: 'backing_off', retryAfterMillis});
 			return;
 		}
 
 		const admission = admitPrompt(ctx, call.head.promptParts);
 		if (admission.tag === 'quarantined') {
-			finishUnanswered(ctx, routed, progress, {cause: 'quarantined', quarantine: admission});
+			finishUnanswered(ctx, routed, progress, {cause: 'quarantined', retryAfterMillis: admission.retryAfterMillis, quarantine: admission});
 			return;
 		}
 
--- a/src/gateway/start-gateway.ts
+++ b/src/gateway/start-gateway.ts
@@ -6,6 +6,7 @@
 import {succeed, type Result} from '../core/result.js';
 import {createGroupRefusals} from '../decisions/flow/group-refusals.js';
 import {createProgressTracker} from '../decisions/flow/progress-tracker.js';
+import {createServerBackoff} from '../decisions/flow/server-backoff.js';
 import {createServerPicker} from '../decisions/flow/server-picker.js';
 import {createPromptPartQuarantine} from '../decisions/quarantine/prompt-part-quarantine.js';
 import type {RandomSource} from '../decisions/random.js';
@@ -127,6 +128,7 @@
 		},
 	});
 	const progress = createProgressTracker();
+	const serverBackoff = createServerBackoff(random);
 	const connections = createBackendConnections({clock, lifeCycle});
 
 	const crashWatch = createCrashWatch({
@@ -156,8 +158,10 @@
 		noteReadiness();
 		picker.retain(id => after.has(id));
 		progress.retain(id => after.has(id));
+		serverBackoff.retain(id => after.get(id)?.incarnation === before.get(id)?.incarnation);
 		for (const [id, server] of before) {
-			if (after.get(id)?.incarnation !== server.incarnation) {
+			const next = after.get(id);
+			if (next?.incarnation !== server.incarnation || next.state !== server.state) {
 				connections.closeIdleConnections(server.address);
 			}
 		}
@@ -193,6 +197,8 @@
 		flows,
 		progress,
 		groupRefusals: createGroupRefusals(),
+		serverBackoff,
+		noteLeaving: servers.noteLeaving,
 		quarantine,
 		crashWatch,
 		isAcceptingStreams: () => isAcceptingStreams,
--- a/src/ports/call-codec.ts
+++ b/src/ports/call-codec.ts
@@ -53,6 +53,10 @@
 	load: ReportedLoad | undefined;
 	/** Id of the backend server that caused a refusal, if the answer names one. */
 	faultyServer: string | undefined;
+	/** Whether the backend server announces that it is leaving. */
+	isLeaving: boolean;
+	/** Time for which a refusing backend server wants no requests, in milliseconds; undefined if it does not say so. */
+	retryAfterMillis: number | undefined;
 	/** Headers to forward to the caller. */
 	forwardedHeaders: RawHeaders;
 }>;
