Keep promises when the store returns from an older copy

A store that comes back some seconds old has lost acknowledged writes and gives their versions out again; each answer names its era, which rises by one. Until now versions were compared without it: a conditional write could match a version that belongs to another content, a feed could go on from a version that stands for another change, numbers of starts and of expert maps could be given twice, and an engine that had gone was used again because the copy still lists it.

- A read behind such a return counts as one behind an outage, so engines whose entries are missing have time to write them again.
- The last entry of an engine that has gone is remembered; only a newer one (start, sequence) brings it back.

Not done: rows of entries that started within the lost seconds are not written again (members know them by datagrams); the audit says nothing of the gap; map switches under it are covered by the versions only, not by a play.

--- a/src/adapters/http-client.ts
+++ b/src/adapters/http-client.ts
@@ -18,7 +18,10 @@
 }>;
 
 /** A complete reply. */
-export type HttpReply = Readonly<{status: number; body: Uint8Array}>;
+export type HttpReply = Readonly<{status: number; headers: ReplyHeaders; body: Uint8Array}>;
+
+/** Header values by name in lower case; several values of a name form an array. */
+export type ReplyHeaders = Readonly<Record<string, string | readonly string[] | undefined>>;
 
 /** A reply whose body is still arriving. Reading the body rejects when the connection closes early or times out. */
 export type HttpStream = Readonly<{status: number; body: AsyncIterable<Uint8Array>}>;
@@ -92,7 +95,7 @@
 			return send(
 				req,
 				req.signal ? AbortSignal.any([req.signal, timeout]) : timeout,
-				async reply => ({status: reply.statusCode, body: await reply.body.bytes()}),
+				async reply => ({status: reply.statusCode, headers: reply.headers, body: await reply.body.bytes()}),
 			);
 		},
 		openStream: async (req, signal) => send(
--- a/src/adapters/http-model-engine.ts
+++ b/src/adapters/http-model-engine.ts
@@ -27,7 +27,7 @@
 	return fail({tag: 'no_answer', detail});
 }
 
-function checkStatus(reply: HttpReply): Result<HttpReply, EngineError> {
+function checkStatus<T extends Pick<HttpReply, 'status' | 'body'>>(reply: T): Result<T, EngineError> {
 	if (isSuccessStatus(reply.status)) {
 		return succeed(reply);
 	}
@@ -61,7 +61,7 @@
 }
 
 function parseItem(line: string): Result<StreamItem, EngineError> {
-	const parsed = parseReply({status: 200, body: new TextEncoder().encode(line)}, streamItemSchema);
+	const parsed = parseReply({body: new TextEncoder().encode(line)}, streamItemSchema);
 	if (!parsed.ok) {
 		return noAnswer(parsed.error.detail);
 	}
--- a/src/adapters/http-reply.ts
+++ b/src/adapters/http-reply.ts
@@ -25,7 +25,7 @@
 }
 
 /** Parses the JSON body of a reply. */
-export function parseReply<T>(reply: HttpReply, schema: z.ZodType<T>): Result<T, MalformedReply> {
+export function parseReply<T>(reply: Pick<HttpReply, 'body'>, schema: z.ZodType<T>): Result<T, MalformedReply> {
 	try {
 		const parsed = schema.safeParse(JSON.parse(new TextDecoder().decode(reply.body)));
 		return parsed.success ? succeed(parsed.data) : fail({detail: `malformed reply: ${parsed.error.message}`});
--- a/src/feeds/__tests__/follow-table.test.ts
+++ b/src/feeds/__tests__/follow-table.test.ts
@@ -16,7 +16,8 @@
 }
 
 const ROW: FeedRow = {key: 'k', text: 'v', version: 1};
-const HISTORY_LOST: Answer = fail({tag: 'history_lost'});
+const HISTORY_LOST: Answer = fail({tag: 'history_lost', isRestored: false});
+const RESTORED: Answer = fail({tag: 'history_lost', isRestored: true});
 const UNAVAILABLE: Answer = fail({tag: 'unavailable', detail: 'ECONNREFUSED'});
 
 function ignore(): void {
@@ -78,6 +79,11 @@
 	assert.deepEqual(events, ['all', 'snapshot 0', 'after 5', 'all', 'snapshot 1', 'after 20', 'changes 0']);
 });
 
+void test('after the store has returned from an older copy all rows are read again, and the listener is told that rows may be missing', async () => {
+	const {events} = await follow([page(5), RESTORED, page(20, [ROW]), page(21)]);
+	assert.deepEqual(events, ['all', 'snapshot 0', 'after 5', 'all', 'snapshot 1 regained', 'after 20', 'changes 0']);
+});
+
 void test('after an outage the changes since then are read, and the listener is told of the outage', async () => {
 	const {events, pauses} = await follow([page(5), UNAVAILABLE, UNAVAILABLE, UNAVAILABLE, page(7, [ROW]), page(8)]);
 	assert.deepEqual(events, ['all', 'snapshot 0', 'after 5', 'after 5', 'after 5', 'after 5', 'changes 1 regained', 'after 7', 'changes 0']);
--- a/src/feeds/follow-table.ts
+++ b/src/feeds/follow-table.ts
@@ -14,7 +14,7 @@
 export type StoreContact = Readonly<{
 	/** Monotonic clock of the store, in milliseconds. */
 	storeMillis: number;
-	/** Whether it is the first one after failed calls. */
+	/** Whether it is the first one after failed calls, or after the store has returned from an older copy. */
 	isAfterOutage: boolean;
 }>;
 
@@ -63,18 +63,20 @@
 	isAnswered: boolean;
 	/** Whether the last call was interrupted; the next one must not wait for changes. */
 	isInterrupted: boolean;
+	/** Whether the store has returned from an older copy since the last answer. */
+	isRestored: boolean;
 }>;
 
 const DEFAULT_BACKOFF: BackoffOptions = {initialMillis: FIRST_RETRY_MILLIS, maxMillis: MIN_RETRY_CAP_MILLIS};
 const INITIAL_POSITION: Position = {
-	version: undefined, failures: 0, isAnswered: true, isInterrupted: false,
+	version: undefined, failures: 0, isAnswered: true, isInterrupted: false, isRestored: false,
 };
 
 function handleFailure({log, table, signal, observer, interrupt}: FollowOptions, previous: Position, err: FeedError): Position {
 	if (err.tag === 'history_lost') {
-		log.info('table history no longer available; reading all rows', {table, version: previous.version});
+		log.info('table history no longer available; reading all rows', {table, version: previous.version, isRestored: err.isRestored});
 		return {
-			version: undefined, failures: previous.failures, isAnswered: true, isInterrupted: false,
+			version: undefined, failures: previous.failures, isAnswered: true, isInterrupted: false, isRestored: err.isRestored,
 		};
 	}
 
@@ -88,7 +90,7 @@
 	}
 
 	return {
-		version: previous.version, failures: previous.failures + 1, isAnswered: false, isInterrupted: false,
+		version: previous.version, failures: previous.failures + 1, isAnswered: false, isInterrupted: false, isRestored: previous.isRestored,
 	};
 }
 
@@ -125,7 +127,7 @@
 
 	const {rows, storeMillis} = page.value;
 	const version = Math.max(page.value.version, previous.version ?? 0);
-	const contact = {storeMillis, isAfterOutage: previous.failures > 0};
+	const contact = {storeMillis, isAfterOutage: previous.failures > 0 || previous.isRestored};
 	if (previous.version === undefined) {
 		listener.onSnapshot(rows, contact);
 	} else {
@@ -134,7 +136,7 @@
 
 	options.observer?.onAnswer(table, {position: version, newestChange: Math.max(0, ...rows.map(row => row.version))});
 	return {
-		version, failures: 0, isAnswered: true, isInterrupted: false,
+		version, failures: 0, isAnswered: true, isInterrupted: false, isRestored: false,
 	};
 }
 
--- a/src/gateway/__tests__/backend-server-list.test.ts
+++ b/src/gateway/__tests__/backend-server-list.test.ts
@@ -131,3 +131,13 @@
 	listener.onChanges([row({...READY, incarnation: READY.incarnation + 1, sequence: 1})], UNINTERRUPTED);
 	assert.equal(list()[0]?.state, 'ready', 'it has started again');
 });
+
+void test('a backend server that is gone stays gone when an older copy of the store shows its entry again, and is back with a newer entry', () => {
+	const {listener, list} = createList();
+	listener.onSnapshot([row(READY)], UNINTERRUPTED);
+	listener.onChanges([removal('s1')], UNINTERRUPTED);
+	listener.onSnapshot([row(READY)], AFTER_OUTAGE);
+	assert.deepEqual(list(), []);
+	listener.onChanges([row({...READY, sequence: READY.sequence + 1})], UNINTERRUPTED);
+	assert.equal(list().length, 1);
+});
--- a/src/gateway/backend-server-list.ts
+++ b/src/gateway/backend-server-list.ts
@@ -5,7 +5,7 @@
 import type {Log} from '../observability/log.js';
 import type {FeedRow} from '../ports/table-feed.js';
 import type {BackendServer} from './backend-server.js';
-import {EXPIRED_ENTRY_GRACE_MILLIS, MAX_LEAVING_SERVERS} from './gateway-constants.js';
+import {EXPIRED_ENTRY_GRACE_MILLIS, MAX_REMEMBERED_SERVERS} from './gateway-constants.js';
 
 /** Backend servers by id. */
 export type BackendServers = ReadonlyMap<string, BackendServer>;
@@ -45,6 +45,8 @@
 	let reconnectedAtMillis = -Infinity;
 	/** Incarnation of each backend server that said itself that it is leaving. */
 	const leaving = new Map<string, number>();
+	/** Last entry of each backend server that is gone; a store that returns from an older copy shows it again. */
+	const gone = new Map<string, BackendServer>();
 
 	function logChange(next: BackendServer, known: BackendServer | undefined): void {
 		if (known?.state !== next.state || known.incarnation !== next.incarnation) {
@@ -54,6 +56,21 @@
 		}
 	}
 
+	/** Whether an entry was known before its backend server had gone. One that does not tell when it started cannot be told apart from its successor. */
+	function isBuried(next: BackendServer): boolean {
+		const last = gone.get(next.id);
+		return last !== undefined && next.incarnation > 0 && (next.incarnation < last.incarnation
+			|| (next.incarnation === last.incarnation && next.sequence <= last.sequence));
+	}
+
+	function bury(server: BackendServer): void {
+		gone.delete(server.id);
+		gone.set(server.id, server);
+		if (gone.size > MAX_REMEMBERED_SERVERS) {
+			gone.delete(gone.keys().next().value ?? '');
+		}
+	}
+
 	function applyNotice(server: BackendServer | undefined): BackendServer | undefined {
 		return server && leaving.get(server.id) === server.incarnation ? {...server, state: 'draining'} : server;
 	}
@@ -63,7 +80,7 @@
 		for (const {key, text} of rows) {
 			const next = text === undefined ? undefined : applyNotice(read(key, text));
 			const known = after.get(key);
-			if (next && !isOutdated(next, known)) {
+			if (next && !isOutdated(next, known) && (known !== undefined || !isBuried(next))) {
 				logChange(next, known);
 				after.set(key, next);
 			}
@@ -79,6 +96,7 @@
 				if (after.get(server.id) === server) {
 					log.info('backend server gone', {server: server.id, reason});
 					after.delete(server.id);
+					bury(server);
 				}
 			}
 
@@ -122,7 +140,7 @@
 
 			leaving.delete(id);
 			leaving.set(id, incarnation);
-			if (leaving.size > MAX_LEAVING_SERVERS) {
+			if (leaving.size > MAX_REMEMBERED_SERVERS) {
 				leaving.delete(leaving.keys().next().value ?? '');
 			}
 
--- a/src/gateway/gateway-constants.ts
+++ b/src/gateway/gateway-constants.ts
@@ -1,5 +1,5 @@
-/** Maximum number of backend servers of which it is remembered that they are leaving; several times those of the largest fleet. */
-export const MAX_LEAVING_SERVERS = 4096;
+/** Maximum number of backend servers that are remembered as leaving, and as gone; several times those of the largest fleet. */
+export const MAX_REMEMBERED_SERVERS = 4096;
 /** Time allowed for entries that expired during a store outage to be written again, in milliseconds; two heartbeats. */
 export const EXPIRED_ENTRY_GRACE_MILLIS = 2500;
 /** Timeout for connecting to a backend server, in milliseconds; covers more than three lost SYN packets on a LAN. */
--- a/src/observability/line-schemas.ts
+++ b/src/observability/line-schemas.ts
@@ -107,7 +107,7 @@
 	'unreadable member datagram': z.strictObject({from: z.string(), detail: z.string()}),
 	'lost the table': z.strictObject({table: z.string(), detail: z.string(), version: version.optional()}),
 	'regained the table': z.strictObject({table: z.string(), failures: count, version}),
-	'table history no longer available; reading all rows': z.strictObject({table: z.string(), version: version.optional()}),
+	'table history no longer available; reading all rows': z.strictObject({table: z.string(), version: version.optional(), isRestored: z.boolean().optional()}),
 	'entry names no backend server': z.strictObject({server: z.string(), detail: z.string()}),
 	'unreadable configuration': z.strictObject({version, detail: z.string()}),
 	'unreadable entry row': z.strictObject({key: z.string(), detail: z.string()}),
--- a/src/ports/table-feed.ts
+++ b/src/ports/table-feed.ts
@@ -15,7 +15,11 @@
 export type FeedError
 	= | Readonly<{tag: 'unavailable'; detail: string}>
 		/** The store no longer has the changes that follow the requested version; all rows must be read again. */
-		| Readonly<{tag: 'history_lost'}>;
+		| Readonly<{
+			tag: 'history_lost';
+			/** Whether the store has returned from an older copy, so that acknowledged changes are gone. */
+			isRestored: boolean;
+		}>;
 
 /** Reads and follows the rows of a table of the platform. Each call has a timeout and is never retried internally. */
 export type TableFeed = {
