Let only whole events count as progress of a stream

It could happen here: any byte counted as progress, so a stream that sent one each 100 ms and never an event went on to the timeout of its route (2 s here, 8 s for the users), though other engines proceeded. The limit for the first event now also holds until that event, and no longer ends with the headers, so that a stream whose headers come early has as long as any other.

--- a/src/gateway/answer-sink.ts
+++ b/src/gateway/answer-sink.ts
@@ -28,6 +28,8 @@
 
 /** Consumer of one answer body. */
 export type AnswerSink = Readonly<{
+	/** Whether the body is consumed event by event. */
+	isEventStream: boolean;
 	/** Returns false if the bytes do not continue what was forwarded before. */
 	push: (bytes: Uint8Array) => boolean;
 	/** Ends an answer whose framing is complete. */
@@ -72,6 +74,7 @@
 	}
 
 	return {
+		isEventStream: true,
 		push: bytes => splitter.push(bytes).every(event => forwardEvent(event)),
 		finish() {
 			if (splitter.rest().some(byte => byte !== LINE_FEED && byte !== CARRIAGE_RETURN)) {
@@ -102,6 +105,7 @@
 	}
 
 	return {
+		isEventStream: false,
 		push(bytes) {
 			buffered.push(bytes);
 			size += bytes.length;
--- a/src/gateway/run-attempt.ts
+++ b/src/gateway/run-attempt.ts
@@ -10,9 +10,9 @@
 
 /** How long a backend server may send nothing while others make progress. */
 export type SilenceLimit = Readonly<{
-	/** Before the first byte of the answer, in milliseconds. */
+	/** Before the first data of the answer, or its first event, in milliseconds. */
 	firstByteMillis: number;
-	/** Between two chunks of the answer, in milliseconds. */
+	/** Between two chunks of the answer, or two events of a stream, in milliseconds. */
 	pauseMillis: number;
 	isOtherAlive: () => boolean;
 }>;
@@ -79,9 +79,15 @@
 		let head: FramedHead | undefined;
 		let sink: AnswerSink | undefined;
 		let abortOutcome: AttemptOutcome | undefined;
+		let hasData = false;
 		let lastProgressAtMillis = clock.monotonicMillis();
 		const ended = new AbortController();
 
+		function noteData(): void {
+			hasData = true;
+			noteProgress();
+		}
+
 		function noteProgress(): void {
 			lastProgressAtMillis = clock.monotonicMillis();
 			plan.onProgress();
@@ -90,7 +96,7 @@
 		/** Aborts the attempt once the backend server has sent nothing for too long while others make progress. */
 		async function watchSilence({firstByteMillis, pauseMillis, isOtherAlive}: SilenceLimit): Promise<void> {
 			while (!ended.signal.aborted) {
-				const limitMillis = head ? pauseMillis : firstByteMillis;
+				const limitMillis = hasData ? pauseMillis : firstByteMillis;
 				const leftMillis = lastProgressAtMillis + limitMillis - clock.monotonicMillis();
 				if (leftMillis <= 0 && isOtherAlive()) {
 					abortWith({tag: 'lost', detail: `no data for ${limitMillis} ms while other backend servers made progress`});
@@ -128,11 +134,21 @@
 
 				noteProgress();
 				plan.onHead(head);
-				sink = createAnswerSink(head, plan.sink);
+				sink = createAnswerSink(head, {
+					...plan.sink,
+					onEvent(pauseMillis) {
+						noteData();
+						plan.sink.onEvent(pauseMillis);
+					},
+				});
 				return true;
 			},
 			onData(bytes) {
-				noteProgress();
+				// In a stream only whole events count: a stalled backend server may still send a byte now and then.
+				if (!sink?.isEventStream) {
+					noteData();
+				}
+
 				if (!head || !sink || head.isNotRun || isNotFromBackendServer(head)) {
 					return;
 				}
