Bound the time that the quarantine takes while many backend servers crash at once

Parts of one crash only, which most are, no longer count; 32 crashes and 32 requests of each are remembered; and the findings are made when a request is judged, at most for a tenth of the time.

--- a/src/decisions/quarantine/__tests__/prompt-part-quarantine.test.ts
+++ b/src/decisions/quarantine/__tests__/prompt-part-quarantine.test.ts
@@ -154,3 +154,32 @@
 	assert.ok(verdict.tag === 'quarantined' && verdict.leftMillis <= 4 * DOUBTFUL_QUARANTINE_MILLIS);
 	assert.equal(one.readDigest(), other.readDigest());
 });
+
+void test('while many backend servers crash at once, the findings are made again only for a share of the time', () => {
+	let nowMillis = 0;
+	let reads = 0;
+	// Each reading of the clock takes 1 ms, so that each making of the findings seems to take some.
+	const clock = {
+		...createManualClock(), monotonicMillis() {
+			reads++;
+			nowMillis++;
+			return nowMillis;
+		},
+	};
+	let found = 0;
+	const quarantine = createPromptPartQuarantine({
+		clock,
+		onFound() {
+			found++;
+		},
+		onReleased: () => undefined,
+	});
+	for (let i = 0; i < 200; i++) {
+		const sentAtMillis = clock.monotonicMillis();
+		quarantine.noteLost({server: `s${i}`, incarnation: i}, {attemptId: `a${i}`, parts: ['bad', `x${i}`], sentAtMillis});
+		quarantine.judge(['bad', `y${i}`]);
+	}
+
+	assert.ok(found > 0 && found < 150, `${found} findings in ${reads} ms`);
+	assert.equal(quarantine.judge(['bad', 'y']).tag, 'quarantined');
+});
--- a/src/decisions/quarantine/find-poison-parts.ts
+++ b/src/decisions/quarantine/find-poison-parts.ts
@@ -25,17 +25,32 @@
 	isExperienced: boolean;
 }>;
 
+/** Parts that were in flight in several crashes. Most parts are not, as each request has one of its own. */
+function listRepeatedParts(crashes: readonly CrashRecord[]): ReadonlySet<string> {
+	const seen = new Set<string>();
+	const repeated = new Set<string>();
+	for (const crash of crashes) {
+		const parts = new Set(crash.lost.flatMap(lost => lost.parts));
+		for (const part of parts) {
+			(seen.has(part) ? repeated : seen).add(part);
+		}
+	}
+
+	return repeated;
+}
+
 /**
  * Counts the crashes of each part. A crash counts only for requests that were sent after the previous one was noticed: when many
  * backend servers fail at once, that is one piece of evidence.
  */
 function listSuspects(crashes: readonly CrashRecord[]): readonly Suspect[] {
 	const suspects = new Map<string, Suspect>();
+	const candidates = listRepeatedParts(crashes);
 	for (const crash of crashes) {
 		const ownPartsByPart = new Map<string, Set<string>>();
 		for (const {parts, sentAtMillis} of crash.lost) {
 			for (const part of parts) {
-				if (!crash.soundParts.has(part) && sentAtMillis > (suspects.get(part)?.crashes.at(-1)?.atMillis ?? -Infinity)) {
+				if (candidates.has(part) && !crash.soundParts.has(part) && sentAtMillis > (suspects.get(part)?.crashes.at(-1)?.atMillis ?? -Infinity)) {
 					ownPartsByPart.set(part, (ownPartsByPart.get(part) ?? new Set()).add(parts.at(-1) ?? ''));
 				}
 			}
--- a/src/decisions/quarantine/prompt-part-quarantine.ts
+++ b/src/decisions/quarantine/prompt-part-quarantine.ts
@@ -46,6 +46,9 @@
 	onReleased: (finding: PoisonParts) => void;
 }>;
 
+/** Pause between two refreshes of the findings, as a multiple of the time that the first one took; bounds their share of the processor. */
+const REFRESH_PAUSE_FACTOR = 10;
+
 type Crashes = ReadonlyMap<string, CrashRecord>;
 
 function mergeLost(known: readonly LostRequest[], added: readonly LostRequest[]): readonly LostRequest[] {
@@ -105,30 +108,50 @@
 	let findings: readonly PoisonParts[] = [];
 	/** Parts that may have caused a crash. */
 	let suspectParts: ReadonlySet<string> = new Set();
-	let digest = 0;
 	let soundAnswers = 0;
+	/** Whether crashes have changed since the findings were made. */
+	let isOutdated = false;
+	/** When the findings may be made again. */
+	let refreshableAtMillis = -Infinity;
 
 	function updateFindings(): void {
 		const before = findings;
-		findings = findPoisonParts(crashes.read().values(), {isKnownSound: part => soundAtMillis.has(part), isExperienced: soundAnswers >= MIN_SOUND_ANSWERS});
-		for (const finding of findings.filter(next => !before.some(known => isSameFinding(known, next)))) {
+		const known = crashes.read();
+		suspectParts = new Set([...known.values()].flatMap(record => listSuspectParts(record)));
+		findings = findPoisonParts(known.values(), {isKnownSound: part => soundAtMillis.has(part), isExperienced: soundAnswers >= MIN_SOUND_ANSWERS});
+		for (const finding of findings.filter(next => !before.some(earlier => isSameFinding(earlier, next)))) {
 			onFound(finding);
 		}
 
-		for (const finding of before.filter(known => !findings.some(next => next.parts.join(' ') === known.parts.join(' ')))) {
+		for (const finding of before.filter(earlier => !findings.some(next => next.parts.join(' ') === earlier.parts.join(' ')))) {
 			onReleased(finding);
 		}
 	}
 
-	crashes.registerListener(after => {
-		digest = [...after.values()].reduce((total, record) => (total + hashRecord(record)) % (2 ** 32), 0);
-		suspectParts = new Set([...after.values()].flatMap(record => listSuspectParts(record)));
+	/** Brings the findings up to date, unless that took long the last time, as after the loss of many backend servers at once. */
+	function refreshFindings(): void {
+		const startedAtMillis = clock.monotonicMillis();
+		if (!isOutdated || startedAtMillis < refreshableAtMillis) {
+			return;
+		}
+
+		isOutdated = false;
 		updateFindings();
+		const endedAtMillis = clock.monotonicMillis();
+		refreshableAtMillis = endedAtMillis + ((endedAtMillis - startedAtMillis) * REFRESH_PAUSE_FACTOR);
+	}
+
+	crashes.registerListener(() => {
+		isOutdated = true;
 	});
 
 	/** Forgets the oldest crashes, those that explain nothing first. */
 	function limit(records: Crashes): Crashes {
 		const recent = [...records].filter(([, {atMillis}]) => clock.monotonicMillis() - atMillis < CRASH_LIFETIME_MILLIS);
+		if (recent.length > MAX_CRASHES) {
+			refreshFindings();
+		}
+
 		const explained = new Set(findings.flatMap(finding => finding.crashes.map(crash => readCrashKey(crash))));
 		return new Map(recent
 			.toSorted(([leftKey, left], [rightKey, right]) => Number(explained.has(rightKey)) - Number(explained.has(leftKey)) || right.atMillis - left.atMillis)
@@ -160,6 +183,7 @@
 
 	return {
 		judge(parts) {
+			refreshFindings();
 			const nowMillis = clock.monotonicMillis();
 			let verdict: QuarantineVerdict = {tag: 'clear'};
 			for (const finding of parts.length > 0 ? findings : []) {
@@ -208,9 +232,11 @@
 
 			soundAnswers++;
 			if (soundAnswers === MIN_SOUND_ANSWERS) {
-				updateFindings();
+				isOutdated = true;
 			}
 
+			refreshFindings();
+
 			if (!parts.some(part => suspectParts.has(part))) {
 				return;
 			}
@@ -245,8 +271,11 @@
 			announce(cleared);
 		},
 		listCrashes: () => [...crashes.read().values()],
-		listFindings: () => findings,
-		readDigest: () => digest,
+		listFindings() {
+			refreshFindings();
+			return findings;
+		},
+		readDigest: () => [...crashes.read().values()].reduce((total, record) => (total + hashRecord(record)) % (2 ** 32), 0),
 		registerListener(listener) {
 			listeners.add(listener);
 			return () => {
--- a/src/decisions/quarantine/quarantine-constants.ts
+++ b/src/decisions/quarantine/quarantine-constants.ts
@@ -14,9 +14,9 @@
 export const DOUBTFUL_QUARANTINE_MILLIS = 10_000;
 /** Time after which a crash is forgotten, and longest time of a quarantine, in milliseconds. */
 export const CRASH_LIFETIME_MILLIS = 3_600_000;
-/** Maximum number of crashes that are remembered. */
-export const MAX_CRASHES = 64;
-/** Maximum number of lost requests that are remembered of one crash; more than the batch slots of an engine. */
-export const MAX_LOST_REQUESTS = 64;
+/** Maximum number of crashes that are remembered; some times as many as it takes to find a part among crashes with other causes. */
+export const MAX_CRASHES = 32;
+/** Maximum number of lost requests that are remembered of one crash; several times the requests that an engine reads or begins at a time. */
+export const MAX_LOST_REQUESTS = 32;
 /** Maximum number of parts whose last sound answer is remembered. */
 export const MAX_SOUND_PARTS = 4096;
