--- a/src/decisions/quarantine/prompt-part-quarantine.ts
+++ b/src/decisions/quarantine/prompt-part-quarantine.ts
@@ -35,7 +35,7 @@
 	listFindings: () => readonly PoisonParts[];
 	/** Hash of the known crashes; the same for two entries that know the same. */
 	readDigest: () => number;
-	/** Calls `listener` with what this entry has itself observed, to be told to the others. */
+	/** Calls `listener` with each observation of this entry's own, which the other entries are to receive. */
 	registerListener: (listener: (records: readonly CrashRecord[]) => void) => Teardown;
 }>;
 
--- a/src/gateway/backend-server-list.ts
+++ b/src/gateway/backend-server-list.ts
@@ -45,7 +45,7 @@
 	let reconnectedAtMillis = -Infinity;
 	/** Incarnation of each backend server that said itself that it is leaving. */
 	const leaving = new Map<string, number>();
-	/** Last entry of each backend server that is gone; a store that returns from an older copy shows it again. */
+	/** Last entry of each backend server that was removed. A store that is restored from an older copy lists it again. */
 	const gone = new Map<string, BackendServer>();
 
 	function logChange(next: BackendServer, known: BackendServer | undefined): void {
@@ -56,7 +56,7 @@
 		}
 	}
 
-	/** Whether an entry was known before its backend server had gone. One that does not tell when it started cannot be told apart from its successor. */
+	/** Whether an entry is no newer than the last one before its backend server was removed. Entries without a start time are not compared, as a restarted server may have the same id. */
 	function isBuried(next: BackendServer): boolean {
 		const last = gone.get(next.id);
 		return last !== undefined && next.incarnation > 0 && (next.incarnation < last.incarnation
--- a/src/gateway/gateway-constants.ts
+++ b/src/gateway/gateway-constants.ts
@@ -1,4 +1,4 @@
-/** Maximum number of backend servers that are remembered as leaving, and as gone; several times those of the largest fleet. */
+/** Maximum number of leaving, and of removed, backend servers that are remembered; several times the largest fleet. */
 export const MAX_REMEMBERED_SERVERS = 4096;
 /** Time allowed for entries that expired during a store outage to be written again, in milliseconds; two heartbeats. */
 export const EXPIRED_ENTRY_GRACE_MILLIS = 2500;
