Log the limits that backend servers state in their answers

No line of the logs told of a limit, so that a limit that is not read, one that is not shared and one that is exceeded in bursts looked alike. Nothing is decided by them yet.

--- a/src/gateway/__tests__/next-step.test.ts
+++ b/src/gateway/__tests__/next-step.test.ts
@@ -9,7 +9,7 @@
 function head(status: number): FramedHead {
 	return {
 		status, attemptId: 'a', isNotRun: false, isSigned: true, isEncoded: false, contentLength: 0, isEndedByConnection: false, load: undefined, faultyServer: undefined,
-		isLeaving: false, retryAfterMillis: undefined, forwardedHeaders: [],
+		isLeaving: false, retryAfterMillis: undefined, requestsPerSecond: undefined, forwardedHeaders: [],
 	};
 }
 
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -4,6 +4,7 @@
 import type {ServerBackoff} from '../decisions/flow/server-backoff.js';
 import type {ServerPicker} from '../decisions/flow/server-picker.js';
 import type {PromptPartQuarantine} from '../decisions/quarantine/prompt-part-quarantine.js';
+import type {StatedLimits} from '../decisions/rate-limit/stated-limits.js';
 import type {RandomSource} from '../decisions/random.js';
 import type {Log} from '../observability/log.js';
 import type {CallCodec} from '../ports/call-codec.js';
@@ -29,6 +30,7 @@
 	progress: ProgressTracker;
 	groupRefusals: GroupRefusals;
 	serverBackoff: ServerBackoff;
+	statedLimits: StatedLimits;
 	noteLeaving: BackendServerList['noteLeaving'];
 	quarantine: PromptPartQuarantine;
 	crashWatch: CrashWatch;
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -39,6 +39,9 @@
 		quarantinedParts: new Gauge({
 			name: 'pollenport_quarantined_prompt_parts', help: 'Parts of prompts, or combinations of them, that are held to crash backend servers', registers,
 		}),
+		limitedServers: new Gauge({
+			name: 'pollenport_limited_backend_servers', help: 'Backend servers that state a limit on the rate of their requests', registers,
+		}),
 		retries: new Counter({
 			name: 'pollenport_repeats_total', help: 'Attempts beyond the first of a call, by reason', labelNames: ['reason'], registers,
 		}),
--- a/src/gateway/send-to-backend-server.ts
+++ b/src/gateway/send-to-backend-server.ts
@@ -82,6 +82,12 @@
 				ctx.serverBackoff.note(server.id, head.retryAfterMillis, ctx.clock.monotonicMillis());
 			}
 
+			if (head.isSigned || head.isNotRun) {
+				ctx.statedLimits.note({
+					server: server.id, incarnation: server.incarnation, requestsPerSecond: head.requestsPerSecond, sentAtMillis: startedAtMillis,
+				});
+			}
+
 			if (head.load) {
 				ctx.picker.noteLoad(server.id, head.load);
 			}
--- a/src/gateway/start-gateway.ts
+++ b/src/gateway/start-gateway.ts
@@ -9,6 +9,7 @@
 import {createServerBackoff} from '../decisions/flow/server-backoff.js';
 import {createServerPicker} from '../decisions/flow/server-picker.js';
 import {createPromptPartQuarantine} from '../decisions/quarantine/prompt-part-quarantine.js';
+import {createStatedLimits} from '../decisions/rate-limit/stated-limits.js';
 import type {RandomSource} from '../decisions/random.js';
 import {createFeedInterrupt} from '../feeds/feed-interrupt.js';
 import {followTable, type TableListener} from '../feeds/follow-table.js';
@@ -129,6 +130,11 @@
 	});
 	const progress = createProgressTracker();
 	const serverBackoff = createServerBackoff(random);
+	const statedLimits = createStatedLimits({clock, readIncarnation: id => servers.servers.read().get(id)?.incarnation});
+	statedLimits.registerListener(({server, requestsPerSecond}) => {
+		log.info('backend server limit', {server, requestsPerSecond, entries: members.countSharingEntries()});
+		metrics.limitedServers.set(statedLimits.list().filter(limit => limit.requestsPerSecond !== undefined).length);
+	});
 	const connections = createBackendConnections({clock, lifeCycle});
 
 	const crashWatch = createCrashWatch({
@@ -158,6 +164,7 @@
 		noteReadiness();
 		picker.retain(id => after.has(id));
 		progress.retain(id => after.has(id));
+		statedLimits.retain();
 		serverBackoff.retain(id => after.get(id)?.incarnation === before.get(id)?.incarnation);
 		for (const [id, server] of before) {
 			const next = after.get(id);
@@ -198,6 +205,7 @@
 		progress,
 		groupRefusals: createGroupRefusals(),
 		serverBackoff,
+		statedLimits,
 		noteLeaving: servers.noteLeaving,
 		quarantine,
 		crashWatch,
--- a/src/observability/line-schemas.ts
+++ b/src/observability/line-schemas.ts
@@ -88,6 +88,7 @@
 
 /** Lines about the configuration, other processes and expert maps, as the process sees them. */
 const systemLines = {
+	'backend server limit': z.strictObject({server: z.string(), requestsPerSecond: z.number().optional(), entries: z.number()}),
 	'backend server crashed': z.strictObject({server: z.string(), startedAt: z.number(), address: z.string()}),
 	'prompt parts quarantined': z.strictObject({parts: z.string(), crashed: z.string(), requests: z.string()}),
 	'prompt parts released': z.strictObject({parts: z.string()}),
--- a/src/ports/call-codec.ts
+++ b/src/ports/call-codec.ts
@@ -57,6 +57,8 @@
 	isLeaving: boolean;
 	/** Time for which a refusing backend server wants no requests, in milliseconds; undefined if it does not say so. */
 	retryAfterMillis: number | undefined;
+	/** Requests a second that the backend server takes from all entries together; undefined if it states no limit. */
+	requestsPerSecond: number | undefined;
 	/** Headers to forward to the caller. */
 	forwardedHeaders: RawHeaders;
 }>;
