Log a fingerprint of the requests, by which one that comes again is known

No line connected the attempts of one request that comes again with new ids, so that a poisonous request, account or route looked alike. The lines call and attempt failed have a hash of path, caller and body. Nothing is decided by it.

--- a/src/gateway/finish-call.ts
+++ b/src/gateway/finish-call.ts
@@ -135,6 +135,7 @@
 		promptTokens: call.head.promptTokens,
 		maxOutputTokens: call.head.maxOutputTokens,
 		promptParts: call.head.promptParts.join(' ') || undefined,
+		fingerprint: routed.fingerprint,
 		version: cfg.version,
 		configurationAgeMillis: Math.round(ctx.configuration.ageMillis()),
 		waitedMillis: Math.round(waitedMillis),
--- a/src/gateway/routed-call.ts
+++ b/src/gateway/routed-call.ts
@@ -4,6 +4,7 @@
 import type {Call} from './call.js';
 import {STOPPING_RETRY_AFTER_MILLIS} from './gateway-constants.js';
 import type {GatewayContext} from './gateway-context.js';
+import {createFingerprint} from './request-fingerprint.js';
 import {createNotRunRefusal, type Refusal} from './refusal.js';
 import type {ServiceFlow} from './service-flows.js';
 
@@ -14,6 +15,8 @@
 	route: Route;
 	service: string;
 	account: RoutedAccount | undefined;
+	/** Hash of path, caller and body; the same each time the request is sent. */
+	fingerprint: string;
 	/** Monotonic time by which the call must have ended. */
 	deadlineMillis: number;
 	flow: ServiceFlow;
@@ -53,8 +56,17 @@
 	}
 
 	const timeoutMillis = Math.min(route.timeoutMillis, call.head.deadlineMillis ?? Infinity);
+	const caller = route.isPublic ? undefined : account;
 	return {
-		call, cfg, route, service, account: route.isPublic ? undefined : account, deadlineMillis: call.arrivedAtMillis + timeoutMillis, flow: ctx.flows.read(service), waitedMillis: 0,
+		call,
+		cfg,
+		route,
+		service,
+		account: caller,
+		fingerprint: createFingerprint(call, caller?.name ?? ''),
+		deadlineMillis: call.arrivedAtMillis + timeoutMillis,
+		flow: ctx.flows.read(service),
+		waitedMillis: 0,
 	};
 }
 
--- a/src/gateway/send-to-backend-server.ts
+++ b/src/gateway/send-to-backend-server.ts
@@ -109,6 +109,7 @@
 			route: route.name,
 			account: account?.name,
 			promptParts: call.head.promptParts.join(' ') || undefined,
+			fingerprint: routed.fingerprint,
 			server: server.id,
 			end: outcome.tag,
 			detail: 'detail' in outcome ? outcome.detail : undefined,
--- a/src/observability/line-schemas.ts
+++ b/src/observability/line-schemas.ts
@@ -18,6 +18,8 @@
 		maxOutputTokens: count,
 		/** Ids of the parts of the prompt, in order. */
 		promptParts: z.string().optional(),
+		/** Hash of path, caller and body. */
+		fingerprint: z.string().optional(),
 		version,
 		configurationAgeMillis: millis,
 		waitedMillis: millis,
@@ -38,6 +40,8 @@
 		route: z.string().optional(),
 		account: z.string().optional(),
 		promptParts: z.string().optional(),
+		/** Hash of path, caller and body. */
+		fingerprint: z.string().optional(),
 		server: z.string(),
 		end: z.enum(['not_sent', 'not_run', 'answered', 'lost', 'late', 'caller_left']),
 		detail: z.string().optional(),
