--- a/src/decisions/quarantine/__tests__/find-poison-parts.test.ts
+++ b/src/decisions/quarantine/__tests__/find-poison-parts.test.ts
@@ -15,7 +15,9 @@
 		server: `s${i}`,
 		incarnation: i,
 		atMillis,
-		lost: lost.map(({parts, sentAtMillis}, j): LostRequest => ({attemptId: `${i}-${j}`, parts: split(parts), sentAtMillis})),
+		lost: lost.map(({parts, sentAtMillis}, j): LostRequest => ({
+			attemptId: `${i}-${j}`, parts: split(parts), fingerprint: `${i}-${j}`, sentAtMillis,
+		})),
 		soundParts: new Set(split(sound)),
 		knownParts: new Set(),
 	};
--- a/src/decisions/quarantine/__tests__/prompt-part-quarantine.test.ts
+++ b/src/decisions/quarantine/__tests__/request-quarantine.test.ts
@@ -1,25 +1,30 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {createManualClock} from '../../../core/manual-clock.js';
-import {createPromptPartQuarantine} from '../prompt-part-quarantine.js';
+import type {RequestContent} from '../crash-record.js';
+import {readFindingKey} from '../finding.js';
+import {createRequestQuarantine} from '../request-quarantine.js';
 import {
 	DOUBTFUL_QUARANTINE_MILLIS, MAX_CRASHES, MIN_SOUND_ANSWERS, QUARANTINE_MILLIS,
 } from '../quarantine-constants.js';
 
+/** A request with these parts that is not sent again. */
+const prompt = (...parts: readonly string[]): RequestContent => ({parts, fingerprint: `fingerprint of ${parts.join(' ')}`});
+
 function createQuarantine() {
 	const clock = createManualClock();
 	const events: string[] = [];
-	const quarantine = createPromptPartQuarantine({
+	const quarantine = createRequestQuarantine({
 		clock,
-		onFound({parts, crashes}) {
-			events.push(`found ${parts.join(' ')} ${crashes.length}`);
+		onFound(finding) {
+			events.push(`found ${readFindingKey(finding)} ${finding.crashes.length}`);
 		},
-		onReleased({parts}) {
-			events.push(`released ${parts.join(' ')}`);
+		onReleased(finding) {
+			events.push(`released ${readFindingKey(finding)}`);
 		},
 	});
 	for (let i = 0; i < MIN_SOUND_ANSWERS; i++) {
-		quarantine.noteSound(['warm', `w${i}`]);
+		quarantine.noteSound(prompt('warm', `w${i}`));
 	}
 
 	let crashes = 0;
@@ -29,7 +34,7 @@
 		crashes++;
 		const sentAtMillis = clock.monotonicMillis();
 		clock.advance(100);
-		quarantine.noteLost({server: `s${crashes}`, incarnation: crashes}, {attemptId: `a${crashes}`, parts, sentAtMillis});
+		quarantine.noteLost({server: `s${crashes}`, incarnation: crashes}, {...prompt(...parts), attemptId: `a${crashes}`, sentAtMillis});
 		clock.advance(1);
 	}
 
@@ -40,17 +45,17 @@
 
 void test('requests with a part are refused after two crashes, and those that share the other parts are not', () => {
 	const {crash, noteSound, judge, clock} = createQuarantine();
-	noteSound(['sys', 'doc', 'y1']);
+	noteSound(prompt('sys', 'doc', 'y1'));
 	crash('sys', 'doc', 'bad', 'x1');
-	assert.equal(judge(['sys', 'doc', 'bad', 'x2']).tag, 'clear');
+	assert.equal(judge(prompt('sys', 'doc', 'bad', 'x2')).tag, 'clear');
 	crash('sys', 'doc', 'bad', 'x2');
-	const verdict = judge(['sys', 'other', 'bad', 'x3']);
+	const verdict = judge(prompt('sys', 'other', 'bad', 'x3'));
 	assert.equal(verdict.tag, 'quarantined');
 	assert.ok(verdict.tag === 'quarantined' && verdict.leftMillis <= QUARANTINE_MILLIS && verdict.leftMillis > QUARANTINE_MILLIS - 1000);
-	assert.equal(judge(['sys', 'doc', 'y2']).tag, 'clear');
-	assert.equal(judge([]).tag, 'clear');
+	assert.equal(judge(prompt('sys', 'doc', 'y2')).tag, 'clear');
+	assert.equal(judge(prompt()).tag, 'clear');
 	clock.advance(QUARANTINE_MILLIS);
-	assert.equal(judge(['sys', 'bad', 'x4']).tag, 'probe');
+	assert.equal(judge(prompt('sys', 'bad', 'x4')).tag, 'probe');
 });
 
 void test('after a quarantine, one request at a time is a probe, and a further crash doubles the quarantine', () => {
@@ -58,14 +63,14 @@
 	crash('bad', 'x1');
 	crash('bad', 'x2');
 	clock.advance(QUARANTINE_MILLIS);
-	const verdict = judge(['bad', 'x3']);
+	const verdict = judge(prompt('bad', 'x3'));
 	assert.ok(verdict.tag === 'probe');
 	const release = tryProbe(verdict.finding);
 	assert.ok(release);
 	assert.equal(tryProbe(verdict.finding), undefined, 'another one is under way');
 	crash('bad', 'x3');
 	release();
-	const again = judge(['bad', 'x4']);
+	const again = judge(prompt('bad', 'x4'));
 	assert.ok(again.tag === 'quarantined' && again.leftMillis > QUARANTINE_MILLIS);
 });
 
@@ -73,9 +78,9 @@
 	const {crash, noteSound, judge, events} = createQuarantine();
 	crash('doc', 'x1');
 	crash('doc', 'x2');
-	assert.equal(judge(['doc', 'x3']).tag, 'quarantined');
-	noteSound(['doc', 'x0']);
-	assert.equal(judge(['doc', 'x3']).tag, 'clear');
+	assert.equal(judge(prompt('doc', 'x3')).tag, 'quarantined');
+	noteSound(prompt('doc', 'x0'));
+	assert.equal(judge(prompt('doc', 'x3')).tag, 'clear');
 	assert.deepEqual(events, ['found doc 2', 'released doc']);
 });
 
@@ -83,11 +88,11 @@
 	const {crash, noteSound, judge} = createQuarantine();
 	crash('doc', 'bad', 'x1');
 	crash('doc', 'bad', 'x2');
-	assert.equal(judge(['doc', 'bad', 'x3']).tag, 'quarantined');
-	assert.equal(judge(['doc', 'x4']).tag, 'probe');
-	noteSound(['doc', 'x4']);
-	assert.equal(judge(['doc', 'x5']).tag, 'clear');
-	assert.equal(judge(['other', 'bad', 'x6']).tag, 'quarantined');
+	assert.equal(judge(prompt('doc', 'bad', 'x3')).tag, 'quarantined');
+	assert.equal(judge(prompt('doc', 'x4')).tag, 'probe');
+	noteSound(prompt('doc', 'x4'));
+	assert.equal(judge(prompt('doc', 'x5')).tag, 'clear');
+	assert.equal(judge(prompt('other', 'bad', 'x6')).tag, 'quarantined');
 });
 
 void test('what an entry missed is merged in any order and leads to the same view', () => {
@@ -95,7 +100,7 @@
 	const other = createQuarantine();
 	one.crash('sys', 'bad', 'x1');
 	one.crash('sys', 'bad', 'x2');
-	one.noteSound(['sys', 'y1']);
+	one.noteSound(prompt('sys', 'y1'));
 	assert.notEqual(one.readDigest(), other.readDigest());
 	other.clock.advance(one.clock.monotonicMillis());
 	for (const record of one.listCrashes().toReversed()) {
@@ -104,8 +109,8 @@
 	}
 
 	assert.equal(one.readDigest(), other.readDigest());
-	assert.equal(other.judge(['sys', 'bad', 'x3']).tag, 'quarantined');
-	assert.equal(other.judge(['sys', 'y3']).tag, 'clear');
+	assert.equal(other.judge(prompt('sys', 'bad', 'x3')).tag, 'quarantined');
+	assert.equal(other.judge(prompt('sys', 'y3')).tag, 'clear');
 });
 
 void test('an entry that has seen a sound answer since a crash tells the others', () => {
@@ -117,7 +122,7 @@
 	});
 	one.crash('doc', 'x1');
 	other.clock.advance(one.clock.monotonicMillis());
-	other.noteSound(['doc', 'y1']);
+	other.noteSound(prompt('doc', 'y1'));
 	other.merge(one.listCrashes());
 	assert.deepEqual(told, ['doc']);
 });
@@ -131,13 +136,13 @@
 	}
 
 	assert.equal(listCrashes().length, MAX_CRASHES);
-	assert.equal(judge(['bad', 'x3']).tag, 'quarantined');
+	assert.equal(judge(prompt('bad', 'x3')).tag, 'quarantined');
 });
 
 void test('a part that another entry knew to be sound is quarantined after a fourth crash, for a short time', () => {
 	const one = createQuarantine();
 	const other = createQuarantine();
-	other.noteSound(['doc', 'y0']);
+	other.noteSound(prompt('doc', 'y0'));
 	for (const own of ['x1', 'x2', 'x3']) {
 		one.crash('doc', own);
 		other.clock.advance(101);
@@ -145,12 +150,12 @@
 		one.merge(other.listCrashes());
 	}
 
-	assert.equal(one.judge(['doc', 'x4']).tag, 'clear');
+	assert.equal(one.judge(prompt('doc', 'x4')).tag, 'clear');
 	one.crash('doc', 'x4');
 	other.clock.advance(101);
 	other.merge(one.listCrashes());
 	one.merge(other.listCrashes());
-	const verdict = one.judge(['doc', 'x5']);
+	const verdict = one.judge(prompt('doc', 'x5'));
 	assert.ok(verdict.tag === 'quarantined' && verdict.leftMillis <= 4 * DOUBTFUL_QUARANTINE_MILLIS);
 	assert.equal(one.readDigest(), other.readDigest());
 });
@@ -167,7 +172,7 @@
 		},
 	};
 	let found = 0;
-	const quarantine = createPromptPartQuarantine({
+	const quarantine = createRequestQuarantine({
 		clock,
 		onFound() {
 			found++;
@@ -176,10 +181,10 @@
 	});
 	for (let i = 0; i < 200; i++) {
 		const sentAtMillis = clock.monotonicMillis();
-		quarantine.noteLost({server: `s${i}`, incarnation: i}, {attemptId: `a${i}`, parts: ['bad', `x${i}`], sentAtMillis});
-		quarantine.judge(['bad', `y${i}`]);
+		quarantine.noteLost({server: `s${i}`, incarnation: i}, {...prompt('bad', `x${i}`), attemptId: `a${i}`, sentAtMillis});
+		quarantine.judge(prompt('bad', `y${i}`));
 	}
 
 	assert.ok(found > 0 && found < 150, `${found} findings in ${reads} ms`);
-	assert.equal(quarantine.judge(['bad', 'y']).tag, 'quarantined');
+	assert.equal(quarantine.judge(prompt('bad', 'y')).tag, 'quarantined');
 });
--- a/src/decisions/quarantine/__tests__/simulated-fleet.test.ts
+++ b/src/decisions/quarantine/__tests__/simulated-fleet.test.ts
@@ -7,7 +7,7 @@
 const MAX_LATE_ARRIVALS = 3;
 
 const base: FleetOptions = {
-	seed: 0, entries: 7, engines: 12, isGroup: false, poisonousParts: 1, position: 'middle', soundRate: 40, poisonousRate: 2, poisonousFromMillis: 3000, otherCrashRate: 0, durationMillis: 60_000,
+	seed: 0, entries: 7, engines: 12, isGroup: false, poisonousParts: 1, repeatedRequests: 0, copies: 1, hasParts: false, position: 'middle', soundRate: 40, poisonousRate: 2, poisonousFromMillis: 3000, otherCrashRate: 0, durationMillis: 60_000,
 };
 
 /** Poisonous requests that reached engines later than the stable window after the fifth crash that they caused. */
@@ -53,6 +53,46 @@
 	});
 }
 
+const repeatedFleets: ReadonlyArray<Readonly<{name: string; options: Partial<FleetOptions>; seeds: number}>> = [
+	{name: 'a plain service of three', options: {engines: 3, poisonousRate: 1}, seeds: 30},
+	{name: 'three copies at once', options: {engines: 3, poisonousRate: 1, copies: 3}, seeds: 30},
+	{name: 'seven copies at once', options: {engines: 12, poisonousRate: 0.5, copies: 7}, seeds: 20},
+	{name: 'a rank group', options: {isGroup: true, hasParts: true, poisonousRate: 1}, seeds: 20},
+	{name: 'seldom', options: {engines: 3, poisonousRate: 0.15, durationMillis: 120_000}, seeds: 20},
+	{name: 'three requests', options: {engines: 6, repeatedRequests: 3, poisonousRate: 2}, seeds: 20},
+	{name: 'engines crash for other reasons too', options: {engines: 12, poisonousRate: 1, otherCrashRate: 0.5}, seeds: 30},
+	{name: 'two entries and engines', options: {entries: 2, engines: 2, poisonousRate: 1}, seeds: 20},
+	{
+		name: 'many entries and engines', options: {
+			entries: 60, engines: 200, soundRate: 300, poisonousRate: 3, durationMillis: 12_000,
+		}, seeds: 2,
+	},
+];
+
+/** Crashes after which the rule for a request that comes again counts. */
+const COUNTED_REQUEST_CRASHES = 3;
+
+for (const {name, options, seeds} of repeatedFleets) {
+	void test(`a request that crashes engines by itself stops reaching them, sound ones are served (${name})`, () => {
+		for (let seed = 1; seed <= seeds; seed++) {
+			const fleet = {
+				...base, repeatedRequests: 1, ...options, seed, poisonousParts: 0,
+			};
+			const result = playFleet(fleet);
+			assert.ok(result.poisonCrashes.length > 0, `seed ${seed}: the request crashes an engine`);
+			for (const {arrivals, crashes} of result.repeated) {
+				const boundAtMillis = (crashes[COUNTED_REQUEST_CRASHES - 1] ?? Infinity) + STABLE_WINDOW_MILLIS;
+				const late = arrivals.filter(atMillis => atMillis > boundAtMillis).length;
+				assert.ok(late <= MAX_LATE_ARRIVALS, `seed ${seed}: ${late} late arrivals, ${crashes.length} crashes`);
+			}
+
+			if (fleet.otherCrashRate === 0) {
+				assert.ok(readBegunShare(result, (result.poisonCrashes.at(-1) ?? 0) + (2 * STABLE_WINDOW_MILLIS)) >= 0.95, `seed ${seed}: the sound requests begin`);
+			}
+		}
+	});
+}
+
 const calmFleets: ReadonlyArray<Readonly<{name: string; options: Partial<FleetOptions>}>> = [
 	{name: 'single engines', options: {otherCrashRate: 2}},
 	{name: 'a rank group', options: {otherCrashRate: 0.3, isGroup: true}},
--- a/src/decisions/quarantine/__tests__/simulated-fleet.ts
+++ b/src/decisions/quarantine/__tests__/simulated-fleet.ts
@@ -1,7 +1,8 @@
 /** A fleet of entries and engines in simulated time, with prompts that crash engines and engines that crash for other reasons. */
 import type {Clock} from '../../../core/clock.js';
 import {createSeededRandom} from '../../random.js';
-import {createPromptPartQuarantine, type PromptPartQuarantine} from '../prompt-part-quarantine.js';
+import {readFindingTraits} from '../finding.js';
+import {createRequestQuarantine, type RequestQuarantine} from '../request-quarantine.js';
 import {SURVIVED_EVENTS} from '../quarantine-constants.js';
 
 export type FleetOptions = Readonly<{
@@ -17,6 +18,11 @@
 	/** Requests a second. */
 	soundRate: number;
 	poisonousRate: number;
+	/** Number of requests that crash engines by themselves and come again; each time `copies` are sent at once. */
+	repeatedRequests: number;
+	copies: number;
+	/** Whether they have the parts of sound prompts, or none. */
+	hasParts: boolean;
 	/** When the first poisonous request is sent, in milliseconds. */
 	poisonousFromMillis: number;
 	/** Crashes a second for other reasons; one in five takes a third of all engines. */
@@ -24,7 +30,7 @@
 	durationMillis: number;
 }>;
 
-type Request = Readonly<{id: string; entry: number; parts: readonly string[]; isPoisonous: boolean}>;
+type Request = Readonly<{id: string; entry: number; parts: readonly string[]; fingerprint: string; isPoisonous: boolean}>;
 type Attempt = {readonly request: Request; readonly sentAtMillis: number; events: number; readonly isRetry: boolean};
 type Engine = {id: string; incarnation: number; isUp: boolean; running: Set<Attempt>};
 
@@ -42,6 +48,8 @@
 export type FleetResult = Readonly<{
 	poisonousArrivals: readonly number[];
 	poisonCrashes: readonly number[];
+	/** The same for each request that comes again. */
+	repeated: ReadonlyArray<Readonly<{arrivals: readonly number[]; crashes: readonly number[]}>>;
 	/** Sound requests: when they were sent, and whether they began at the first attempt or were quarantined. */
 	sound: ReadonlyArray<Readonly<{atMillis: number; hasBegun: boolean; isQuarantined: boolean}>>;
 	/** Sound parts that were held to crash engines by themselves, at any entry. */
@@ -80,15 +88,18 @@
 	}
 
 	const poisonousParts = new Set(Array.from({length: options.poisonousParts}, (_, i) => `bad${i}`));
+	const repeated = Array.from({length: options.repeatedRequests}, () => ({arrivals: [] as number[], crashes: [] as number[]}));
+	const poisonousFingerprints = new Set(repeated.map((_, i) => `again${i}`));
 	const poisonousArrivals: number[] = [];
 	const poisonCrashes: number[] = [];
 	const sound: Array<{atMillis: number; hasBegun: boolean; isQuarantined: boolean}> = [];
 	const falseFindings = new Set<string>();
-	const quarantines: PromptPartQuarantine[] = Array.from({length: options.entries}, () => createPromptPartQuarantine({
+	const quarantines: RequestQuarantine[] = Array.from({length: options.entries}, () => createRequestQuarantine({
 		clock,
-		onFound({parts}) {
-			if (!parts.some(part => poisonousParts.has(part))) {
-				falseFindings.add(parts.join(' '));
+		onFound(finding) {
+			const traits = readFindingTraits(finding);
+			if (!traits.some(trait => poisonousParts.has(trait) || poisonousFingerprints.has(trait))) {
+				falseFindings.add(traits.join(' '));
 			}
 		},
 		onReleased: () => undefined,
@@ -108,13 +119,17 @@
 	}));
 	const isStalled = () => options.isGroup && engines.some(({isUp}) => !isUp);
 
-	function crash(engine: Engine, isPoisoned: boolean): void {
+	/** Record of a request that comes again; undefined for any other one. */
+	const findRepeated = ({fingerprint}: Request) => repeated[[...poisonousFingerprints].indexOf(fingerprint)];
+
+	function crash(engine: Engine, cause: Request | undefined): void {
 		if (!engine.isUp) {
 			return;
 		}
 
-		if (isPoisoned) {
+		if (cause) {
 			poisonCrashes.push(nowMillis);
+			findRepeated(cause)?.crashes.push(nowMillis);
 		}
 
 		engine.isUp = false;
@@ -124,7 +139,9 @@
 			const {request, sentAtMillis} = attempt;
 			const {id: server, incarnation} = engine;
 			schedule(5, () => {
-				quarantines[request.entry]!.noteLost({server, incarnation}, {attemptId: `${request.id}${attempt.isRetry ? 'r' : ''}`, parts: request.parts, sentAtMillis});
+				quarantines[request.entry]!.noteLost({server, incarnation}, {
+					attemptId: request.id, parts: request.parts, fingerprint: request.fingerprint, sentAtMillis,
+				});
 				if (!attempt.isRetry) {
 					send(request, true);
 				}
@@ -158,14 +175,14 @@
 		}
 
 		if (attempt.request.isPoisonous) {
-			crash(engine, true);
+			crash(engine, attempt.request);
 			return;
 		}
 
 		attempt.events++;
 		onBegun();
 		if (attempt.events === SURVIVED_EVENTS) {
-			quarantines[attempt.request.entry]!.noteSound(attempt.request.parts);
+			quarantines[attempt.request.entry]!.noteSound(attempt.request);
 		}
 
 		if (attempt.events === LAST_EVENT) {
@@ -184,7 +201,7 @@
 			sound.push(outcome);
 		}
 
-		const verdict = quarantine.judge(request.parts);
+		const verdict = quarantine.judge(request);
 		const release = verdict.tag === 'probe' ? quarantine.tryProbe(verdict.finding) : undefined;
 		if (verdict.tag === 'quarantined' || (verdict.tag === 'probe' && !release)) {
 			outcome.isQuarantined = true;
@@ -203,6 +220,7 @@
 
 		if (request.isPoisonous) {
 			poisonousArrivals.push(nowMillis);
+			findRepeated(request)?.arrivals.push(nowMillis);
 		}
 
 		const attempt: Attempt = {
@@ -223,6 +241,7 @@
 		const bad = isPoisonous ? [`bad${draw(options.poisonousParts)}`] : [];
 		return {
 			id: `r${started}`,
+			fingerprint: `f${started}`,
 			entry: draw(options.entries),
 			parts: [...options.position === 'first' ? bad : [], ...shared, ...options.position === 'middle' ? bad : [], `own${started}`],
 			isPoisonous,
@@ -246,11 +265,21 @@
 		repeat(options.poisonousParts > 0 ? options.poisonousRate : 0, () => {
 			send(createRequest(true), false);
 		});
+		repeat(options.repeatedRequests > 0 ? options.poisonousRate : 0, () => {
+			const i = draw(options.repeatedRequests);
+			const first = draw(options.entries);
+			for (let copy = 0; copy < options.copies; copy++) {
+				started++;
+				send({
+					id: `r${started}`, entry: (first + copy) % options.entries, parts: options.hasParts ? ['sys0', 'doc0-0', `again${i}`] : [], fingerprint: `again${i}`, isPoisonous: true,
+				}, false);
+			}
+		});
 	});
 	repeat(options.otherCrashRate, () => {
 		const count = random() < 0.2 ? Math.ceil(options.engines / 3) : 1;
 		for (let i = 0; i < count; i++) {
-			crash(engines[draw(engines.length)]!, false);
+			crash(engines[draw(engines.length)]!, undefined);
 		}
 	});
 	for (let event = events[0]; event && event.atMillis <= options.durationMillis; event = events[0]) {
@@ -260,6 +289,6 @@
 	}
 
 	return {
-		poisonousArrivals, poisonCrashes, sound, falseFindings,
+		poisonousArrivals, poisonCrashes, repeated, sound, falseFindings,
 	};
 }
--- a/src/decisions/quarantine/crash-record.ts
+++ b/src/decisions/quarantine/crash-record.ts
@@ -1,8 +1,14 @@
+/** What may make a request crash backend servers: a part of its prompt, or the request as a whole. */
+export type RequestContent = Readonly<{
+	/** Ids of the parts of its prompt; the last one belongs to the request or its session. Empty for a plain request. */
+	parts: readonly string[];
+	/** Hash of path, caller and body; the same each time the request is sent. Empty if the entry that told of the request did not say. */
+	fingerprint: string;
+}>;
+
 /** A request that a backend server had not answered when it crashed. */
-export type LostRequest = Readonly<{
+export type LostRequest = RequestContent & Readonly<{
 	attemptId: string;
-	/** Ids of the parts of its prompt; the last one belongs to the request or its session. */
-	parts: readonly string[];
 	/** Monotonic time at which it was sent. */
 	sentAtMillis: number;
 }>;
@@ -15,9 +21,9 @@
 	/** Monotonic time at which the first entry noticed it. */
 	atMillis: number;
 	lost: readonly LostRequest[];
-	/** Parts on which a backend server has written an answer since the crash, so that they did not cause it. */
+	/** Parts and fingerprints on which a backend server has written an answer since the crash, so that they did not cause it. */
 	soundParts: ReadonlySet<string>;
-	/** Parts on which any entry had seen an answer before the crash. */
+	/** Parts and fingerprints on which any entry had seen an answer before the crash. */
 	knownParts: ReadonlySet<string>;
 }>;
 
@@ -25,3 +31,16 @@
 export function readCrashKey({server, incarnation}: Pick<CrashRecord, 'server' | 'incarnation'>): string {
 	return `${server}|${incarnation}`;
 }
+
+/** Parts of a request, and its fingerprint. */
+export function listTraits({parts, fingerprint}: RequestContent): readonly string[] {
+	return fingerprint === '' ? parts : [...parts, fingerprint];
+}
+
+/**
+ * Whether a lost request is evidence besides an earlier crash: it was sent after that crash was noticed, so that the two do not have
+ * one cause of their own. A repeat of a request that was lost in that crash always is; times from other entries are less exact.
+ */
+export function isSentAfter({sentAtMillis, attemptId}: LostRequest, earlier: CrashRecord | undefined): boolean {
+	return !earlier || sentAtMillis > earlier.atMillis || earlier.lost.some(lost => lost.attemptId === attemptId);
+}
--- a/src/decisions/quarantine/find-poison-parts.ts
+++ b/src/decisions/quarantine/find-poison-parts.ts
@@ -3,7 +3,7 @@
  * entry, and each ends the backend server that begins to answer it. Sound requests share their other parts, and backend servers
  * crash for other reasons too, several at once or in a row.
  */
-import {readCrashKey, type CrashRecord} from './crash-record.js';
+import {isSentAfter, type CrashRecord} from './crash-record.js';
 import {MIN_CRASHES, MIN_CRASHES_SOUND_BEFORE, MIN_CRASHES_UNSURE} from './quarantine-constants.js';
 
 /** Parts that crash backend servers. If there are several, they were never seen apart, and only requests with all of them are poisonous for sure. */
@@ -48,9 +48,10 @@
 	const candidates = listRepeatedParts(crashes);
 	for (const crash of crashes) {
 		const ownPartsByPart = new Map<string, Set<string>>();
-		for (const {parts, sentAtMillis} of crash.lost) {
+		for (const lost of crash.lost) {
+			const {parts} = lost;
 			for (const part of parts) {
-				if (candidates.has(part) && !crash.soundParts.has(part) && sentAtMillis > (suspects.get(part)?.crashes.at(-1)?.atMillis ?? -Infinity)) {
+				if (candidates.has(part) && !crash.soundParts.has(part) && isSentAfter(lost, suspects.get(part)?.crashes.at(-1))) {
 					ownPartsByPart.set(part, (ownPartsByPart.get(part) ?? new Set()).add(parts.at(-1) ?? ''));
 				}
 			}
@@ -116,13 +117,3 @@
 		unexplained = unexplained.filter(crash => !isExplainedBy(crash, parts));
 	}
 }
-
-/** Lists the parts that are suspected in any of the crashes, for the log. */
-export function listSuspectParts(crash: CrashRecord): readonly string[] {
-	return [...new Set(crash.lost.flatMap(({parts}) => parts))].filter(part => !crash.soundParts.has(part));
-}
-
-/** Whether two findings are the same. */
-export function isSameFinding(left: PoisonParts, right: PoisonParts): boolean {
-	return left.parts.join(' ') === right.parts.join(' ') && left.crashes.map(crash => readCrashKey(crash)).join(' ') === right.crashes.map(crash => readCrashKey(crash)).join(' ');
-}
--- a/src/decisions/quarantine/quarantine-constants.ts
+++ b/src/decisions/quarantine/quarantine-constants.ts
@@ -4,6 +4,10 @@
 export const MIN_CRASHES_UNSURE = 3;
 /** The same for a part on which answers were written before. */
 export const MIN_CRASHES_SOUND_BEFORE = 4;
+/** Crashes that make a request, as a whole, suspect enough to be quarantined if it was never answered. */
+export const MIN_REQUEST_CRASHES = 3;
+/** Number of them that must have followed one another; fewer, as copies of a request may be lost at the same time. */
+export const MIN_REQUEST_SEQUENCE = 2;
 /** Sound answers after which an entry holds a part that it does not know to be new. */
 export const MIN_SOUND_ANSWERS = 20;
 /** Events after which a backend server counts as having survived the beginning of an answer. */
--- a/src/decisions/quarantine/prompt-part-quarantine.ts
+++ b/src/decisions/quarantine/request-quarantine.ts
@@ -1,14 +1,16 @@
-/** Keeps requests with parts that crash backend servers away from them, based on the crashes that all entries have seen. */
+/** Keeps requests that crash backend servers, by a part of their prompts or by themselves, away from them, based on the crashes that all entries have seen. */
 import {crc32} from 'node:zlib';
 import type {Clock} from '../../core/clock.js';
 import {createSnapshotStore} from '../../core/snapshot-store.js';
 import type {Teardown} from '../../core/teardown.js';
 import {
-	readCrashKey, type CrashRecord, type LostRequest,
+	listTraits, readCrashKey, type CrashRecord, type LostRequest, type RequestContent,
 } from './crash-record.js';
+import {findPoisonParts} from './find-poison-parts.js';
+import {findPoisonRequests} from './find-poison-requests.js';
 import {
-	findPoisonParts, isSameFinding, listSuspectParts, type PoisonParts,
-} from './find-poison-parts.js';
+	isSameFinding, listSuspectTraits, matchFinding, readFindingKey, type Finding,
+} from './finding.js';
 import {
 	CRASH_LIFETIME_MILLIS, DOUBTFUL_QUARANTINE_MILLIS, MAX_CRASHES, MAX_LOST_REQUESTS, MAX_SOUND_PARTS, MIN_CRASHES, MIN_SOUND_ANSWERS, QUARANTINE_MILLIS,
 } from './quarantine-constants.js';
@@ -17,22 +19,22 @@
 export type QuarantineVerdict
 	= | Readonly<{tag: 'clear'}>
 	/** It may be sent as a probe, one at a time: it has some of several parts of which not all need be poisonous, or the quarantine has lapsed. */
-		| Readonly<{tag: 'probe'; finding: PoisonParts}>
-		| Readonly<{tag: 'quarantined'; finding: PoisonParts; leftMillis: number}>;
+		| Readonly<{tag: 'probe'; finding: Finding}>
+		| Readonly<{tag: 'quarantined'; finding: Finding; leftMillis: number}>;
 
-/** Quarantine of prompt parts, as one entry knows it. */
-export type PromptPartQuarantine = Readonly<{
-	judge: (parts: readonly string[]) => QuarantineVerdict;
+/** Quarantine of prompt parts and requests, as one entry knows it. */
+export type RequestQuarantine = Readonly<{
+	judge: (content: RequestContent) => QuarantineVerdict;
 	/** Takes the right to send one request that is to be judged as a probe; undefined while another one is under way. */
-	tryProbe: (finding: PoisonParts) => Teardown | undefined;
+	tryProbe: (finding: Finding) => Teardown | undefined;
 	/** Records a request that was lost when a backend server crashed. */
 	noteLost: (crash: Pick<CrashRecord, 'server' | 'incarnation'>, lost: LostRequest) => void;
-	/** Records that a backend server writes an answer on these parts. */
-	noteSound: (parts: readonly string[]) => void;
+	/** Records that a backend server writes an answer to such a request. */
+	noteSound: (content: RequestContent) => void;
 	/** Adds what another entry knows. */
 	merge: (records: readonly CrashRecord[]) => void;
 	listCrashes: () => readonly CrashRecord[];
-	listFindings: () => readonly PoisonParts[];
+	listFindings: () => readonly Finding[];
 	/** Hash of the known crashes; the same for two entries that know the same. */
 	readDigest: () => number;
 	/** Calls `listener` with each observation of this entry's own, which the other entries are to receive. */
@@ -41,9 +43,9 @@
 
 type Deps = Readonly<{
 	clock: Clock;
-	onFound: (finding: PoisonParts) => void;
-	/** Called when the parts of an earlier finding are no longer held to be poisonous. */
-	onReleased: (finding: PoisonParts) => void;
+	onFound: (finding: Finding) => void;
+	/** Called when what an earlier finding concerns is no longer held to be poisonous. */
+	onReleased: (finding: Finding) => void;
 }>;
 
 /** Pause between two refreshes of the findings, as a multiple of the time that the first one took; bounds their share of the processor. */
@@ -93,22 +95,23 @@
 }
 
 /** Time for which a finding holds after its last crash, in milliseconds. */
-function readQuarantineMillis({crashes, isDoubtful}: PoisonParts): number {
+function readQuarantineMillis({crashes, isDoubtful}: Finding): number {
 	const baseMillis = isDoubtful ? DOUBTFUL_QUARANTINE_MILLIS : QUARANTINE_MILLIS;
 	return Math.min(CRASH_LIFETIME_MILLIS, baseMillis * (2 ** (crashes.length - MIN_CRASHES)));
 }
 
 /** Creates a quarantine without crashes. */
-export function createPromptPartQuarantine({clock, onFound, onReleased}: Deps): PromptPartQuarantine {
+export function createRequestQuarantine({clock, onFound, onReleased}: Deps): RequestQuarantine {
 	const crashes = createSnapshotStore<Crashes>(new Map());
 	const listeners = new Set<(records: readonly CrashRecord[]) => void>();
-	/** Parts with the monotonic time of the last answer on them, the least recent first. */
+	/** Parts and fingerprints with the monotonic time of the last answer on them, the least recent first. */
 	const soundAtMillis = new Map<string, number>();
 	const probing = new Set<string>();
-	let findings: readonly PoisonParts[] = [];
-	/** Parts that may have caused a crash. */
-	let suspectParts: ReadonlySet<string> = new Set();
-	let soundAnswers = 0;
+	let findings: readonly Finding[] = [];
+	/** Parts and fingerprints that may have caused a crash. */
+	let suspectTraits: ReadonlySet<string> = new Set();
+	/** Answers on prompts with parts. */
+	let soundPrompts = 0;
 	/** Whether crashes have changed since the findings were made. */
 	let isOutdated = false;
 	/** When the findings may be made again. */
@@ -117,13 +120,17 @@
 	function updateFindings(): void {
 		const before = findings;
 		const known = crashes.read();
-		suspectParts = new Set([...known.values()].flatMap(record => listSuspectParts(record)));
-		findings = findPoisonParts(known.values(), {isKnownSound: part => soundAtMillis.has(part), isExperienced: soundAnswers >= MIN_SOUND_ANSWERS});
+		const isKnownSound = (trait: string) => soundAtMillis.has(trait);
+		suspectTraits = new Set([...known.values()].flatMap(record => listSuspectTraits(record)));
+		findings = [
+			...findPoisonParts(known.values(), {isKnownSound, isExperienced: soundPrompts >= MIN_SOUND_ANSWERS}).map(found => ({...found, tag: 'parts' as const})),
+			...findPoisonRequests(known.values(), isKnownSound).map(found => ({...found, tag: 'request' as const})),
+		];
 		for (const finding of findings.filter(next => !before.some(earlier => isSameFinding(earlier, next)))) {
 			onFound(finding);
 		}
 
-		for (const finding of before.filter(earlier => !findings.some(next => next.parts.join(' ') === earlier.parts.join(' ')))) {
+		for (const finding of before.filter(earlier => !findings.some(next => readFindingKey(next) === readFindingKey(earlier)))) {
 			onReleased(finding);
 		}
 	}
@@ -163,9 +170,9 @@
 		return changed.length > 0 ? limit(new Map([...before, ...changed.map(record => [readCrashKey(record), record] as const)])) : before;
 	}
 
-	/** Adds what this entry has seen of the parts of a crash: answers before it, and answers since. */
+	/** Adds what this entry has seen of the requests lost in a crash: answers before it, and answers since. */
 	function addObservations(record: CrashRecord): CrashRecord {
-		const seen = record.lost.flatMap(({parts}) => parts).filter(part => soundAtMillis.has(part));
+		const seen = record.lost.flatMap(lost => listTraits(lost)).filter(part => soundAtMillis.has(part));
 		const sound = seen.filter(part => (soundAtMillis.get(part) ?? -Infinity) > record.atMillis && !record.soundParts.has(part));
 		const known = seen.filter(part => !record.knownParts.has(part));
 		return sound.length + known.length > 0
@@ -182,26 +189,27 @@
 	}
 
 	return {
-		judge(parts) {
+		judge(content) {
 			refreshFindings();
 			const nowMillis = clock.monotonicMillis();
 			let verdict: QuarantineVerdict = {tag: 'clear'};
-			for (const finding of parts.length > 0 ? findings : []) {
+			for (const finding of findings) {
 				const lastCrashAtMillis = finding.crashes.at(-1)?.atMillis ?? nowMillis;
 				const leftMillis = lastCrashAtMillis + readQuarantineMillis(finding) - nowMillis;
-				if (leftMillis > 0 && finding.parts.every(part => parts.includes(part))) {
+				const matching = matchFinding(finding, content);
+				if (leftMillis > 0 && matching === 'all') {
 					return {tag: 'quarantined', finding, leftMillis};
 				}
 
-				if (finding.parts.some(part => parts.includes(part))) {
+				if (matching !== 'none') {
 					verdict = {tag: 'probe', finding};
 				}
 			}
 
 			return verdict;
 		},
-		tryProbe({parts}) {
-			const key = parts.join(' ');
+		tryProbe(finding) {
+			const key = readFindingKey(finding);
 			if (probing.has(key)) {
 				return undefined;
 			}
@@ -218,31 +226,29 @@
 			crashes.update(before => addRecords(before, [mergeRecord(before.get(readCrashKey(crash)), observed)]));
 			announce([observed]);
 		},
-		noteSound(parts) {
+		noteSound(content) {
 			const nowMillis = clock.monotonicMillis();
-			const sound = new Set(parts);
-			for (const part of sound) {
-				soundAtMillis.delete(part);
-				soundAtMillis.set(part, nowMillis);
+			const sound = new Set(listTraits(content));
+			for (const trait of sound) {
+				soundAtMillis.delete(trait);
+				soundAtMillis.set(trait, nowMillis);
 			}
 
 			while (soundAtMillis.size > MAX_SOUND_PARTS) {
 				soundAtMillis.delete(soundAtMillis.keys().next().value ?? '');
 			}
 
-			soundAnswers++;
-			if (soundAnswers === MIN_SOUND_ANSWERS) {
-				isOutdated = true;
-			}
+			soundPrompts += content.parts.length > 0 ? 1 : 0;
+			isOutdated ||= content.parts.length > 0 && soundPrompts === MIN_SOUND_ANSWERS;
 
 			refreshFindings();
 
-			if (!parts.some(part => suspectParts.has(part))) {
+			if (![...sound].some(trait => suspectTraits.has(trait))) {
 				return;
 			}
 
 			const cleared = [...crashes.read().values()]
-				.map(record => ({record, added: listSuspectParts(record).filter(part => sound.has(part))}))
+				.map(record => ({record, added: listSuspectTraits(record).filter(trait => sound.has(trait))}))
 				.filter(({added}) => added.length > 0);
 			crashes.update(before => addRecords(before, cleared.map(({record, added}) => ({...record, soundParts: new Set([...record.soundParts, ...added])}))));
 			announce(cleared.map(({record, added}) => ({
--- a/src/explain/explain-request.ts
+++ b/src/explain/explain-request.ts
@@ -75,6 +75,9 @@
 		.with({parts: P.string}, ({parts, crashed}) => [
 			`its prompt has the parts ${parts}, on which ${formatValue(crashed)} crashed before they had answered`,
 		])
+		.with({fingerprint: P.string}, ({fingerprint, crashed}) => [
+			`it was sent before, as the same request (${fingerprint}), and ${formatValue(crashed)} crashed before they had answered it`,
+		])
 		.with({reason: 'no_configuration'}, () => ['the process knew no configuration yet'])
 		.with({reason: 'no_backend_server'}, () => ['no backend server of its service was listed as ready'])
 		.with({reason: 'refused_by_backend_server'}, ({asked}) => [`the backend servers asked (${formatValue(asked)}) all refused it`])
--- a/src/gateway/attempt-outcome.ts
+++ b/src/gateway/attempt-outcome.ts
@@ -10,8 +10,8 @@
 		| Readonly<{tag: 'answered'; head: FramedHead; body: Uint8Array}>
 	/** Complete answer that was forwarded as it arrived. */
 		| Readonly<{tag: 'passed'}>
-	/** The request was written but no complete answer arrived; it may have run. */
-		| Readonly<{tag: 'lost'; detail: string}>
+	/** The request was written but no complete answer arrived; it may have run. `isSilent`: it was given up, as nothing came for too long. */
+		| Readonly<{tag: 'lost'; detail: string; isSilent?: true}>
 	/** The attempt timed out; it may have run. */
 		| Readonly<{tag: 'late'}>
 		| Readonly<{tag: 'caller_left'}>;
--- a/src/gateway/crash-watch.ts
+++ b/src/gateway/crash-watch.ts
@@ -1,6 +1,7 @@
 /** Notices crashes of backend servers that may have been caused by the content of a request. */
 import type {Clock} from '../core/clock.js';
-import type {PromptPartQuarantine} from '../decisions/quarantine/prompt-part-quarantine.js';
+import type {RequestContent} from '../decisions/quarantine/crash-record.js';
+import type {RequestQuarantine} from '../decisions/quarantine/request-quarantine.js';
 import type {Log} from '../observability/log.js';
 import type {BackendConnections} from './backend-connections.js';
 import type {BackendServer} from './backend-server.js';
@@ -11,7 +12,7 @@
 /** Watches the backend servers that lose requests. */
 export type CrashWatch = Readonly<{
 	/** Checks whether the backend server that lost the call has crashed; resolves once the crash, if it is one, is taken into account. */
-	noteLost: (server: BackendServer, call: Call, sentAtMillis: number) => Promise<void>;
+	noteLost: (server: BackendServer, call: Call, content: RequestContent, sentAtMillis: number) => Promise<void>;
 }>;
 
 type Deps = Readonly<{
@@ -19,7 +20,7 @@
 	log: Log;
 	metrics: GatewayMetrics;
 	connections: Pick<BackendConnections, 'isListening'>;
-	quarantine: Pick<PromptPartQuarantine, 'noteLost'>;
+	quarantine: Pick<RequestQuarantine, 'noteLost'>;
 	readServers: () => BackendServers;
 }>;
 
@@ -62,7 +63,7 @@
 	}
 
 	return {
-		async noteLost(server, {head}, sentAtMillis) {
+		async noteLost(server, {head}, content, sentAtMillis) {
 			const listed = readServers().get(server.id);
 			// One that is leaving ends as announced.
 			const mayHaveCrashed = listed?.incarnation === server.incarnation && listed.state === 'ready';
@@ -70,9 +71,9 @@
 				return;
 			}
 
-			quarantine.noteLost({server: server.id, incarnation: server.incarnation}, {attemptId: head.attemptId, parts: head.promptParts, sentAtMillis});
+			quarantine.noteLost({server: server.id, incarnation: server.incarnation}, {...content, attemptId: head.attemptId, sentAtMillis});
 			log.info('request lost in a crash', {
-				request: head.attemptId, server: server.id, startedAt: server.incarnation, promptParts: head.promptParts.join(' '),
+				request: head.attemptId, server: server.id, startedAt: server.incarnation, promptParts: content.parts.join(' '), fingerprint: content.fingerprint,
 			});
 		},
 	};
--- a/src/gateway/finish-call.ts
+++ b/src/gateway/finish-call.ts
@@ -1,7 +1,7 @@
 /** Sends the final answer of a call to its caller and records how the call ended. */
 import {Buffer} from 'node:buffer';
+import type {Finding} from '../decisions/quarantine/finding.js';
 import type {LogContext} from '../observability/log.js';
-import type {PromptAdmission} from './admit-prompt.js';
 import type {AttemptOutcome} from './attempt-outcome.js';
 import type {Call} from './call.js';
 import type {CallProgress} from './call-progress.js';
@@ -40,11 +40,17 @@
 	call.reply.end();
 }
 
-/** Why a call is not tried at any further backend server, and when to come back if that is known; `quarantine` tells more of the cause `quarantined`. */
-export type GiveUp = Readonly<{cause: NotRunCause; retryAfterMillis?: number; quarantine?: Extract<PromptAdmission, {tag: 'quarantined'}>}>;
+/** Why a call is not tried at any further backend server, and when to come back if that is known; `finding` tells more of the cause `quarantined`. */
+export type GiveUp = Readonly<{cause: NotRunCause; retryAfterMillis?: number; finding?: Finding}>;
+
+/** Fields of a log line that name what is held to crash backend servers, and those that crashed. */
+export function describeFinding(finding: Finding): LogContext {
+	const crashed = finding.crashes.map(({server}) => server).join(' ');
+	return finding.tag === 'parts' ? {parts: finding.parts.join(' '), crashed} : {fingerprint: finding.fingerprint, crashed};
+}
 
 /** Ends a call whose attempts produced no answer to deliver. */
-export function finishUnanswered(ctx: GatewayContext, routed: RoutedCall, progress: CallProgress, {cause, retryAfterMillis, quarantine}: GiveUp): void {
+export function finishUnanswered(ctx: GatewayContext, routed: RoutedCall, progress: CallProgress, {cause, retryAfterMillis, finding}: GiveUp): void {
 	const {call} = routed;
 	if (call.disconnectSignal.aborted) {
 		recordCall(ctx, routed, progress, 'caller_left');
@@ -61,7 +67,7 @@
 		? {tag: 'unknown', reason: cause === 'deadline' ? 'late' : 'lost'}
 		: createNotRunRefusal(cause, retryAfterMillis ?? routed.flow.outageDetector.chooseRetryAfterMillis(ctx.clock.monotonicMillis(), call.head.deadlineMillis));
 	refuseCall(ctx, call, refusal, {
-		route: routed.route.name, cause, attempts: progress.attempts, asked: [...progress.triedServers].join(' '), parts: quarantine?.parts.join(' '), crashed: quarantine?.crashed.join(' '),
+		route: routed.route.name, cause, attempts: progress.attempts, asked: [...progress.triedServers].join(' '), ...(finding && describeFinding(finding)),
 	});
 }
 
@@ -135,7 +141,7 @@
 		promptTokens: call.head.promptTokens,
 		maxOutputTokens: call.head.maxOutputTokens,
 		promptParts: call.head.promptParts.join(' ') || undefined,
-		fingerprint: routed.fingerprint,
+		fingerprint: routed.content.fingerprint,
 		version: cfg.version,
 		configurationAgeMillis: Math.round(ctx.configuration.ageMillis()),
 		waitedMillis: Math.round(waitedMillis),
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -3,7 +3,7 @@
 import type {ProgressTracker} from '../decisions/flow/progress-tracker.js';
 import type {ServerBackoff} from '../decisions/flow/server-backoff.js';
 import type {ServerPicker} from '../decisions/flow/server-picker.js';
-import type {PromptPartQuarantine} from '../decisions/quarantine/prompt-part-quarantine.js';
+import type {RequestQuarantine} from '../decisions/quarantine/request-quarantine.js';
 import type {RateLimiter} from '../decisions/rate-limit/rate-limiter.js';
 import type {StatedLimits} from '../decisions/rate-limit/stated-limits.js';
 import type {RandomSource} from '../decisions/random.js';
@@ -34,7 +34,7 @@
 	statedLimits: StatedLimits;
 	rateLimiter: RateLimiter;
 	noteLeaving: BackendServerList['noteLeaving'];
-	quarantine: PromptPartQuarantine;
+	quarantine: RequestQuarantine;
 	crashWatch: CrashWatch;
 	/** Whether new streams are accepted: false once they could no longer end before the process exits. */
 	isAcceptingStreams: () => boolean;
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -39,6 +39,9 @@
 		quarantinedParts: new Gauge({
 			name: 'pollenport_quarantined_prompt_parts', help: 'Parts of prompts, or combinations of them, that are held to crash backend servers', registers,
 		}),
+		quarantinedRequests: new Gauge({
+			name: 'pollenport_quarantined_requests', help: 'Requests that are held to crash backend servers by themselves', registers,
+		}),
 		limitedServers: new Gauge({
 			name: 'pollenport_limited_backend_servers', help: 'Backend servers that state a limit on the rate of their requests', registers,
 		}),
--- a/src/gateway/routed-call.ts
+++ b/src/gateway/routed-call.ts
@@ -1,5 +1,6 @@
 /** Resolves the route, client account and service of a call. */
 import {drawService} from '../routing/route-table.js';
+import type {RequestContent} from '../decisions/quarantine/crash-record.js';
 import type {RoutedAccount, Route, RoutingConfiguration} from '../routing/routing-configuration.js';
 import type {Call} from './call.js';
 import {STOPPING_RETRY_AFTER_MILLIS} from './gateway-constants.js';
@@ -15,8 +16,8 @@
 	route: Route;
 	service: string;
 	account: RoutedAccount | undefined;
-	/** Hash of path, caller and body; the same each time the request is sent. */
-	fingerprint: string;
+	/** What may make it crash backend servers. */
+	content: RequestContent;
 	/** Monotonic time by which the call must have ended. */
 	deadlineMillis: number;
 	flow: ServiceFlow;
@@ -63,7 +64,7 @@
 		route,
 		service,
 		account: caller,
-		fingerprint: createFingerprint(call, caller?.name ?? ''),
+		content: {parts: call.head.promptParts, fingerprint: createFingerprint(call, caller?.name ?? '')},
 		deadlineMillis: call.arrivedAtMillis + timeoutMillis,
 		flow: ctx.flows.read(service),
 		waitedMillis: 0,
--- a/src/gateway/run-attempt.ts
+++ b/src/gateway/run-attempt.ts
@@ -99,7 +99,7 @@
 				const limitMillis = hasData ? pauseMillis : firstByteMillis;
 				const leftMillis = lastProgressAtMillis + limitMillis - clock.monotonicMillis();
 				if (leftMillis <= 0 && isOtherAlive()) {
-					abortWith({tag: 'lost', detail: `no data for ${limitMillis} ms while other backend servers made progress`});
+					abortWith({tag: 'lost', detail: `no data for ${limitMillis} ms while other backend servers made progress`, isSilent: true});
 					return;
 				}
 
--- a/src/gateway/send-to-backend-server.ts
+++ b/src/gateway/send-to-backend-server.ts
@@ -3,7 +3,6 @@
 import {SURVIVED_EVENTS} from '../decisions/quarantine/quarantine-constants.js';
 import type {AttemptOutcome} from './attempt-outcome.js';
 import type {BackendServer} from './backend-server.js';
-import type {Call} from './call.js';
 import type {CallProgress} from './call-progress.js';
 import type {GatewayContext} from './gateway-context.js';
 import type {RoutedCall} from './routed-call.js';
@@ -56,7 +55,7 @@
 			onEvent(pauseMillis) {
 				eventCount++;
 				if (eventCount === SURVIVED_EVENTS) {
-					ctx.quarantine.noteSound(call.head.promptParts);
+					ctx.quarantine.noteSound(routed.content);
 				}
 
 				flow.outageDetector.noteServed(ctx.clock.monotonicMillis());
@@ -99,8 +98,8 @@
 
 	progress.attempts += outcome.tag === 'not_sent' ? 0 : 1;
 	recordOutcome(ctx, server, outcome, firstByteMillis);
-	if (call.head.promptParts.length > 0 && eventCount < SURVIVED_EVENTS) {
-		await recordPromptOutcome(ctx, call, outcome, {server, sentAtMillis: startedAtMillis});
+	if (eventCount < SURVIVED_EVENTS) {
+		await recordSurvival(ctx, routed, outcome, {server, sentAtMillis: startedAtMillis});
 	}
 
 	if (outcome.tag !== 'passed' && !(outcome.tag === 'answered' && outcome.head.status < 400)) {
@@ -109,7 +108,7 @@
 			route: route.name,
 			account: account?.name,
 			promptParts: call.head.promptParts.join(' ') || undefined,
-			fingerprint: routed.fingerprint,
+			fingerprint: routed.content.fingerprint,
 			server: server.id,
 			end: outcome.tag,
 			detail: 'detail' in outcome ? outcome.detail : undefined,
@@ -124,12 +123,19 @@
 	return outcome;
 }
 
-/** Learns from an attempt that ended before the backend server had survived the beginning of an answer, which prompts crash it. */
-async function recordPromptOutcome(ctx: GatewayContext, call: Call, outcome: AttemptOutcome, {server, sentAtMillis}: Readonly<{server: BackendServer; sentAtMillis: number}>): Promise<void> {
+/** Where and when an attempt was sent. */
+type SentAttempt = Readonly<{server: BackendServer; sentAtMillis: number}>;
+
+/** Learns from an attempt that ended before the backend server had survived the beginning of an answer, which requests crash it. */
+async function recordSurvival(ctx: GatewayContext, {call, content}: RoutedCall, outcome: AttemptOutcome, {server, sentAtMillis}: SentAttempt): Promise<void> {
 	if (outcome.tag === 'lost') {
-		await ctx.crashWatch.noteLost(server, call, sentAtMillis);
+		const noted = ctx.crashWatch.noteLost(server, call, content, sentAtMillis);
+		// A backend server that crashes ends its connections. One that falls silent is looked at for prompts, which another one must not get meanwhile.
+		if (!outcome.isSilent || content.parts.length > 0) {
+			await noted;
+		}
 	} else if (outcome.tag === 'passed' || (outcome.tag === 'answered' && outcome.head.status < 300)) {
-		ctx.quarantine.noteSound(call.head.promptParts);
+		ctx.quarantine.noteSound(content);
 	}
 }
 
--- a/src/gateway/serve-call.ts
+++ b/src/gateway/serve-call.ts
@@ -1,8 +1,10 @@
 /** Serves one call: routes it, waits for a permit and tries backend servers until there is an answer to deliver. */
 import {MAX_RETRY_AFTER_MILLIS, MAX_WAIT_SHARE, MIN_RETRY_AFTER_MILLIS} from '../decisions/flow/flow-constants.js';
 import type {PermitRequest} from '../decisions/flow/permit-queue.js';
-import {admitPrompt} from './admit-prompt.js';
-import {finishCall, finishUnanswered, refuseCall} from './finish-call.js';
+import {admitRequest} from './admit-request.js';
+import {
+	describeFinding, finishCall, finishUnanswered, refuseCall,
+} from './finish-call.js';
 import {sendToBackendServer} from './send-to-backend-server.js';
 import type {AttemptOutcome} from './attempt-outcome.js';
 import type {BackendServer} from './backend-server.js';
@@ -39,12 +41,9 @@
 	}
 
 	const {route, flow} = found;
-	const verdict = ctx.quarantine.judge(call.head.promptParts);
+	const verdict = ctx.quarantine.judge(found.content);
 	if (verdict.tag === 'quarantined') {
-		const {finding: {parts, crashes}, leftMillis} = verdict;
-		refuseCall(ctx, call, createNotRunRefusal('quarantined', leftMillis), {
-			route: route.name, parts: parts.join(' '), crashed: crashes.map(({server}) => server).join(' '),
-		});
+		refuseCall(ctx, call, createNotRunRefusal('quarantined', verdict.leftMillis), {route: route.name, ...describeFinding(verdict.finding)});
 		return;
 	}
 
@@ -136,9 +135,9 @@
 			return;
 		}
 
-		const admission = admitPrompt(ctx, call.head.promptParts);
+		const admission = admitRequest(ctx, routed.content);
 		if (admission.tag === 'quarantined') {
-			finishUnanswered(ctx, routed, progress, {cause: 'quarantined', retryAfterMillis: admission.retryAfterMillis, quarantine: admission});
+			finishUnanswered(ctx, routed, progress, {cause: 'quarantined', retryAfterMillis: admission.retryAfterMillis, finding: admission.finding});
 			return;
 		}
 
--- a/src/gateway/start-gateway.ts
+++ b/src/gateway/start-gateway.ts
@@ -8,9 +8,10 @@
 import {createProgressTracker} from '../decisions/flow/progress-tracker.js';
 import {createServerBackoff} from '../decisions/flow/server-backoff.js';
 import {createServerPicker} from '../decisions/flow/server-picker.js';
-import {createPromptPartQuarantine} from '../decisions/quarantine/prompt-part-quarantine.js';
+import {createRequestQuarantine} from '../decisions/quarantine/request-quarantine.js';
 import {createRateLimiter} from '../decisions/rate-limit/rate-limiter.js';
 import {createStatedLimits} from '../decisions/rate-limit/stated-limits.js';
+import {listLostRequests} from '../decisions/quarantine/finding.js';
 import type {RandomSource} from '../decisions/random.js';
 import {createFeedInterrupt} from '../feeds/feed-interrupt.js';
 import {followTable, type TableListener} from '../feeds/follow-table.js';
@@ -30,6 +31,7 @@
 import {createConfigurationInForce} from './configuration-in-force.js';
 import {createCrashWatch} from './crash-watch.js';
 import {drainGateway} from './drain-gateway.js';
+import {describeFinding} from './finish-call.js';
 import {SERVER_LIST_MIN_INTERVAL_SHARE, SHARING_TIMEOUT_MILLIS} from './gateway-constants.js';
 import type {GatewayContext} from './gateway-context.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
@@ -90,16 +92,15 @@
 		},
 	});
 	const isReady = () => !isStopping && hasServers && configuration.read() !== undefined;
-	const quarantine = createPromptPartQuarantine({
+	const quarantine = createRequestQuarantine({
 		clock,
-		onFound({parts, crashes}) {
-			log.warn('prompt parts quarantined', {
-				parts: parts.join(' '), crashed: crashes.map(crash => crash.server).join(' '), requests: crashes.flatMap(crash => crash.lost.map(lost => lost.attemptId)).join(' '),
-			});
+		onFound(finding) {
+			const requests = listLostRequests(finding).map(lost => lost.attemptId).join(' ');
+			log.warn(finding.tag === 'parts' ? 'prompt parts quarantined' : 'request quarantined', {...describeFinding(finding), requests});
 			noteQuarantine();
 		},
-		onReleased({parts}) {
-			log.info('prompt parts released', {parts: parts.join(' ')});
+		onReleased(finding) {
+			log.info(finding.tag === 'parts' ? 'prompt parts released' : 'request released', finding.tag === 'parts' ? {parts: finding.parts.join(' ')} : {fingerprint: finding.fingerprint});
 			noteQuarantine();
 		},
 	});
@@ -147,7 +148,9 @@
 	});
 
 	function noteQuarantine(): void {
-		metrics.quarantinedParts.set(quarantine.listFindings().length);
+		const findings = quarantine.listFindings();
+		metrics.quarantinedParts.set(findings.filter(({tag}) => tag === 'parts').length);
+		metrics.quarantinedRequests.set(findings.filter(({tag}) => tag === 'request').length);
 	}
 
 	function updateFlows(): void {
--- a/src/membership/__tests__/crash-evidence.test.ts
+++ b/src/membership/__tests__/crash-evidence.test.ts
@@ -2,18 +2,20 @@
 import {test} from 'node:test';
 import type {CrashRecord} from '../../decisions/quarantine/crash-record.js';
 import {MAX_LOST_REQUESTS} from '../../decisions/quarantine/quarantine-constants.js';
-import type {PromptPartQuarantine} from '../../decisions/quarantine/prompt-part-quarantine.js';
+import type {RequestQuarantine} from '../../decisions/quarantine/request-quarantine.js';
 import {createWorld} from './entry-world.js';
 
 type Clock = ReturnType<typeof createWorld>['clock'];
 
 /** Records a request with the part `bad` that was sent 50 ms ago and lost in a crash. */
-function noteCrash(quarantine: PromptPartQuarantine, clock: Clock, i: number): void {
-	quarantine.noteLost({server: `s${i}`, incarnation: i}, {attemptId: `a${i}`, parts: ['bad', `x${i}`], sentAtMillis: clock.monotonicMillis() - 50});
+function noteCrash(quarantine: RequestQuarantine, clock: Clock, i: number): void {
+	quarantine.noteLost({server: `s${i}`, incarnation: i}, {
+		attemptId: `a${i}`, parts: ['bad', `x${i}`], fingerprint: `f${i}`, sentAtMillis: clock.monotonicMillis() - 50,
+	});
 }
 
-function isQuarantined({quarantine}: Readonly<{quarantine: PromptPartQuarantine}>): boolean {
-	return quarantine.judge(['other', 'bad', 'x9']).tag === 'quarantined';
+function isQuarantined({quarantine}: Readonly<{quarantine: RequestQuarantine}>): boolean {
+	return quarantine.judge({parts: ['other', 'bad', 'x9'], fingerprint: 'f9'}).tag === 'quarantined';
 }
 
 async function startEntries(count: number) {
@@ -34,7 +36,7 @@
 	noteCrash(entries[1]!.quarantine, world.clock, 2);
 	await world.run(20);
 	assert.deepEqual(entries.map(entry => isQuarantined(entry)), [true, true, true, true, true]);
-	entries[2]!.quarantine.noteSound(['bad']);
+	entries[2]!.quarantine.noteSound({parts: ['bad'], fingerprint: 'f8'});
 	await world.run(20);
 	assert.deepEqual(entries.map(entry => isQuarantined(entry)), [false, false, false, false, false], 'a sound answer on the part releases it everywhere');
 });
@@ -75,7 +77,7 @@
 		sizes.push(size);
 	});
 	const lost = Array.from({length: MAX_LOST_REQUESTS}, (_, i) => ({
-		attemptId: `attempt-${String(i).padStart(8, '0')}`, parts: Array.from({length: 8}, (__, j) => `${i}-${j}`.padStart(8, '0')), sentAtMillis: 0,
+		attemptId: `attempt-${String(i).padStart(8, '0')}`, fingerprint: `${i}`.padStart(16, '0'), parts: Array.from({length: 8}, (__, j) => `${i}-${j}`.padStart(8, '0')), sentAtMillis: 0,
 	}));
 	for (const request of lost) {
 		entries[0]!.quarantine.noteLost({server: 'i-0123456789', incarnation: 1}, request);
--- a/src/membership/__tests__/entry-world.ts
+++ b/src/membership/__tests__/entry-world.ts
@@ -2,7 +2,7 @@
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {createManualClock, type ManualClock} from '../../core/manual-clock.js';
 import {fail, succeed, type Result} from '../../core/result.js';
-import {createPromptPartQuarantine} from '../../decisions/quarantine/prompt-part-quarantine.js';
+import {createRequestQuarantine} from '../../decisions/quarantine/request-quarantine.js';
 import {MIN_SOUND_ANSWERS} from '../../decisions/quarantine/quarantine-constants.js';
 import {createStatedLimits} from '../../decisions/rate-limit/stated-limits.js';
 import {createSeededRandom} from '../../decisions/random.js';
@@ -78,9 +78,9 @@
 	function start(id: string, log: Log = silentLog) {
 		const stop = new AbortController();
 		let changes = 0;
-		const quarantine = createPromptPartQuarantine({clock, onFound: () => undefined, onReleased: () => undefined});
+		const quarantine = createRequestQuarantine({clock, onFound: () => undefined, onReleased: () => undefined});
 		for (let i = 0; i < MIN_SOUND_ANSWERS; i++) {
-			quarantine.noteSound(['known', `own-${i}`]);
+			quarantine.noteSound({parts: ['known', `own-${i}`], fingerprint: `fingerprint-${i}`});
 		}
 
 		const limits = createStatedLimits({clock, readIncarnation: () => 1});
--- a/src/membership/crash-evidence.ts
+++ b/src/membership/crash-evidence.ts
@@ -2,7 +2,7 @@
 import type {Clock} from '../core/clock.js';
 import type {Teardown} from '../core/teardown.js';
 import type {CrashRecord} from '../decisions/quarantine/crash-record.js';
-import type {PromptPartQuarantine} from '../decisions/quarantine/prompt-part-quarantine.js';
+import type {RequestQuarantine} from '../decisions/quarantine/request-quarantine.js';
 import {type Crash} from '../wire/generated/membership.js';
 
 /** Knowledge of one entry that the others get by datagrams. */
@@ -29,8 +29,8 @@
 		server,
 		incarnation,
 		ageMillis: Math.round(nowMillis - atMillis),
-		lost: lost.slice(i * LOST_PER_DATAGRAM, (i + 1) * LOST_PER_DATAGRAM).map(({attemptId, parts, sentAtMillis}) => ({
-			attempt: attemptId, parts: [...parts], sentAgeMillis: Math.round(nowMillis - sentAtMillis),
+		lost: lost.slice(i * LOST_PER_DATAGRAM, (i + 1) * LOST_PER_DATAGRAM).map(({attemptId, parts, fingerprint, sentAtMillis}) => ({
+			attempt: attemptId, parts: [...parts], fingerprint, sentAgeMillis: Math.round(nowMillis - sentAtMillis),
 		})),
 		soundParts: sound.slice(i * SOUND_PARTS_PER_DATAGRAM, (i + 1) * SOUND_PARTS_PER_DATAGRAM),
 		knownParts: known.slice(i * SOUND_PARTS_PER_DATAGRAM, (i + 1) * SOUND_PARTS_PER_DATAGRAM),
@@ -42,14 +42,16 @@
 		server,
 		incarnation,
 		atMillis: nowMillis - ageMillis,
-		lost: lost.map(({attempt, parts, sentAgeMillis}) => ({attemptId: attempt, parts, sentAtMillis: nowMillis - sentAgeMillis})),
+		lost: lost.map(({attempt, parts, fingerprint, sentAgeMillis}) => ({
+			attemptId: attempt, parts, fingerprint, sentAtMillis: nowMillis - sentAgeMillis,
+		})),
 		soundParts: new Set(soundParts),
 		knownParts: new Set(knownParts),
 	};
 }
 
 /** Connects the quarantine of an entry with those of the others. */
-export function createCrashEvidence(quarantine: PromptPartQuarantine, clock: Clock): CrashEvidence {
+export function createCrashEvidence(quarantine: RequestQuarantine, clock: Clock): CrashEvidence {
 	const describeRecords = (records: readonly CrashRecord[]) => records.flatMap(record => describe(record, clock.monotonicMillis()));
 	return {
 		readDigest: quarantine.readDigest,
--- a/src/observability/line-schemas.ts
+++ b/src/observability/line-schemas.ts
@@ -77,11 +77,13 @@
 		/** Quarantined parts of the prompt, and the backend servers that crashed on them. */
 		parts: z.string().optional(),
 		crashed: z.string().optional(),
+		/** Hash of the quarantined request. */
+		fingerprint: z.string().optional(),
 		status: z.number().int().optional(),
 		heldBytes: count.optional(),
 	}),
 	'request lost in a crash': z.strictObject({
-		request: id, server: z.string(), startedAt: z.number(), promptParts: z.string(),
+		request: id, server: z.string(), startedAt: z.number(), promptParts: z.string(), fingerprint: z.string(),
 	}),
 	'request body not received': z.strictObject({detail: z.string(), leftOut: count.optional()}),
 } as const;
@@ -94,6 +96,8 @@
 const systemLines = {
 	'backend server limit': z.strictObject({server: z.string(), requestsPerSecond: z.number().optional(), entries: z.number()}),
 	'backend server crashed': z.strictObject({server: z.string(), startedAt: z.number(), address: z.string()}),
+	'request quarantined': z.strictObject({fingerprint: z.string(), crashed: z.string(), requests: z.string()}),
+	'request released': z.strictObject({fingerprint: z.string()}),
 	'prompt parts quarantined': z.strictObject({parts: z.string(), crashed: z.string(), requests: z.string()}),
 	'prompt parts released': z.strictObject({parts: z.string()}),
 	'configuration in force': z.strictObject({version, former: version.optional(), routes: count}),
