Check a backend server for a crash again after it was found alive

A check of a backend server that lost a request held for 500 ms. One that reset a connection, was found alive and crashed on the next request within that time counted as alive, so that the crash was no evidence. Only checks under way and crashes are shared now.

crash-watch.test.ts failed before (the crash was not noted) and passes.

--- a/src/gateway/crash-watch.ts
+++ b/src/gateway/crash-watch.ts
@@ -12,7 +12,7 @@
 /** Watches the backend servers that lose requests. */
 export type CrashWatch = Readonly<{
 	/** Checks whether the backend server that lost the call has crashed; resolves once the crash, if it is one, is taken into account. */
-	noteLost: (server: BackendServer, call: Call, content: RequestContent, sentAtMillis: number) => Promise<void>;
+	noteLost: (server: BackendServer, call: Pick<Call, 'head'>, content: RequestContent, sentAtMillis: number) => Promise<void>;
 }>;
 
 type Deps = Readonly<{
@@ -24,7 +24,7 @@
 	readServers: () => BackendServers;
 }>;
 
-/** Time for which the check of a backend server holds for other requests that it lost, in milliseconds; it may be started again after that. */
+/** Time for which a crash that was found holds for other requests that the backend server lost, in milliseconds; it may be started again after that. */
 const CHECK_LIFETIME_MILLIS = 500;
 
 type Check = Readonly<{atMillis: number; incarnation: number; hasCrashed: Promise<boolean>}>;
@@ -57,9 +57,15 @@
 			return known.hasCrashed;
 		}
 
-		const started = check(server);
-		checks.set(server.id, {atMillis: nowMillis, incarnation: server.incarnation, hasCrashed: started});
-		return started;
+		const started: Check = {atMillis: nowMillis, incarnation: server.incarnation, hasCrashed: check(server)};
+		checks.set(server.id, started);
+		const hasEnded = await started.hasCrashed;
+		if (!hasEnded && checks.get(server.id) === started) {
+			// It may crash at any moment.
+			checks.delete(server.id);
+		}
+
+		return hasEnded;
 	}
 
 	return {
