Give up a backend server that sends bytes without end

What callers saw: where an engine sent bytes without end that were no answer (status line, 1xx answers, empty lines, chunk sizes or extensions, a body without a signature, the body of a refusal or an error, one event), the call was held until its deadline and failed, though another engine was free; up to 1.1 GB were read in 1.5 s. A single event was kept in memory as long as it grew.

Cause: only whole answers and silence ended an attempt; bytes that reach no callback of the HTTP client were not counted at all.

Change: bytes besides the body are bounded, by 64 KB and 8 for each byte of the body; an answer that cannot be a backend server's is given up at its headers, a refusal holds after 16 KB of its body, an error of unknown length and an event are bounded by 256 KB. Each is an attempt that was lost, or not run, as before.

--- a/src/decisions/quarantine/__tests__/simulated-fleet.test.ts
+++ b/src/decisions/quarantine/__tests__/simulated-fleet.test.ts
@@ -7,7 +7,20 @@
 const MAX_LATE_ARRIVALS = 3;
 
 const base: FleetOptions = {
-	seed: 0, entries: 7, engines: 12, isGroup: false, poisonousParts: 1, repeatedRequests: 0, copies: 1, hasParts: false, position: 'middle', soundRate: 40, poisonousRate: 2, poisonousFromMillis: 3000, otherCrashRate: 0, durationMillis: 60_000,
+	seed: 0,
+	entries: 7,
+	engines: 12,
+	isGroup: false,
+	poisonousParts: 1,
+	repeatedRequests: 0,
+	copies: 1,
+	hasParts: false,
+	position: 'middle',
+	soundRate: 40,
+	poisonousRate: 2,
+	poisonousFromMillis: 3000,
+	otherCrashRate: 0,
+	durationMillis: 60_000,
 };
 
 /** Poisonous requests that reached engines later than the stable window after the fifth crash that they caused. */
--- a/src/gateway/answer-sink.ts
+++ b/src/gateway/answer-sink.ts
@@ -6,7 +6,7 @@
 import {
 	CARRIAGE_RETURN, createEventSplitter, LINE_FEED, type EventSplitter, type StreamEvent,
 } from './event-splitter.js';
-import {MAX_BUFFERED_ANSWER_BYTES} from './gateway-constants.js';
+import {MAX_BUFFERED_ANSWER_BYTES, MAX_UNFINISHED_BYTES} from './gateway-constants.js';
 
 /** Progress of the answer to a call across its attempts. */
 export type AnswerProgress = {
@@ -30,8 +30,8 @@
 export type AnswerSink = Readonly<{
 	/** Whether the body is consumed event by event. */
 	isEventStream: boolean;
-	/** Returns false if the bytes do not continue what was forwarded before. */
-	push: (bytes: Uint8Array) => boolean;
+	/** Returns why the answer is to be given up; undefined if the bytes continue it. */
+	push: (bytes: Uint8Array) => string | undefined;
 	/** Ends an answer whose framing is complete. */
 	finish: () => SinkResult;
 }>;
@@ -75,7 +75,13 @@
 
 	return {
 		isEventStream: true,
-		push: bytes => splitter.push(bytes).every(event => forwardEvent(event)),
+		push(bytes) {
+			if (!splitter.push(bytes).every(event => forwardEvent(event))) {
+				return 'event ids are not consecutive';
+			}
+
+			return splitter.rest().length > MAX_UNFINISHED_BYTES ? `event of more than ${MAX_UNFINISHED_BYTES} bytes` : undefined;
+		},
 		finish() {
 			if (splitter.rest().some(byte => byte !== LINE_FEED && byte !== CARRIAGE_RETURN)) {
 				return {tag: 'truncated'};
@@ -91,6 +97,7 @@
 	let buffered: Uint8Array[] = [];
 	let size = 0;
 	let isForwarding = (head.contentLength ?? 0) > MAX_BUFFERED_ANSWER_BYTES;
+	const isErrorOfUnknownLength = head.status >= 300 && head.contentLength === undefined;
 
 	function forwardBuffered(): void {
 		if (!reply.areHeadersSent()) {
@@ -109,12 +116,16 @@
 		push(bytes) {
 			buffered.push(bytes);
 			size += bytes.length;
+			if (isErrorOfUnknownLength && size > MAX_UNFINISHED_BYTES) {
+				return `error of more than ${MAX_UNFINISHED_BYTES} bytes`;
+			}
+
 			isForwarding ||= size > MAX_BUFFERED_ANSWER_BYTES;
 			if (isForwarding) {
 				forwardBuffered();
 			}
 
-			return true;
+			return undefined;
 		},
 		finish() {
 			if (isForwarding) {
--- a/src/gateway/backend-connections.ts
+++ b/src/gateway/backend-connections.ts
@@ -7,7 +7,7 @@
 import type {RawHeaders} from '../ports/call-codec.js';
 import {isEndedByConnection} from './answer-framing.js';
 import {
-	CONNECT_TIMEOUT_MILLIS, IDLE_MARGIN_MILLIS, IDLE_TIMEOUT_MILLIS, AT_MOST_ONCE_MAX_IDLE_MILLIS, LIVENESS_TIMEOUT_MILLIS,
+	CONNECT_TIMEOUT_MILLIS, IDLE_MARGIN_MILLIS, MAX_OVERHEAD_BYTES, MAX_OVERHEAD_PER_BODY_BYTE, IDLE_TIMEOUT_MILLIS, AT_MOST_ONCE_MAX_IDLE_MILLIS, LIVENESS_TIMEOUT_MILLIS,
 } from './gateway-constants.js';
 
 /** A request to a backend server. */
@@ -59,7 +59,14 @@
 }>;
 
 /** A client that has one connection at a time, and how that connection has ended so far. */
-type Connection = Readonly<{client: Client; socket: {error: string | undefined; hasEnded: boolean}}>;
+type Connection = Readonly<{client: Client; socket: SocketState}>;
+type SocketState = {
+	error: string | undefined;
+	hasEnded: boolean;
+	readReceivedBytes: () => number;
+	/** Called when bytes have arrived, by the exchange that uses the connection. */
+	onReceived: () => void;
+};
 type IdleConnection = Connection & Readonly<{idleSinceMillis: number}>;
 
 /** Decodes raw headers; undici passes names and values alternately, as bytes. */
@@ -77,18 +84,28 @@
 	});
 
 	function openConnection(address: string): Connection {
-		const socket: Connection['socket'] = {error: undefined, hasEnded: false};
+		const socket: SocketState = {
+			error: undefined, hasEnded: false, readReceivedBytes: () => 0, onReceived: () => undefined,
+		};
 		const client = new Client(`http://${address}`, {
 			pipelining: 1,
 			connect(options, callback) {
 				socket.error = undefined;
 				socket.hasEnded = false;
 				connect(options, (...result) => {
+					const [, opened] = result;
+					if (opened) {
+						socket.readReceivedBytes = () => opened.bytesRead;
+						opened.on('readable', () => {
+							socket.onReceived();
+						});
+					}
+
 					// Undici treats an answer without a length as complete however its connection ends.
-					result[1]?.once('error', err => {
+					opened?.once('error', err => {
 						socket.error = describeError(err);
 					});
-					result[1]?.once('end', () => {
+					opened?.once('end', () => {
 						socket.hasEnded = true;
 					});
 					callback(...result);
@@ -165,18 +182,30 @@
 			let abortReason: string | undefined;
 			let hasEnded = false;
 			let endsWithConnection = false;
+			let bodyBytes = 0;
+			/** Bytes received on the connection when the request was written. */
+			let receivedBefore = 0;
 
 			/** Why an answer that undici reports as complete may be truncated; undefined if it is complete. */
 			function findEndError(): string | undefined {
 				return endsWithConnection && !socket.hasEnded ? 'connection closed without an orderly end' : socket.error;
 			}
 
+			/** Gives up a backend server that sends bytes without end that are no part of a body, as they reach no callback. */
+			function checkOverhead(): void {
+				const overheadBytes = socket.readReceivedBytes() - receivedBefore - bodyBytes;
+				if (overheadBytes > MAX_OVERHEAD_BYTES + (bodyBytes * MAX_OVERHEAD_PER_BODY_BYTE)) {
+					abort(`${overheadBytes} bytes besides ${bodyBytes} bytes of a body`);
+				}
+			}
+
 			function finish(error: string | undefined): void {
 				if (hasEnded) {
 					return;
 				}
 
 				hasEnded = true;
+				socket.onReceived = () => undefined;
 				if (error === undefined) {
 					keepIdle(address, connection, req.maxIdleConnections);
 				} else {
@@ -202,6 +231,8 @@
 			}, {
 				onRequestStart(started) {
 					controller = started;
+					receivedBefore = socket.readReceivedBytes();
+					socket.onReceived = checkOverhead;
 					listener.onSent();
 				},
 				onResponseStart(started, status) {
@@ -216,6 +247,7 @@
 					}
 				},
 				onResponseData(_started, bytes) {
+					bodyBytes += bytes.length;
 					if (abortReason === undefined) {
 						listener.onData(bytes);
 					}
--- a/src/gateway/gateway-constants.ts
+++ b/src/gateway/gateway-constants.ts
@@ -14,6 +14,13 @@
 export const IDLE_MARGIN_MILLIS = 600;
 /** Largest answer that is buffered until it is complete, in bytes; larger ones are forwarded as they arrive. */
 export const MAX_BUFFERED_ANSWER_BYTES = 262_144;
+/** Largest error answer of unknown length and largest event of a stream, in bytes; what is longer counts as no answer. */
+export const MAX_UNFINISHED_BYTES = 262_144;
+/** Largest part of the body of a refusal that is read, in bytes; the headers have said all. */
+export const MAX_REFUSAL_BYTES = 16_384;
+/** Bytes that a backend server may send besides the body of its answer, as status line, headers and framing, and the same for each byte of the body. */
+export const MAX_OVERHEAD_BYTES = 65_536;
+export const MAX_OVERHEAD_PER_BODY_BYTE = 8;
 /** Maximum bytes of request bodies and buffered answers in a process; a tenth of the smallest instance's memory. */
 export const MAX_BUFFERED_BYTES = 25_000_000;
 /** Least remaining time for which an attempt is made, in milliseconds; two network crossings and a short answer. */
--- a/src/gateway/run-attempt.ts
+++ b/src/gateway/run-attempt.ts
@@ -7,6 +7,7 @@
 import {createAnswerSink, type AnswerSink, type SinkDeps} from './answer-sink.js';
 import type {BackendConnections, Exchange} from './backend-connections.js';
 import type {Call} from './call.js';
+import {MAX_REFUSAL_BYTES} from './gateway-constants.js';
 
 /** How long a backend server may send nothing while others make progress. */
 export type SilenceLimit = Readonly<{
@@ -45,6 +46,8 @@
 	clock: Clock;
 }>;
 
+const NOT_FROM_BACKEND_SERVER = 'answer does not come from a backend server';
+
 /** Whether the headers cannot come from a backend server, so that none of the body may reach the caller. */
 function isNotFromBackendServer(head: FramedHead): boolean {
 	return head.isEncoded || (head.status < 300 && !head.isSigned);
@@ -61,7 +64,7 @@
 	}
 
 	if (isNotFromBackendServer(head)) {
-		return {tag: 'lost', detail: 'answer does not come from a backend server'};
+		return {tag: 'lost', detail: NOT_FROM_BACKEND_SERVER};
 	}
 
 	return match(sink.finish())
@@ -80,6 +83,7 @@
 		let sink: AnswerSink | undefined;
 		let abortOutcome: AttemptOutcome | undefined;
 		let hasData = false;
+		let receivedBytes = 0;
 		let lastProgressAtMillis = clock.monotonicMillis();
 		const ended = new AbortController();
 
@@ -131,6 +135,10 @@
 				}
 
 				head = parsedHead;
+				if (!head.isNotRun && isNotFromBackendServer(head)) {
+					abortWith({tag: 'lost', detail: NOT_FROM_BACKEND_SERVER});
+					return true;
+				}
 
 				noteProgress();
 				plan.onHead(head);
@@ -149,12 +157,18 @@
 					noteData();
 				}
 
+				receivedBytes += bytes.length;
+				if (head?.isNotRun && receivedBytes > MAX_REFUSAL_BYTES) {
+					abortWith({tag: 'not_run', head});
+				}
+
 				if (!head || !sink || head.isNotRun || isNotFromBackendServer(head)) {
 					return;
 				}
 
-				if (!sink.push(bytes)) {
-					abortWith({tag: 'lost', detail: 'event ids are not consecutive'});
+				const fault = sink.push(bytes);
+				if (fault !== undefined) {
+					abortWith({tag: 'lost', detail: fault});
 				}
 
 				if (call.reply.needsDrain()) {
