--- a/src/adapters/__tests__/http-client.test.ts
+++ b/src/adapters/__tests__/http-client.test.ts
@@ -128,3 +128,32 @@
 		}
 	});
 });
+
+/** Writes the same bytes until the client closes the connection; returns how many it took. */
+function writeWithoutEnd(head: string, chunk: string): Readonly<{behave: Behaviour; readBytes: () => number}> {
+	let bytes = 0;
+	function writeMore(socket: Socket): void {
+		while (!socket.destroyed && socket.write(chunk)) {
+			bytes += chunk.length;
+		}
+	}
+
+	return {
+		behave(socket) {
+			socket.on('drain', () => {
+				writeMore(socket);
+			});
+			socket.write(head);
+			writeMore(socket);
+		},
+		readBytes: () => bytes,
+	};
+}
+
+void test('a reply without end fails once it is larger than any reply, and its connection is closed', async ctx => {
+	const endless = writeWithoutEnd(`${STATUS_AND_CONTENT_TYPE}\r\n`, 'x'.repeat(16_384));
+	const {url} = await startServer(ctx, endless.behave);
+	const reply = await createClient(ctx, url, PATIENT_TIMEOUT_MILLIS).exchange({method: 'GET', path: '/'});
+	assert.ok(!reply.ok && reply.error.tag === 'no_answer');
+	assert.ok(endless.readBytes() < 40_000_000, `${endless.readBytes()} bytes were taken`);
+});
--- a/src/adapters/http-client.ts
+++ b/src/adapters/http-client.ts
@@ -1,8 +1,10 @@
+import {Buffer} from 'node:buffer';
 import {request, type Dispatcher} from 'undici';
 import type {LifeCycle} from '../core/life-cycle.js';
 import {fail, succeed, type Result} from '../core/result.js';
 import {createConnectionPool} from './connection-pool.js';
 import {isTimeout, toHttpFailure, type HttpFailure} from './http-failure.js';
+import {limitBody} from './limit-body.js';
 
 /** A request to a server. */
 export type HttpRequest = Readonly<{
@@ -41,6 +43,19 @@
 	lifeCycle: LifeCycle;
 }>;
 
+/** Largest reply that is read at once, in bytes; the largest that a server has reason to send is a stored object of 8 MB. */
+const MAX_REPLY_BYTES = 16_777_216;
+
+/** Reads a body to its end; rejects if it is larger than any reply. */
+export async function readFully(body: AsyncIterable<Uint8Array>): Promise<Uint8Array> {
+	const chunks: Uint8Array[] = [];
+	for await (const chunk of limitBody(body, MAX_REPLY_BYTES)) {
+		chunks.push(chunk);
+	}
+
+	return Buffer.concat(chunks);
+}
+
 /** Yields the chunks of a body; calls `onTimeout`, which replaces the connections, when the server stops sending before the end. */
 async function * watchBody(body: AsyncIterable<Uint8Array>, onTimeout: () => void): AsyncGenerator<Uint8Array, void> {
 	try {
@@ -95,7 +110,7 @@
 			return send(
 				req,
 				req.signal ? AbortSignal.any([req.signal, timeout]) : timeout,
-				async reply => ({status: reply.statusCode, headers: reply.headers, body: await reply.body.bytes()}),
+				async reply => ({status: reply.statusCode, headers: reply.headers, body: await readFully(reply.body)}),
 			);
 		},
 		openStream: async (req, signal) => send(
--- a/src/adapters/http-model-engine.ts
+++ b/src/adapters/http-model-engine.ts
@@ -1,4 +1,3 @@
-import {Buffer} from 'node:buffer';
 import {match} from 'ts-pattern';
 import type {z} from 'zod';
 import {fail, succeed, type Result} from '../core/result.js';
@@ -9,7 +8,7 @@
 	cacheEventsSchema, engineStateSchema, refusalSchema, streamItemSchema,
 } from './engine-messages.js';
 import {
-	createHttpClient, type HttpClient, type HttpClientOptions, type HttpReply, type HttpRequest,
+	createHttpClient, readFully, type HttpClient, type HttpClientOptions, type HttpReply, type HttpRequest,
 } from './http-client.js';
 import {toHttpFailure} from './http-failure.js';
 import {parseReply, isNoEffectStatus, isSuccessStatus} from './http-reply.js';
@@ -73,15 +72,6 @@
 		.exhaustive());
 }
 
-async function readFully(body: AsyncIterable<Uint8Array>): Promise<Uint8Array> {
-	const chunks: Uint8Array[] = [];
-	for await (const chunk of body) {
-		chunks.push(chunk);
-	}
-
-	return Buffer.concat(chunks);
-}
-
 /** Yields the items up to the end item; yields `no_answer` last if the body has no end item. */
 async function * readItems(body: AsyncIterable<Uint8Array>): AsyncGenerator<Result<StreamItem, EngineError>, void> {
 	for await (const line of splitLines(body)) {
