--- a/src/decisions/quarantine/__tests__/simulated-fleet.test.ts
+++ b/src/decisions/quarantine/__tests__/simulated-fleet.test.ts
@@ -123,3 +123,22 @@
 		}
 	});
 }
+
+/** Seeds of 1,000 calm fleets in which a part was quarantined. */
+const ACCUSED_SEEDS: ReadonlyArray<Readonly<{name: string; seeds: readonly number[]}>> = [
+	{name: 'single engines', seeds: [1003]},
+	{name: 'a rank group', seeds: [1080, 1161]},
+	{name: 'few engines, few requests', seeds: [1004, 1054, 1070, 1080, 1107, 1168, 1240, 1242]},
+];
+
+void test('a part that is seldom asked for is not held to crash backend servers after two crashes of other causes', () => {
+	for (const {name, seeds} of ACCUSED_SEEDS) {
+		const options = calmFleets.find(fleet => fleet.name === name)?.options;
+		for (const seed of seeds) {
+			const result = playFleet({
+				...base, ...options, seed, poisonousParts: 0,
+			});
+			assert.deepEqual([...result.falseFindings], [], `${name}, seed ${seed}`);
+		}
+	}
+});
