Tell callers to come back soon where only other entries use the limits

Found on reading: an entry without a share in the limits of a service that is limited altogether told callers to come back after 2.5 to 5 s, the longest time, though another entry may serve them at once. It takes effect only where all servers of a service state limits and this entry has a share of none.

--- a/src/gateway/serve-call.ts
+++ b/src/gateway/serve-call.ts
@@ -1,6 +1,7 @@
 /** Serves one call: routes it, waits for a permit and tries backend servers until there is an answer to deliver. */
-import {MAX_RETRY_AFTER_MILLIS, MAX_WAIT_SHARE, MIN_RETRY_AFTER_MILLIS} from '../decisions/flow/flow-constants.js';
+import {MAX_WAIT_SHARE} from '../decisions/flow/flow-constants.js';
 import type {PermitRequest} from '../decisions/flow/permit-queue.js';
+import {chooseLimitRetryAfter} from '../decisions/rate-limit/limit-retry-after.js';
 import {admitRequest} from './admit-request.js';
 import {
 	describeFinding, finishCall, finishUnanswered, refuseCall,
@@ -100,13 +101,9 @@
 	return {cause: isLimited ? 'rate_limited' : 'backing_off', leftMillis};
 }
 
-/** When a caller is told to come back. Another entry may use limits that this one does not, so nobody is told to wait long for those. */
-function choosePauseRetryAfter(ctx: GatewayContext, {cause, leftMillis}: ServicePause): number {
-	if (cause === 'backing_off') {
-		return leftMillis;
-	}
-
-	return Math.min(MAX_RETRY_AFTER_MILLIS, Math.max(MIN_RETRY_AFTER_MILLIS, leftMillis)) * (1 + ctx.random());
+/** Time after which a refused caller is told to come back, in milliseconds. */
+function choosePauseRetryAfter({random}: GatewayContext, {cause, leftMillis}: ServicePause): number {
+	return cause === 'backing_off' ? leftMillis : chooseLimitRetryAfter(leftMillis, random);
 }
 
 /** Sends the call until there is an answer to deliver; waits up to `maxWaitMillis` where a backend server takes a request soon. */
