--- a/src/gateway/__tests__/backend-server-list.test.ts
+++ b/src/gateway/__tests__/backend-server-list.test.ts
@@ -141,3 +141,17 @@
 	listener.onChanges([row({...READY, sequence: READY.sequence + 1})], UNINTERRUPTED);
 	assert.equal(list().length, 1);
 });
+
+/** Time after which a backend server whose entry was removed gets no more requests, in milliseconds; the platform's shortest bound. */
+const DRAIN_BOUND_MILLIS = 2000;
+
+void test('a backend server whose entry is removed after the store was reached again is dropped within the drain bound', async () => {
+	const {clock, listener, list} = createList();
+	listener.onSnapshot([row(READY)], UNINTERRUPTED);
+	listener.onChanges([], AFTER_OUTAGE);
+	clock.advance(300);
+	listener.onChanges([removal('s1')], UNINTERRUPTED);
+	clock.advance(DRAIN_BOUND_MILLIS);
+	await nextTurn();
+	assert.deepEqual(list(), []);
+});
