--- a/src/decisions/quarantine/crash-record.ts
+++ b/src/decisions/quarantine/crash-record.ts
@@ -2,7 +2,7 @@
 export type RequestContent = Readonly<{
 	/** Ids of the parts of its prompt; the last one belongs to the request or its session. Empty for a plain request. */
 	parts: readonly string[];
-	/** Hash of path, caller and body; the same each time the request is sent. Empty if the entry that told of the request did not say. */
+	/** Hash of path, caller and body; the same each time the request is sent. Empty if received from an entry of an earlier version. */
 	fingerprint: string;
 }>;
 
--- a/src/membership/entry-members.ts
+++ b/src/membership/entry-members.ts
@@ -250,7 +250,7 @@
 		}
 	}
 
-	/** The other entries that divide the limits with this one. */
+	/** The other entries that divide the limits and the retry budgets with this one. */
 	function listSharersOf(others: readonly MemberView[], nowMillis: number): readonly string[] {
 		const toIds = (members: readonly MemberView[]) => members.map(({claim}) => claim.id).toSorted();
 		const sharing = others.filter(member => isSharing(member, nowMillis));
