Log the answer in which a backend server says that it is leaving

`backend server leaving` names the server, the start time to which the notice was attributed, and the request in whose answer it came.

--- a/src/gateway/__tests__/backend-server-list.test.ts
+++ b/src/gateway/__tests__/backend-server-list.test.ts
@@ -120,7 +120,7 @@
 void test('a backend server that says itself that it is leaving stays draining until it has started again, whatever its entry says', () => {
 	const {listener, list, noteLeaving} = createList();
 	listener.onSnapshot([row(READY)], UNINTERRUPTED);
-	noteLeaving('s1', READY.incarnation);
+	noteLeaving({server: 's1', incarnation: READY.incarnation, attemptId: 'a1'});
 	assert.equal(list()[0]?.state, 'draining', 'at once');
 	listener.onChanges([row({...READY, sequence: 50})], UNINTERRUPTED);
 	listener.onSnapshot([row({...READY, sequence: 51})], AFTER_OUTAGE);
--- a/src/gateway/backend-server-list.ts
+++ b/src/gateway/backend-server-list.ts
@@ -18,7 +18,15 @@
 	servers: SnapshotStore<BackendServers>;
 	listener: TableListener;
 	/** Takes a backend server's own word that it is leaving; until it has started again, it counts as draining whatever its entry says. */
-	noteLeaving: (id: string, incarnation: number) => void;
+	noteLeaving: (notice: LeavingNotice) => void;
+}>;
+
+/** A backend server's notice in an answer that it is leaving. */
+export type LeavingNotice = Readonly<{
+	server: string;
+	incarnation: number;
+	/** Id of the caller's attempt that was answered. */
+	attemptId: string | undefined;
 }>;
 
 type Deps = Readonly<{
@@ -133,11 +141,13 @@
 
 	return {
 		servers,
-		noteLeaving(id, incarnation) {
+		noteLeaving({server: id, incarnation, attemptId}) {
 			if (leaving.get(id) === incarnation) {
 				return;
 			}
 
+			log.info('backend server leaving', {server: id, startedAt: incarnation, request: attemptId});
+
 			leaving.delete(id);
 			leaving.set(id, incarnation);
 			if (leaving.size > MAX_REMEMBERED_SERVERS) {
--- a/src/gateway/send-to-backend-server.ts
+++ b/src/gateway/send-to-backend-server.ts
@@ -74,7 +74,7 @@
 			}
 
 			if (head.isLeaving) {
-				ctx.noteLeaving(server.id, server.incarnation);
+				ctx.noteLeaving({server: server.id, incarnation: server.incarnation, attemptId: call.head.attemptId});
 			}
 
 			if (head.retryAfterMillis !== undefined) {
--- a/src/observability/line-schemas.ts
+++ b/src/observability/line-schemas.ts
@@ -104,6 +104,9 @@
 	'backend server': z.strictObject({
 		server: z.string(), state: z.string(), service: z.string(), address: z.string(), startedAt: z.number(),
 	}),
+	'backend server leaving': z.strictObject({
+		server: z.string(), startedAt: z.number(), request: id.optional(),
+	}),
 	'backend server gone': z.strictObject({server: z.string(), reason: z.string()}),
 	'backend server avoided': z.strictObject({server: z.string(), failures: z.number(), forMillis: millis}),
 	entry: z.strictObject({
