--- a/src/gateway/backend-server-list.ts
+++ b/src/gateway/backend-server-list.ts
@@ -64,10 +64,10 @@
 		}
 	}
 
-	/** Whether an entry is no newer than the last one before its backend server was removed. Entries without a start time are not compared, as a restarted server may have the same id. */
+	/** Whether an entry is no newer than the last one before its backend server was removed. */
 	function isBuried(next: BackendServer): boolean {
 		const last = gone.get(next.id);
-		return last !== undefined && next.incarnation > 0 && (next.incarnation < last.incarnation
+		return last !== undefined && (next.incarnation < last.incarnation
 			|| (next.incarnation === last.incarnation && next.sequence <= last.sequence));
 	}
 
