Read the headers that arrive just after an exchange was given up

Callers' requests reached a server that had said in an answer that it leaves: 44 to 54 of about 100 in 0.6 s.

Cause: when a caller leaves, a deadline passes or a server is silent for too long, the exchange was destroyed, and with it an answer that was under way. What its headers say of the server itself, here that it is leaving, was never read. At a deadline that is the rule, not chance: a server that turns a request away when its deadline passes in its queue answers one network crossing after the gateway has stopped waiting. Class: information about a server that is bound to the request in whose answer it comes.

Now such an exchange ends at once for its call, the sending side is closed, so that the server stops its work, and the headers are read for up to 200 ms; then, or once they are there, the connection is closed. If bytes of the request are still unsent, or none was sent, it is closed at once as before.

--- a/src/gateway/backend-connections.ts
+++ b/src/gateway/backend-connections.ts
@@ -7,7 +7,7 @@
 import type {RawHeaders} from '../ports/call-codec.js';
 import {isEndedByConnection} from './answer-framing.js';
 import {
-	CONNECT_TIMEOUT_MILLIS, IDLE_MARGIN_MILLIS, MAX_OVERHEAD_BYTES, MAX_OVERHEAD_PER_BODY_BYTE, IDLE_TIMEOUT_MILLIS, AT_MOST_ONCE_MAX_IDLE_MILLIS, LIVENESS_TIMEOUT_MILLIS,
+	CONNECT_TIMEOUT_MILLIS, IDLE_MARGIN_MILLIS, MAX_OVERHEAD_BYTES, MAX_OVERHEAD_PER_BODY_BYTE, IDLE_TIMEOUT_MILLIS, AT_MOST_ONCE_MAX_IDLE_MILLIS, LATE_HEAD_TIMEOUT_MILLIS, LIVENESS_TIMEOUT_MILLIS,
 } from './gateway-constants.js';
 
 /** A request to a backend server. */
@@ -30,7 +30,7 @@
 	isEndedByConnection: boolean;
 }>;
 
-/** Callbacks of an exchange in the order of their events; `onEnd` is always called last. */
+/** Callbacks of an exchange in the order of their events; `onEnd` is always called, and only `onLateHead` may follow it. */
 export type ExchangeListener = Readonly<{
 	/** Called just before the first byte is written. */
 	onSent: () => void;
@@ -39,11 +39,13 @@
 	onData: (bytes: Uint8Array) => void;
 	/** `error` is undefined after a complete answer. */
 	onEnd: (error: string | undefined) => void;
+	/** Called after `onEnd` if the headers arrive soon after the exchange was aborted: they were under way, and may say what concerns other requests. */
+	onLateHead: (head: Pick<ExchangeHead, 'status' | 'headers'>) => void;
 }>;
 
 /** A request in flight. */
 export type Exchange = Readonly<{
-	/** Closes the connection; `onEnd` follows. */
+	/** Closes the connection, for sending only while the headers may still arrive; `onEnd` follows. */
 	abort: (reason: string) => void;
 	pause: () => void;
 	resume: () => void;
@@ -64,6 +66,8 @@
 	error: string | undefined;
 	hasEnded: boolean;
 	readReceivedBytes: () => number;
+	/** Ends the sending side, so that the peer stops its work; false if written bytes would follow, which are better dropped. */
+	tryHalfClose: () => boolean;
 	/** Called when bytes have arrived, by the exchange that uses the connection. */
 	onReceived: () => void;
 };
@@ -85,7 +89,7 @@
 
 	function openConnection(address: string): Connection {
 		const socket: SocketState = {
-			error: undefined, hasEnded: false, readReceivedBytes: () => 0, onReceived: () => undefined,
+			error: undefined, hasEnded: false, readReceivedBytes: () => 0, tryHalfClose: () => false, onReceived: () => undefined,
 		};
 		const client = new Client(`http://${address}`, {
 			pipelining: 1,
@@ -96,6 +100,15 @@
 					const [, opened] = result;
 					if (opened) {
 						socket.readReceivedBytes = () => opened.bytesRead;
+						socket.tryHalfClose = () => {
+							const hasUnsent = opened.writableLength > 0;
+							if (!hasUnsent) {
+								opened.end();
+							}
+
+							return !hasUnsent;
+						};
+
 						opened.on('readable', () => {
 							socket.onReceived();
 						});
@@ -181,6 +194,7 @@
 			let controller: Dispatcher.DispatchController | undefined;
 			let abortReason: string | undefined;
 			let hasEnded = false;
+			let hasHead = false;
 			let endsWithConnection = false;
 			let bodyBytes = 0;
 			/** Bytes received on the connection when the request was written. */
@@ -201,6 +215,7 @@
 
 			function finish(error: string | undefined): void {
 				if (hasEnded) {
+					close(client);
 					return;
 				}
 
@@ -215,13 +230,25 @@
 				listener.onEnd(error);
 			}
 
+			/** Ends the exchange at once and reads on for a short time, as the headers may be under way. */
+			async function awaitLateHead(reason: string): Promise<void> {
+				hasEnded = true;
+				listener.onEnd(reason);
+				await clock.sleep(LATE_HEAD_TIMEOUT_MILLIS, lifeCycle.signal);
+				close(client);
+			}
+
 			function abort(reason: string): void {
-				if (!hasEnded && abortReason === undefined) {
+				if (hasEnded) {
+					close(client);
+				} else if (abortReason === undefined) {
 					abortReason = reason;
-					if (controller) {
-						controller.abort(new Error(reason));
-					} else {
+					if (!controller) {
 						close(client);
+					} else if (!hasHead && socket.tryHalfClose()) {
+						void awaitLateHead(reason);
+					} else {
+						controller.abort(new Error(reason));
 					}
 				}
 			}
@@ -240,7 +267,14 @@
 						return;
 					}
 
+					hasHead = true;
 					const headers = decodeHeaders(started.rawHeaders);
+					if (hasEnded) {
+						listener.onLateHead({status, headers});
+						close(client);
+						return;
+					}
+
 					endsWithConnection = isEndedByConnection(req.method, status, headers);
 					if (!listener.onHead({status, headers, isEndedByConnection: endsWithConnection})) {
 						abort('the answer belongs to another request');
--- a/src/gateway/gateway-constants.ts
+++ b/src/gateway/gateway-constants.ts
@@ -6,6 +6,8 @@
 export const CONNECT_TIMEOUT_MILLIS = 800;
 /** Timeout for the connection that shows whether a backend server that lost a request still runs, in milliseconds; a lost SYN packet is sent again after 1 s. */
 export const LIVENESS_TIMEOUT_MILLIS = 400;
+/** Time for which headers are still read after their exchange was aborted, in milliseconds; several round trips, and shorter than the time in which abandoned work must end. */
+export const LATE_HEAD_TIMEOUT_MILLIS = 200;
 /** Idle time after which a connection is not reused for requests that must not be retried, in milliseconds. */
 export const AT_MOST_ONCE_MAX_IDLE_MILLIS = 300;
 /** Idle time after which a connection is closed if the peer states no keep-alive timeout, in milliseconds. */
--- a/src/gateway/run-attempt.ts
+++ b/src/gateway/run-attempt.ts
@@ -1,6 +1,6 @@
 /** Runs one attempt of a call at one backend server. */
 import {match} from 'ts-pattern';
-import type {CallCodec} from '../ports/call-codec.js';
+import type {AnswerMetadata, CallCodec} from '../ports/call-codec.js';
 import type {Clock} from '../core/clock.js';
 import type {FramedHead} from './answer-framing.js';
 import type {AttemptOutcome} from './attempt-outcome.js';
@@ -37,6 +37,8 @@
 	onProgress: () => void;
 	/** Called with the headers of each answer to this attempt. */
 	onHead: (head: FramedHead) => void;
+	/** Called with the headers of an answer that arrived after the attempt had been given up. */
+	onLateHead: (head: AnswerMetadata) => void;
 }>;
 
 /** Dependencies shared by all attempts. */
@@ -178,6 +180,9 @@
 					});
 				}
 			},
+			onLateHead({status, headers}) {
+				plan.onLateHead(codec.readAnswer(status, headers));
+			},
 			onEnd(error) {
 				ended.abort();
 				call.disconnectSignal.removeEventListener('abort', onCallerDisconnected);
--- a/src/gateway/send-to-backend-server.ts
+++ b/src/gateway/send-to-backend-server.ts
@@ -1,8 +1,10 @@
 /** Runs one attempt at a backend server and feeds its outcome into load balancing and flow control. */
 import {FIRST_EVENT_TIMEOUT_MILLIS, PAUSE_TIMEOUT_FACTOR, PLAIN_TIMEOUT_FACTOR} from '../decisions/flow/flow-constants.js';
 import {SURVIVED_EVENTS} from '../decisions/quarantine/quarantine-constants.js';
+import type {AnswerMetadata} from '../ports/call-codec.js';
 import type {AttemptOutcome} from './attempt-outcome.js';
 import type {BackendServer} from './backend-server.js';
+import type {Call} from './call.js';
 import type {CallProgress} from './call-progress.js';
 import type {GatewayContext} from './gateway-context.js';
 import type {RoutedCall} from './routed-call.js';
@@ -19,6 +21,13 @@
 	};
 }
 
+/** Takes what the headers of an answer say about the backend server itself, which holds whether or not the answer is of use to the call. */
+function noteNotices(ctx: GatewayContext, {head: {attemptId}}: Call, {id, incarnation}: BackendServer, head: AnswerMetadata): void {
+	if (head.isLeaving) {
+		ctx.noteLeaving({server: id, incarnation, attemptId});
+	}
+}
+
 /** Backend server of an attempt and the time left for it. */
 export type AttemptTarget = Readonly<{server: BackendServer; leftMillis: number}>;
 
@@ -73,10 +82,7 @@
 				flow.outageDetector.noteServed(ctx.clock.monotonicMillis());
 			}
 
-			if (head.isLeaving) {
-				ctx.noteLeaving({server: server.id, incarnation: server.incarnation, attemptId: call.head.attemptId});
-			}
-
+			noteNotices(ctx, call, server, head);
 			if (head.retryAfterMillis !== undefined) {
 				ctx.serverBackoff.note(server.id, head.retryAfterMillis, ctx.clock.monotonicMillis());
 			}
@@ -91,6 +97,9 @@
 				ctx.picker.noteLoad(server.id, head.load);
 			}
 		},
+		onLateHead(head) {
+			noteNotices(ctx, call, server, head);
+		},
 	});
 	if (firstByteMillis !== undefined) {
 		flow.firstByteEstimate.note(firstByteMillis, firstByteMillis > route.targetLatencyMillis, ctx.clock.monotonicMillis());
