Heed a notice of leaving in headers that are no answer to the call

An answer that echoes another request or none, has no signature or an encoded body is given up as no answer; its headers were dropped before they were read, and with them the server's notice that it is leaving. Same class as the headers that arrive late; the reading of notices now comes before all checks of an answer.

--- a/src/gateway/run-attempt.ts
+++ b/src/gateway/run-attempt.ts
@@ -37,8 +37,8 @@
 	onProgress: () => void;
 	/** Called with the headers of each answer to this attempt. */
 	onHead: (head: FramedHead) => void;
-	/** Called with the headers of an answer that arrived after the attempt had been given up. */
-	onLateHead: (head: AnswerMetadata) => void;
+	/** Called with all headers that arrive on the connection, first: also if the attempt has been given up, or they are no answer to it. */
+	onAnyHead: (head: AnswerMetadata) => void;
 }>;
 
 /** Dependencies shared by all attempts. */
@@ -132,6 +132,7 @@
 			},
 			onHead({status, headers, isEndedByConnection}) {
 				const parsedHead = {...codec.readAnswer(status, headers), isEndedByConnection};
+				plan.onAnyHead(parsedHead);
 				if (parsedHead.attemptId !== call.head.attemptId) {
 					return false;
 				}
@@ -181,7 +182,7 @@
 				}
 			},
 			onLateHead({status, headers}) {
-				plan.onLateHead(codec.readAnswer(status, headers));
+				plan.onAnyHead(codec.readAnswer(status, headers));
 			},
 			onEnd(error) {
 				ended.abort();
--- a/src/gateway/send-to-backend-server.ts
+++ b/src/gateway/send-to-backend-server.ts
@@ -82,7 +82,6 @@
 				flow.outageDetector.noteServed(ctx.clock.monotonicMillis());
 			}
 
-			noteNotices(ctx, call, server, head);
 			if (head.retryAfterMillis !== undefined) {
 				ctx.serverBackoff.note(server.id, head.retryAfterMillis, ctx.clock.monotonicMillis());
 			}
@@ -97,7 +96,7 @@
 				ctx.picker.noteLoad(server.id, head.load);
 			}
 		},
-		onLateHead(head) {
+		onAnyHead(head) {
 			noteNotices(ctx, call, server, head);
 		},
 	});
