Drop a backend server whose entry was removed within the drain bound, also just after an outage

A gateway whose link had been cut takes a removal soon after its first contact for an entry that expired meanwhile, and keeps the server for 2.5 s from the removal, as it cannot tell the two apart.

The time for entries to be written again now counts from the first contact, as the entries do, and ends nine tenths of the drain time after the removal was read, whichever comes first.

Tests: the listed one failed before and passes (its list is now created with the drain time, as the gateway's is; its bound is as it was); five moments of the removal after the contact are new.

--- a/src/gateway/__tests__/backend-server-list.test.ts
+++ b/src/gateway/__tests__/backend-server-list.test.ts
@@ -24,6 +24,9 @@
 const UNINTERRUPTED = {storeMillis: 0, isAfterOutage: false};
 const AFTER_OUTAGE = {storeMillis: 0, isAfterOutage: true};
 
+/** Time after which a backend server whose entry was removed gets no more requests, in milliseconds; the platform's shortest bound. */
+const DRAIN_BOUND_MILLIS = 2000;
+
 /** Backend servers by their row text. */
 const written = new Map<string, BackendServer>();
 
@@ -45,6 +48,7 @@
 		log: silentLog,
 		read: (_id, text) => written.get(text),
 		readFailureAgeMillis,
+		drainMillis: DRAIN_BOUND_MILLIS,
 	});
 	return {
 		clock, listener, noteLeaving, list: () => [...servers.read().values()],
@@ -142,9 +146,6 @@
 	assert.equal(list().length, 1);
 });
 
-/** Time after which a backend server whose entry was removed gets no more requests, in milliseconds; the platform's shortest bound. */
-const DRAIN_BOUND_MILLIS = 2000;
-
 void test('a backend server whose entry is removed after the store was reached again is dropped within the drain bound', async () => {
 	const {clock, listener, list} = createList();
 	listener.onSnapshot([row(READY)], UNINTERRUPTED);
@@ -155,3 +156,16 @@
 	await nextTurn();
 	assert.deepEqual(list(), []);
 });
+
+for (const sinceContactMillis of [0, 300, 1200, 2400, 2600]) {
+	void test(`a backend server whose entry is removed ${sinceContactMillis} ms after the store was reached again may get requests for less than the drain bound`, async () => {
+		const {clock, listener, list} = createList();
+		listener.onSnapshot([row(READY)], UNINTERRUPTED);
+		listener.onChanges([], AFTER_OUTAGE);
+		clock.advance(sinceContactMillis);
+		listener.onChanges([removal('s1')], UNINTERRUPTED);
+		clock.advance(DRAIN_BOUND_MILLIS * 0.9);
+		await nextTurn();
+		assert.deepEqual(list(), []);
+	});
+}
--- a/src/gateway/backend-server-list.ts
+++ b/src/gateway/backend-server-list.ts
@@ -5,7 +5,7 @@
 import type {Log} from '../observability/log.js';
 import type {FeedRow} from '../ports/table-feed.js';
 import type {BackendServer} from './backend-server.js';
-import {EXPIRED_ENTRY_GRACE_MILLIS, MAX_REMEMBERED_SERVERS} from './gateway-constants.js';
+import {EXPIRED_ENTRY_GRACE_MILLIS, EXPIRED_ENTRY_GRACE_SHARE, MAX_REMEMBERED_SERVERS} from './gateway-constants.js';
 
 /** Backend servers by id. */
 export type BackendServers = ReadonlyMap<string, BackendServer>;
@@ -35,6 +35,8 @@
 	read: ReadBackendServer;
 	/** Time since a call of this process to the store last failed, of any feed, in milliseconds; optional. */
 	readFailureAgeMillis?: () => number;
+	/** Time after its entry was removed for which a backend server may get requests at most, in milliseconds; optional. */
+	drainMillis?: number;
 }>;
 
 /** Whether an entry is older than the one already known for the same backend server. */
@@ -48,7 +50,7 @@
 }
 
 /** Creates an empty list. */
-export function createBackendServerList({clock, log, read, readFailureAgeMillis = () => Infinity}: Deps): BackendServerList {
+export function createBackendServerList({clock, log, read, readFailureAgeMillis = () => Infinity, drainMillis = Infinity}: Deps): BackendServerList {
 	const servers = createSnapshotStore<BackendServers>(new Map());
 	let reconnectedAtMillis = -Infinity;
 	/** Incarnation of each backend server that said itself that it is leaving. */
@@ -113,8 +115,8 @@
 	}
 
 	/** Drops backend servers whose entries expired while the store was unavailable, unless they are written again in time. */
-	async function dropAfterGrace(removed: readonly BackendServer[]): Promise<void> {
-		await clock.sleep(EXPIRED_ENTRY_GRACE_MILLIS);
+	async function dropAfterGrace(removed: readonly BackendServer[], graceMillis: number): Promise<void> {
+		await clock.sleep(graceMillis);
 		drop(removed, 'its entry was not written again after a store outage');
 	}
 
@@ -124,7 +126,8 @@
 		const expired = isRecentlyReconnected ? removed.filter(server => server.state === 'ready') : [];
 		drop(removed.filter(server => !expired.includes(server)), 'its entry was removed');
 		if (expired.length > 0) {
-			void dropAfterGrace(expired);
+			// A backend server that has left in the meantime cannot be told from one whose entry expired.
+			void dropAfterGrace(expired, Math.min(EXPIRED_ENTRY_GRACE_MILLIS - sinceFailureMillis, drainMillis * EXPIRED_ENTRY_GRACE_SHARE));
 		}
 	}
 
--- a/src/gateway/gateway-constants.ts
+++ b/src/gateway/gateway-constants.ts
@@ -2,6 +2,8 @@
 export const MAX_REMEMBERED_SERVERS = 4096;
 /** Time allowed for entries that expired during a store outage to be written again, in milliseconds; two heartbeats. */
 export const EXPIRED_ENTRY_GRACE_MILLIS = 2500;
+/** Share of the time for which a leaving backend server still serves that entries have to be written again; requests sent at its end still arrive in time. */
+export const EXPIRED_ENTRY_GRACE_SHARE = 0.9;
 /** Timeout for connecting to a backend server, in milliseconds; covers more than three lost SYN packets on a LAN. */
 export const CONNECT_TIMEOUT_MILLIS = 800;
 /** Timeout for the connection that shows whether a backend server that lost a request still runs, in milliseconds; a lost SYN packet is sent again after 1 s. */
--- a/src/gateway/start-gateway.ts
+++ b/src/gateway/start-gateway.ts
@@ -78,7 +78,7 @@
 		clock, log, random, interrupt,
 	});
 	const servers: BackendServerList = createBackendServerList({
-		clock, log, read: deps.backendServers.read, readFailureAgeMillis: store.readFailureAgeMillis,
+		clock, log, read: deps.backendServers.read, readFailureAgeMillis: store.readFailureAgeMillis, drainMillis: settings.backendDrainMillis,
 	});
 	const configuration = createConfigurationInForce({
 		log,
