Log the pauses that backend servers ask for

A 503 with Retry-After left no line of its own, so that the logs could not tell a pause that was not read from one that was forgotten. `backend server pause` names the server, the refused request and the time.

--- a/src/explain/explain-request.ts
+++ b/src/explain/explain-request.ts
@@ -25,7 +25,9 @@
 	'configuration in force', 'lost the table', 'regained the table', 'stop signal', 'takes no streams any more', 'listens no more', 'started', 'heartbeat not written',
 ]);
 /** Messages about changes of a backend server, which matter only for servers to which the request was sent. */
-const SERVER_CHANGES: ReadonlySet<string> = new Set(['backend server', 'backend server avoided', 'backend server gone', 'backend server leaving', 'entry names no backend server']);
+const SERVER_CHANGES: ReadonlySet<string> = new Set([
+	'backend server', 'backend server avoided', 'backend server gone', 'backend server leaving', 'backend server pause', 'entry names no backend server',
+]);
 /** Messages about changes of rank groups, which may slow all streams of a service. */
 const GROUP_CHANGES: ReadonlySet<string> = new Set(['map switch', 'map switch abandoned', 'fencing a map switch off', 'looked for a switch left behind']);
 
--- a/src/gateway/send-to-backend-server.ts
+++ b/src/gateway/send-to-backend-server.ts
@@ -83,6 +83,7 @@
 			}
 
 			if (head.retryAfterMillis !== undefined) {
+				ctx.log.info('backend server pause', {server: server.id, request: call.head.attemptId, forMillis: head.retryAfterMillis});
 				ctx.serverBackoff.note(server.id, head.retryAfterMillis, ctx.clock.monotonicMillis());
 			}
 
--- a/src/observability/line-schemas.ts
+++ b/src/observability/line-schemas.ts
@@ -107,6 +107,7 @@
 	'backend server leaving': z.strictObject({
 		server: z.string(), startedAt: z.number(), request: id.optional(),
 	}),
+	'backend server pause': z.strictObject({server: z.string(), request: id.optional(), forMillis: millis}),
 	'backend server gone': z.strictObject({server: z.string(), reason: z.string()}),
 	'backend server avoided': z.strictObject({server: z.string(), failures: z.number(), forMillis: millis}),
 	entry: z.strictObject({
