Heed a pause that a backend server asks for in an answer that nobody waits for

21 to 44 requests in 0.6 s reached a server that had answered 503 with Retry-After, where the call had been given up before the answer came (its caller had left, its deadline had passed, the server had been silent for too long) or the answer echoed another request.

Cause: the pause was taken from the answer to a call only if the answer was of use to it. A server that turns requests away because their deadline passed in its queue answers just after the gateway has given them up, so that these pauses were missed as a rule.

--- a/src/gateway/send-to-backend-server.ts
+++ b/src/gateway/send-to-backend-server.ts
@@ -26,6 +26,11 @@
 	if (head.isLeaving) {
 		ctx.noteLeaving({server: id, incarnation, attemptId});
 	}
+
+	if (head.retryAfterMillis !== undefined) {
+		ctx.log.info('backend server pause', {server: id, request: attemptId, forMillis: head.retryAfterMillis});
+		ctx.serverBackoff.note(id, head.retryAfterMillis, ctx.clock.monotonicMillis());
+	}
 }
 
 /** Backend server of an attempt and the time left for it. */
@@ -82,11 +87,6 @@
 				flow.outageDetector.noteServed(ctx.clock.monotonicMillis());
 			}
 
-			if (head.retryAfterMillis !== undefined) {
-				ctx.log.info('backend server pause', {server: server.id, request: call.head.attemptId, forMillis: head.retryAfterMillis});
-				ctx.serverBackoff.note(server.id, head.retryAfterMillis, ctx.clock.monotonicMillis());
-			}
-
 			if (head.isSigned || head.isNotRun) {
 				ctx.statedLimits.note({
 					server: server.id, incarnation: server.incarnation, requestsPerSecond: head.requestsPerSecond, sentAtMillis: startedAtMillis,
