Quarantine a prompt part after three crashes instead of two

Two crashes are no evidence while backend servers crash for other reasons as well. Three are asked for now, of any request and at any entry, so that the count of sound answers before an entry trusts two, and the exception for a single session, are taken out.

--- a/src/decisions/quarantine/find-poison-parts.ts
+++ b/src/decisions/quarantine/find-poison-parts.ts
@@ -4,7 +4,7 @@
  * crash for other reasons too, several at once or in a row.
  */
 import {isSentAfter, type CrashRecord} from './crash-record.js';
-import {MIN_CRASHES, MIN_CRASHES_SOUND_BEFORE, MIN_CRASHES_UNSURE} from './quarantine-constants.js';
+import {MIN_CRASHES, MIN_CRASHES_SOUND_BEFORE} from './quarantine-constants.js';
 
 /** Parts that crash backend servers. If there are several, they were never seen apart, and only requests with all of them are poisonous for sure. */
 export type PoisonParts = Readonly<{
@@ -15,14 +15,12 @@
 }>;
 
 /** A part that was in flight, without a sound answer since, in crashes that followed one another. */
-type Suspect = Readonly<{part: string; crashes: readonly CrashRecord[]; ownParts: ReadonlySet<string>}>;
+type Suspect = Readonly<{part: string; crashes: readonly CrashRecord[]}>;
 
 /** What the entry knows of parts besides the crashes. */
 export type PartHistory = Readonly<{
 	/** Whether this entry has seen an answer on the part. */
 	isKnownSound: (part: string) => boolean;
-	/** Whether the entry has seen so many answers that a part without one is new to it. */
-	isExperienced: boolean;
 }>;
 
 /** Parts that were in flight in several crashes. Most parts are not, as each request has one of its own. */
@@ -47,19 +45,10 @@
 	const suspects = new Map<string, Suspect>();
 	const candidates = listRepeatedParts(crashes);
 	for (const crash of crashes) {
-		const ownPartsByPart = new Map<string, Set<string>>();
-		for (const lost of crash.lost) {
-			const {parts} = lost;
-			for (const part of parts) {
-				if (candidates.has(part) && !crash.soundParts.has(part) && isSentAfter(lost, suspects.get(part)?.crashes.at(-1))) {
-					ownPartsByPart.set(part, (ownPartsByPart.get(part) ?? new Set()).add(parts.at(-1) ?? ''));
-				}
-			}
-		}
-
-		for (const [part, ownParts] of ownPartsByPart) {
-			const known = suspects.get(part);
-			suspects.set(part, {part, crashes: [...known?.crashes ?? [], crash], ownParts: new Set([...known?.ownParts ?? [], ...ownParts])});
+		const suspectParts = new Set(crash.lost.flatMap(lost => lost.parts.filter(part =>
+			candidates.has(part) && !crash.soundParts.has(part) && isSentAfter(lost, suspects.get(part)?.crashes.at(-1)))));
+		for (const part of suspectParts) {
+			suspects.set(part, {part, crashes: [...suspects.get(part)?.crashes ?? [], crash]});
 		}
 	}
 
@@ -70,17 +59,9 @@
 	return isKnownSound(part) || crashes.some(({knownParts}) => knownParts.has(part));
 }
 
-function readMinCrashes(suspect: Suspect, history: PartHistory): number {
-	if (wasSound(suspect, history)) {
-		return MIN_CRASHES_SOUND_BEFORE;
-	}
-
-	return history.isExperienced && suspect.ownParts.size > 1 ? MIN_CRASHES : MIN_CRASHES_UNSURE;
-}
-
 /** Crashes beyond those that are needed to quarantine the part; negative if there are too few. */
 function readExcess(suspect: Suspect, history: PartHistory): number {
-	return suspect.crashes.length - readMinCrashes(suspect, history);
+	return suspect.crashes.length - (wasSound(suspect, history) ? MIN_CRASHES_SOUND_BEFORE : MIN_CRASHES);
 }
 
 function compareSuspects(left: Suspect & Readonly<{excess: number}>, right: Suspect & Readonly<{excess: number}>): number {
--- a/src/decisions/quarantine/quarantine-constants.ts
+++ b/src/decisions/quarantine/quarantine-constants.ts
@@ -1,15 +1,11 @@
-/** Crashes that make a part suspect enough to be quarantined, if requests of several sessions were lost in them. */
-export const MIN_CRASHES = 2;
-/** The same for a single session, whose request may have been repeated during other trouble, and for an entry that has seen too few answers to know which parts are sound. */
-export const MIN_CRASHES_UNSURE = 3;
+/** Crashes that make a part suspect enough to be quarantined; a part may be lost in two of other causes by coincidence. */
+export const MIN_CRASHES = 3;
 /** The same for a part on which answers were written before. */
 export const MIN_CRASHES_SOUND_BEFORE = 4;
 /** Crashes that make a request, as a whole, suspect enough to be quarantined if it was never answered. */
 export const MIN_REQUEST_CRASHES = 3;
 /** Number of them that must have followed one another; fewer, as copies of a request may be lost at the same time. */
 export const MIN_REQUEST_SEQUENCE = 2;
-/** Sound answers after which an entry holds a part that it does not know to be new. */
-export const MIN_SOUND_ANSWERS = 20;
 /** Events after which a backend server counts as having survived the beginning of an answer. */
 export const SURVIVED_EVENTS = 2;
 /** Time for which a part is quarantined after the last of {@link MIN_CRASHES} crashes, in milliseconds; each further crash doubles it. */
--- a/src/decisions/quarantine/request-quarantine.ts
+++ b/src/decisions/quarantine/request-quarantine.ts
@@ -12,7 +12,7 @@
 	isSameFinding, listSuspectTraits, matchFinding, readFindingKey, type Finding,
 } from './finding.js';
 import {
-	CRASH_LIFETIME_MILLIS, DOUBTFUL_QUARANTINE_MILLIS, MAX_CRASHES, MAX_LOST_REQUESTS, MAX_SOUND_PARTS, MIN_CRASHES, MIN_SOUND_ANSWERS, QUARANTINE_MILLIS,
+	CRASH_LIFETIME_MILLIS, DOUBTFUL_QUARANTINE_MILLIS, MAX_CRASHES, MAX_LOST_REQUESTS, MAX_SOUND_PARTS, MIN_CRASHES, QUARANTINE_MILLIS,
 } from './quarantine-constants.js';
 
 /** Whether a request may be sent. */
@@ -110,8 +110,6 @@
 	let findings: readonly Finding[] = [];
 	/** Parts and fingerprints that may have caused a crash. */
 	let suspectTraits: ReadonlySet<string> = new Set();
-	/** Answers on prompts with parts. */
-	let soundPrompts = 0;
 	/** Whether crashes have changed since the findings were made. */
 	let isOutdated = false;
 	/** When the findings may be made again. */
@@ -123,7 +121,7 @@
 		const isKnownSound = (trait: string) => soundAtMillis.has(trait);
 		suspectTraits = new Set([...known.values()].flatMap(record => listSuspectTraits(record)));
 		findings = [
-			...findPoisonParts(known.values(), {isKnownSound, isExperienced: soundPrompts >= MIN_SOUND_ANSWERS}).map(found => ({...found, tag: 'parts' as const})),
+			...findPoisonParts(known.values(), {isKnownSound}).map(found => ({...found, tag: 'parts' as const})),
 			...findPoisonRequests(known.values(), isKnownSound).map(found => ({...found, tag: 'request' as const})),
 		];
 		for (const finding of findings.filter(next => !before.some(earlier => isSameFinding(earlier, next)))) {
@@ -238,9 +236,6 @@
 				soundAtMillis.delete(soundAtMillis.keys().next().value ?? '');
 			}
 
-			soundPrompts += content.parts.length > 0 ? 1 : 0;
-			isOutdated ||= content.parts.length > 0 && soundPrompts === MIN_SOUND_ANSWERS;
-
 			refreshFindings();
 
 			if (![...sound].some(trait => suspectTraits.has(trait))) {
