Close only connections that wait for late headers when their exchange is aborted again

Read when the diff was gone through: with the reading of late headers, an abort or an error reported after the end of an exchange closed the connection in any case, which may have been back in the pool and in use by another request. Nothing showed it; before such calls did nothing. The state has a name of its own now. A connection that is not abandoned is left alone, as before.

--- a/src/gateway/backend-connections.ts
+++ b/src/gateway/backend-connections.ts
@@ -195,6 +195,8 @@
 			let abortReason: string | undefined;
 			let hasEnded = false;
 			let hasHead = false;
+			/** Whether the exchange has ended, and the connection is only kept to read late headers. */
+			let isAbandoned = false;
 			let endsWithConnection = false;
 			let bodyBytes = 0;
 			/** Bytes received on the connection when the request was written. */
@@ -215,7 +217,7 @@
 
 			function finish(error: string | undefined): void {
 				if (hasEnded) {
-					close(client);
+					closeIfAbandoned();
 					return;
 				}
 
@@ -233,14 +235,21 @@
 			/** Ends the exchange at once and reads on for a short time, as the headers may be under way. */
 			async function awaitLateHead(reason: string): Promise<void> {
 				hasEnded = true;
+				isAbandoned = true;
 				listener.onEnd(reason);
 				await clock.sleep(LATE_HEAD_TIMEOUT_MILLIS, lifeCycle.signal);
-				close(client);
+				closeIfAbandoned();
+			}
+
+			function closeIfAbandoned(): void {
+				if (isAbandoned) {
+					close(client);
+				}
 			}
 
 			function abort(reason: string): void {
 				if (hasEnded) {
-					close(client);
+					closeIfAbandoned();
 				} else if (abortReason === undefined) {
 					abortReason = reason;
 					if (!controller) {
@@ -269,9 +278,9 @@
 
 					hasHead = true;
 					const headers = decodeHeaders(started.rawHeaders);
-					if (hasEnded) {
+					if (isAbandoned) {
 						listener.onLateHead({status, headers});
-						close(client);
+						closeIfAbandoned();
 						return;
 					}
 
--- a/src/gateway/backend-server-list.ts
+++ b/src/gateway/backend-server-list.ts
@@ -150,7 +150,6 @@
 			}
 
 			log.info('backend server leaving', {server: id, startedAt: incarnation, request: attemptId});
-
 			leaving.delete(id);
 			leaving.set(id, incarnation);
 			if (leaving.size > MAX_REMEMBERED_SERVERS) {
