End an aborted call of the stand-in engine to its group with the abort, also while it connects

Cause: a call that is aborted while it connects ends with the failure of the connection, not with the abort; the stand-in's link threw that on, and only an abort is expected when an engine stops. Under load the group's listener closes before such a connection is refused. The product is not concerned; the same pattern (rethrowing what a call failed with once it is aborted) stands nowhere else.

Test: group-link.test.ts failed on its first case before, three times of three, and passes; with rank-group.test.ts 7 passed, three times.

--- a/fakes/engine/group-link.ts
+++ b/fakes/engine/group-link.ts
@@ -47,10 +47,9 @@
 				if (reply.statusCode === OK_STATUS) {
 					return schema.parse(json);
 				}
-			} catch (error) {
-				if (signal.aborted) {
-					throw error;
-				}
+			} catch {
+				// A call that is aborted while it connects reports the failed connection. Any other failure is retried.
+				signal.throwIfAborted();
 			}
 
 			// eslint-disable-next-line no-await-in-loop
