Follow the popularity of experts in large groups by frequent samples of a few ranks

Cause: at full size the planner read the counts of all 32 ranks every 0.5 s (49,152 numbers at the rate its link carries), each reading took 180 ms, and the first one after a jump mixed the load before and after it. Ruled out: the switch itself (prepare 240 ms with 146 ms of copying, hold and arm 55 ms) and the planning (50 to 250 ms). Change: a few ranks are read every 100 ms, at the same rate of numbers; a jump is detected by the angle between samples, and what was seen before it is dropped. Small groups are observed as before.

--- a/src/map-switch/map-switch-constants.ts
+++ b/src/map-switch/map-switch-constants.ts
@@ -22,8 +22,10 @@
 export const OBSERVE_INTERVAL_MILLIS = 250;
 /** Maximum counts that all ranks report per second; at two to three bytes each, a third of the slowest link beside an engine. */
 export const MAX_COUNTS_PER_SECOND = 100_000;
-/** Longest interval between load readings of a group, in milliseconds; in larger groups the counts of fewer ranks are read. */
-export const MAX_OBSERVE_INTERVAL_MILLIS = 500;
+/** Interval between readings of the sampled ranks of a large group, in milliseconds; one or two passes of a loaded group. */
+export const SAMPLE_INTERVAL_MILLIS = 100;
+/** Interval between readings of the states of all ranks of a large group, in milliseconds; each takes a call to every agent. */
+export const STATE_INTERVAL_MILLIS = 500;
 /** Pause after a failed reading or one that found the group idle, in milliseconds. */
 export const FAILURE_PAUSE_MILLIS = 500;
 /** Interval between readings while a released switch waits for its pass, in milliseconds; half a pass of a loaded group. */
--- a/src/rank-agent/group-planner.ts
+++ b/src/rank-agent/group-planner.ts
@@ -3,16 +3,16 @@
 import {planMoves, type MovesPlan} from '../decisions/placement/plan-moves.js';
 import {recoverSwitch, hasUnfinishedSwitch} from '../map-switch/recover-switch.js';
 import {
-	isGroupState, type GroupRanks, type GroupState,
+	isGroupState, type GroupRanks, type GroupState, type GroupStateError,
 } from '../map-switch/group-ranks.js';
 import {
-	PENDING_SWITCH_POLL_INTERVAL_MILLIS, FAILURE_PAUSE_MILLIS, MAX_COUNTS_PER_SECOND, OBSERVE_INTERVAL_MILLIS,
+	PENDING_SWITCH_POLL_INTERVAL_MILLIS, FAILURE_PAUSE_MILLIS, MAX_COUNTS_PER_SECOND, OBSERVE_INTERVAL_MILLIS, SAMPLE_INTERVAL_MILLIS, STATE_INTERVAL_MILLIS,
 } from '../map-switch/map-switch-constants.js';
 import {switchMap, type SwitchDeps} from '../map-switch/switch-map.js';
 import type {Log} from '../observability/log.js';
 import type {GroupExperts} from '../ports/rank-engine.js';
 import type {ExpertLayout} from '../routing/routing-configuration.js';
-import {countSampledRanks, createGroupObserver, type Observation} from './observe-group.js';
+import {createGroupObserver, isLargeGroup, type Observation} from './observe-group.js';
 import {MAX_COPY_MILLIS} from './rank-agent-constants.js';
 import {readGroupExperts} from './read-group-experts.js';
 
@@ -30,12 +30,14 @@
 const MILLIS_PER_SECOND = 1000;
 /** Minimum number of load scenarios required for a plan. */
 const MIN_SCENARIOS = 5;
+/** The same in a large group, where a scenario is the load of several ranks. */
+const MIN_SAMPLED_SCENARIOS = 2;
 
 /** Active map in an epoch. */
 type ActiveMap = Readonly<{epoch: number; experts: GroupExperts}>;
 
 function planMapMoves({layout, scenarios}: Observation, state: GroupState, experts: GroupExperts): MovesPlan | undefined {
-	if (scenarios.countSamples() < MIN_SCENARIOS) {
+	if (scenarios.countSamples() < (isLargeGroup(state.size, layout) ? MIN_SAMPLED_SCENARIOS : MIN_SCENARIOS)) {
 		return undefined;
 	}
 
@@ -55,6 +57,8 @@
 	const {clock, log} = deps;
 	const observer = createGroupObserver();
 	let activeMap: ActiveMap | undefined;
+	/** State of a large group as last read, which is used until it is due again. */
+	let known: Readonly<{state: GroupState; untilMillis: number}> | undefined;
 
 	/** Switches to the planned map; resolves to the time until the next reading. */
 	async function applyMoves(ranks: GroupRanks, {epoch, experts: base}: ActiveMap, moves: MovesPlan, copyMillis: number): Promise<number> {
@@ -75,6 +79,7 @@
 			skewAfter: moves.skewAfter,
 		});
 		activeMap = outcome.tag === 'switched' ? {epoch, experts: moves.experts} : undefined;
+		known = undefined;
 		return outcome.tag === 'not_begun' ? OBSERVE_INTERVAL_MILLIS : 0;
 	}
 
@@ -87,9 +92,22 @@
 		return activeMap?.experts;
 	}
 
+	/** Reads the state of the group, or returns the last one of a large group while it is recent. */
+	async function observe(ranks: GroupRanks, layout: ExpertLayout): Promise<GroupState | GroupStateError> {
+		const nowMillis = clock.monotonicMillis();
+		if (known && nowMillis < known.untilMillis) {
+			return known.state;
+		}
+
+		const state = await observer.observe(ranks, layout);
+		known = isGroupState(state) && isLargeGroup(ranks.length, layout) ? {state, untilMillis: nowMillis + STATE_INTERVAL_MILLIS} : undefined;
+		return state;
+	}
+
 	/** Reads the group and acts on its state; resolves to the time until the next reading. */
 	async function observeAndAct(ranks: GroupRanks, layout: ExpertLayout): Promise<number> {
-		const state = await observer.observe(ranks, layout);
+		const startedAtMillis = clock.monotonicMillis();
+		const state = await observe(ranks, layout);
 		if (!isGroupState(state)) {
 			log.debug('group cannot be planned', {reason: state.tag, rank: state.rank});
 			return FAILURE_PAUSE_MILLIS;
@@ -97,6 +115,7 @@
 
 		if (hasUnfinishedSwitch(state)) {
 			activeMap = undefined;
+			known = undefined;
 			await recoverSwitch({
 				ranks, clock, log, readExperts: async () => readGroupExperts(ranks),
 			}, signal);
@@ -104,17 +123,28 @@
 		}
 
 		if (state.ranks.some(({armed}) => armed !== undefined)) {
+			known = undefined;
 			return PENDING_SWITCH_POLL_INTERVAL_MILLIS;
 		}
 
 		const experts = await readActiveExperts(ranks, state);
+		const isLarge = isLargeGroup(ranks.length, layout);
+		if (isLarge && await observer.sample(ranks, layout)) {
+			log.info('expert popularity changed', {epoch: state.epoch});
+			return SAMPLE_INTERVAL_MILLIS;
+		}
+
 		const observation = observer.read();
 		const moves = experts && observation && planMapMoves(observation, state, experts);
 		if (moves) {
 			return applyMoves(ranks, {epoch: state.epoch, experts}, moves, layout.copyMillis);
 		}
 
-		const numbers = layout.layers * layout.experts * countSampledRanks(ranks.length, layout);
+		if (isLarge) {
+			return Math.max(0, SAMPLE_INTERVAL_MILLIS + startedAtMillis - clock.monotonicMillis());
+		}
+
+		const numbers = layout.layers * layout.experts * ranks.length;
 		return Math.max(OBSERVE_INTERVAL_MILLIS, numbers * MILLIS_PER_SECOND / MAX_COUNTS_PER_SECOND);
 	}
 
