Evacuate failure domains by a row of the operators

Operators had no way to take all backend servers of a failure domain out of use: each had to be stopped or drained by itself.

The rows `evacuate/DOMAIN` of the table `op` are read from the feed of the configuration. Servers of an evacuated domain are no candidates and add nothing to the permits; requests in flight there are completed and do not count against the limit of the other domains. Idle connections to the domain are closed. If no other domain has servers of a service, its calls are refused before they queue (reason `evacuated`). Servers of a domain that is back are selected for 3 s as if they had just started. `/members` and two metrics show what still runs there.

--- a/src/feeds/follow-table.ts
+++ b/src/feeds/follow-table.ts
@@ -25,6 +25,22 @@
 	onChanges: (rows: readonly FeedRow[], contact: StoreContact) => void;
 }>;
 
+/** Passes the rows of one table to several listeners, in their order. */
+export function combineListeners(listeners: readonly TableListener[]): TableListener {
+	return {
+		onSnapshot(rows, contact) {
+			for (const {onSnapshot} of listeners) {
+				onSnapshot(rows, contact);
+			}
+		},
+		onChanges(rows, contact) {
+			for (const {onChanges} of listeners) {
+				onChanges(rows, contact);
+			}
+		},
+	};
+}
+
 /** Observes the calls of feeds. */
 export type FeedObserver = Readonly<{
 	/** Receives, after each answer, the version up to which all changes are known, and that of the last change in the answer. */
--- a/src/gateway/__tests__/service-flows.test.ts
+++ b/src/gateway/__tests__/service-flows.test.ts
@@ -25,9 +25,9 @@
 	};
 }
 
-function createFlows(entries: number, servers = ['a', 'b', 'c'].map(id => createServer(id))) {
+function createFlows(entries: number, servers = ['a', 'b', 'c'].map(id => createServer(id)), evacuation: Partial<Parameters<typeof createServiceFlows>[0]> = {}) {
 	const flows = createServiceFlows({
-		clock: createManualClock(), random: () => 0, retryBudgetOptions: {ratio: 0.2, extra: 10, windowMillis: 1000}, countEntries: () => entries, countRetrySharers: () => entries,
+		clock: createManualClock(), random: () => 0, retryBudgetOptions: {ratio: 0.2, extra: 10, windowMillis: 1000}, countEntries: () => entries, countRetrySharers: () => entries, ...evacuation,
 	});
 	flows.update(new Map(servers.map(server => [server.id, server])), cfg);
 	return flows.read('plain');
@@ -54,3 +54,9 @@
 	const {permitQueue} = createFlows(1, [createServer('a'), {...createServer('b'), group}, {...createServer('c'), group: {...group, isOpen: true}}]);
 	assert.equal(permitQueue.readLimit(), 24);
 });
+
+void test('backend servers of an evacuated failure domain add nothing to the concurrency limit, and what still runs there uses none of it', () => {
+	const servers = [createServer('a'), createServer('b'), {...createServer('c'), failureDomain: 'z'}];
+	const {permitQueue} = createFlows(1, servers, {isEvacuated: failureDomain => failureDomain === 'z', countEvacuatedInFlight: () => 5});
+	assert.equal(permitQueue.readLimit(), 24 + 5);
+});
--- a/src/gateway/gateway-constants.ts
+++ b/src/gateway/gateway-constants.ts
@@ -4,6 +4,8 @@
 export const EXPIRED_ENTRY_GRACE_MILLIS = 2500;
 /** Share of the time for which a leaving backend server still serves that entries have to be written again; requests sent at its end still arrive in time. */
 export const EXPIRED_ENTRY_GRACE_SHARE = 0.9;
+/** Time after the end of an evacuation for which backend servers are selected as if they had just started, in milliseconds; the usual warm-up time of an engine. */
+export const RETURN_WARM_UP_MILLIS = 3000;
 /** Timeout for connecting to a backend server, in milliseconds; covers more than three lost SYN packets on a LAN. */
 export const CONNECT_TIMEOUT_MILLIS = 800;
 /** Timeout for the connection that shows whether a backend server that lost a request still runs, in milliseconds; a lost SYN packet is sent again after 1 s. */
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -13,6 +13,8 @@
 import type {BackendServerList, BackendServers} from './backend-server-list.js';
 import type {ConfigurationInForce} from './configuration-in-force.js';
 import type {CrashWatch} from './crash-watch.js';
+import type {EvacuationProgress} from './evacuation-progress.js';
+import type {Evacuations} from './evacuations.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import type {ServiceFlows} from './service-flows.js';
 
@@ -26,6 +28,8 @@
 	connections: BackendConnections;
 	configuration: ConfigurationInForce;
 	readServers: () => BackendServers;
+	evacuations: Evacuations;
+	evacuationProgress: EvacuationProgress;
 	picker: ServerPicker;
 	flows: ServiceFlows;
 	progress: ProgressTracker;
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -15,8 +15,22 @@
 	const members = new Gauge({
 		name: 'pollenport_members', help: 'Entries by the state that this one believes them to be in', labelNames: ['state'], registers,
 	});
+	const evacuatedDomains = new Gauge({
+		name: 'pollenport_evacuated_failure_domains', help: 'Failure domains whose backend servers get no requests', registers,
+	});
+	const evacuatedInFlight = new Gauge({
+		name: 'pollenport_evacuated_calls_in_flight', help: 'Calls still in flight at backend servers of evacuated failure domains', labelNames: ['failure_domain'], registers,
+	});
 	return {
 		registry,
+		/** Shows the evacuated failure domains and what still runs there. */
+		setEvacuations(evacuations: ReadonlyArray<Readonly<{failureDomain: string; inFlight: number}>>) {
+			evacuatedDomains.set(evacuations.length);
+			evacuatedInFlight.reset();
+			for (const {failureDomain, inFlight} of evacuations) {
+				evacuatedInFlight.set({failure_domain: failureDomain}, inFlight);
+			}
+		},
 		/** Counts the entries by state. */
 		setMembers(beliefs: ReadonlyArray<Readonly<{state: string}>>) {
 			members.reset();
--- a/src/gateway/refusal.ts
+++ b/src/gateway/refusal.ts
@@ -15,6 +15,8 @@
 	= | 'no_configuration'
 		| 'stale_configuration'
 		| 'no_backend_server'
+		/** No backend server of the service is outside the evacuated failure domains. */
+		| 'evacuated'
 		| 'overload'
 		| 'deadline'
 		| 'refused_by_backend_server'
--- a/src/gateway/send-to-backend-server.ts
+++ b/src/gateway/send-to-backend-server.ts
@@ -107,6 +107,7 @@
 
 	progress.attempts += outcome.tag === 'not_sent' ? 0 : 1;
 	recordOutcome(ctx, server, outcome, firstByteMillis);
+	ctx.evacuationProgress.noteAttemptEnd(server);
 	if (eventCount < SURVIVED_EVENTS) {
 		await recordSurvival(ctx, routed, outcome, {server, sentAtMillis: startedAtMillis});
 	}
--- a/src/gateway/serve-call.ts
+++ b/src/gateway/serve-call.ts
@@ -56,6 +56,11 @@
 		return;
 	}
 
+	if (hasOnlyEvacuatedServers(ctx, found.service)) {
+		refuseCall(ctx, call, createNotRunRefusal('evacuated', flow.outageDetector.chooseRetryAfterMillis(ctx.clock.monotonicMillis(), call.head.deadlineMillis)), {route: route.name});
+		return;
+	}
+
 	const decision = await flow.permitQueue.admit(permitRequest, call.disconnectSignal);
 	if (decision.tag === 'refused') {
 		if (!call.disconnectSignal.aborted) {
@@ -79,11 +84,24 @@
 	return Math.max(ctx.serverBackoff.readLeftMillis(id, ctx.clock.monotonicMillis()), ctx.rateLimiter.readWaitMillis(id));
 }
 
+/** Whether a service has backend servers in evacuated failure domains, and none that may get requests elsewhere. */
+function hasOnlyEvacuatedServers({readServers, evacuations}: GatewayContext, service: string): boolean {
+	const servers = evacuations.list().length === 0 ? [] : [...readServers().values()].filter(server => server.service === service);
+	return servers.some(({failureDomain}) => evacuations.isEvacuated(failureDomain))
+		&& !servers.some(server => isAvailableForService(server, service, evacuations.isEvacuated));
+}
+
+/** A backend server of a failure domain that has just come back counts as one that has just started, so that not all entries send to it at once. */
+function applyReturn({evacuations}: GatewayContext, server: BackendServer): BackendServer {
+	const leftMillis = evacuations.readReturnLeftMillis(server.failureDomain);
+	return leftMillis > server.coldLeftMillis ? {...server, coldLeftMillis: leftMillis} : server;
+}
+
 /** Available backend servers that have not been tried for this call yet. */
 function listCandidates(ctx: GatewayContext, service: string, triedServers: ReadonlySet<string>): readonly BackendServer[] {
 	const available = [...ctx.readServers().values()].filter(server =>
-		isAvailableForService(server, service) && !triedServers.has(server.id) && readServerWaitMillis(ctx, server) === 0);
-	return ctx.groupRefusals.excludeRefusing(available, ctx.clock.monotonicMillis());
+		isAvailableForService(server, service, ctx.evacuations.isEvacuated) && !triedServers.has(server.id) && readServerWaitMillis(ctx, server) === 0);
+	return ctx.groupRefusals.excludeRefusing(available, ctx.clock.monotonicMillis()).map(server => applyReturn(ctx, server));
 }
 
 /** Time in which no backend server of a service takes a request of this entry. */
@@ -91,7 +109,7 @@
 
 /** Pause of the service, if none of its available backend servers, but for the excluded ones, takes a request now. */
 function findServicePause(ctx: GatewayContext, service: string, excluded: ReadonlySet<string> = new Set()): ServicePause | undefined {
-	const available = [...ctx.readServers().values()].filter(server => isAvailableForService(server, service) && !excluded.has(server.id));
+	const available = [...ctx.readServers().values()].filter(server => isAvailableForService(server, service, ctx.evacuations.isEvacuated) && !excluded.has(server.id));
 	const leftMillis = Math.min(...available.map(server => readServerWaitMillis(ctx, server)));
 	if (available.length === 0 || leftMillis === 0) {
 		return undefined;
@@ -128,7 +146,8 @@
 			}
 
 			const pause = findServicePause(ctx, routed.service);
-			finishUnanswered(ctx, routed, progress, pause ? {cause: pause.cause, retryAfterMillis: choosePauseRetryAfter(ctx, pause)} : {cause: progress.lastNotRunCause});
+			const cause = hasOnlyEvacuatedServers(ctx, routed.service) ? 'evacuated' : progress.lastNotRunCause;
+			finishUnanswered(ctx, routed, progress, pause ? {cause: pause.cause, retryAfterMillis: choosePauseRetryAfter(ctx, pause)} : {cause});
 			return;
 		}
 
--- a/src/gateway/service-flows.ts
+++ b/src/gateway/service-flows.ts
@@ -40,6 +40,10 @@
 	countEntries: () => number;
 	/** Number of entries that divide the retry budgets; they are not always the same. */
 	countRetrySharers: () => number;
+	/** Whether the operators have evacuated a failure domain; optional. */
+	isEvacuated?: (failureDomain: string) => boolean;
+	/** Requests of a service in flight in evacuated failure domains, which use no capacity of the other ones; optional. */
+	countEvacuatedInFlight?: (service: string) => number;
 }>;
 
 /** Share of a backend server's maximum connections that all entries together may keep idle. */
@@ -47,13 +51,13 @@
 /** Share of answers whose first byte may arrive later than estimated. */
 const ACCEPTED_LATE_SHARE = 0.1;
 
-/** Whether a backend server may get requests of the service: it is ready, and so is the rank group whose passes it runs, if any. */
-export function isAvailableForService(server: BackendServer, service: string): boolean {
-	return server.service === service && server.state === 'ready' && server.group?.isOpen !== false;
+/** Whether a backend server may get requests of the service: it is ready, so is the rank group whose passes it runs, if any, and its failure domain is not evacuated. */
+export function isAvailableForService(server: BackendServer, service: string, isEvacuated: (failureDomain: string) => boolean): boolean {
+	return server.service === service && server.state === 'ready' && server.group?.isOpen !== false && !isEvacuated(server.failureDomain);
 }
 
 /** Creates the flows; the flow of a service is created when it is first read. */
-export function createServiceFlows({clock, random, retryBudgetOptions, countEntries, countRetrySharers}: Deps): ServiceFlows {
+export function createServiceFlows({clock, random, retryBudgetOptions, countEntries, countRetrySharers, isEvacuated = () => false, countEvacuatedInFlight = () => 0}: Deps): ServiceFlows {
 	const flows = new Map<string, ServiceFlow>();
 	/** Maximum idle connections to one backend server, by service. */
 	const maxIdleByService = new Map<string, number>();
@@ -63,7 +67,7 @@
 	function create(service: string): ServiceFlow {
 		const concurrencyLimit = createStreamConcurrencyLimit();
 		const permitQueue = createPermitQueue({
-			clock, random, readLimit: () => plainLimitByService.get(service) ?? concurrencyLimit.read(),
+			clock, random, readLimit: () => (plainLimitByService.get(service) ?? concurrencyLimit.read()) + countEvacuatedInFlight(service),
 		});
 		return {
 			permitQueue,
@@ -94,7 +98,7 @@
 			const entries = Math.max(1, countEntries());
 			for (const [name, {engine, maxConnections}] of cfg?.services ?? []) {
 				maxIdleByService.set(name, Math.max(1, Math.floor(maxConnections * IDLE_CONNECTION_SHARE / entries)));
-				const ready = [...servers.values()].filter(server => isAvailableForService(server, name));
+				const ready = [...servers.values()].filter(server => isAvailableForService(server, name, isEvacuated));
 				const slots = sum(ready.map(server => server.slots));
 				const {concurrencyLimit, permitQueue} = read(name);
 				if (engine) {
--- a/src/gateway/start-gateway.ts
+++ b/src/gateway/start-gateway.ts
@@ -14,7 +14,7 @@
 import {listLostRequests} from '../decisions/quarantine/finding.js';
 import type {RandomSource} from '../decisions/random.js';
 import {createFeedInterrupt} from '../feeds/feed-interrupt.js';
-import {followTable, type TableListener} from '../feeds/follow-table.js';
+import {combineListeners, followTable, type TableListener} from '../feeds/follow-table.js';
 import {chooseLongPollMillis, chooseRetryBackoff} from '../feeds/long-poll.js';
 import {createCrashEvidence} from '../membership/crash-evidence.js';
 import {createEntryMembers, type EntryMembers} from '../membership/entry-members.js';
@@ -31,6 +31,8 @@
 import {createConfigurationInForce} from './configuration-in-force.js';
 import {createCrashWatch} from './crash-watch.js';
 import {drainGateway} from './drain-gateway.js';
+import {createEvacuationProgress, type DomainEvacuation} from './evacuation-progress.js';
+import {createEvacuations, type ReadEvacuation} from './evacuations.js';
 import {describeFinding} from './finish-call.js';
 import {SERVER_LIST_MIN_INTERVAL_SHARE, SHARING_TIMEOUT_MILLIS} from './gateway-constants.js';
 import type {GatewayContext} from './gateway-context.js';
@@ -54,6 +56,8 @@
 	/** Socket for the datagrams between entries. */
 	socket: DatagramSocket;
 	configuration: Readonly<{table: string; read: ReadConfiguration}>;
+	/** Reader of further rows in the configuration's table. */
+	evacuations: Readonly<{read: ReadEvacuation}>;
 	backendServers: Readonly<{table: string; read: ReadBackendServer}>;
 }>;
 
@@ -62,6 +66,8 @@
 	port: number;
 	isReady: () => boolean;
 	members: EntryMembers;
+	/** Evacuated failure domains and the calls of this process that still run there. */
+	listEvacuations: () => readonly DomainEvacuation[];
 	/** Drains the gateway; resolves to the number of calls that were cut off. */
 	drain: () => Promise<number>;
 }>;
@@ -91,6 +97,15 @@
 			noteReadiness();
 		},
 	});
+	const evacuations = createEvacuations({
+		clock,
+		log,
+		read: deps.evacuations.read,
+		onChange(evacuated) {
+			evacuationProgress.noteChange(evacuated);
+			updateFlows();
+		},
+	});
 	const isReady = () => !isStopping && hasServers && configuration.read() !== undefined;
 	const quarantine = createRequestQuarantine({
 		clock,
@@ -123,7 +138,13 @@
 		onChange: noteMembers,
 	});
 	const flows = createServiceFlows({
-		clock, random, retryBudgetOptions: settings.retryBudget, countEntries: members.countSharingEntries, countRetrySharers: members.countRetrySharers,
+		clock,
+		random,
+		retryBudgetOptions: settings.retryBudget,
+		countEntries: members.countSharingEntries,
+		countRetrySharers: members.countRetrySharers,
+		isEvacuated: evacuations.isEvacuated,
+		countEvacuatedInFlight: service => evacuationProgress.countInFlight(service),
 	});
 	const picker = createServerPicker({
 		clock,
@@ -142,6 +163,9 @@
 		clock, self: settings.instanceId, limits: statedLimits, listEntries: members.listLimitSharers,
 	});
 	const connections = createBackendConnections({clock, lifeCycle});
+	const evacuationProgress = createEvacuationProgress({
+		evacuations, readServers: servers.servers.read, countInFlight: picker.countInFlight, connections, onProgress: metrics.setEvacuations,
+	});
 
 	const crashWatch = createCrashWatch({
 		clock, log, metrics, connections, quarantine, readServers: servers.servers.read,
@@ -209,6 +233,8 @@
 		connections,
 		configuration,
 		readServers: servers.servers.read,
+		evacuations,
+		evacuationProgress,
 		picker,
 		flows,
 		progress,
@@ -235,7 +261,7 @@
 	}
 
 	opened.listener = listening.value;
-	follow(deps.configuration.table, 0, configuration.listener);
+	follow(deps.configuration.table, 0, combineListeners([evacuations.listener, configuration.listener]));
 	follow(deps.backendServers.table, settings.backendDrainMillis * SERVER_LIST_MIN_INTERVAL_SHARE, servers.listener);
 	void members.run(lifeCycle.signal);
 	const {value} = listening;
@@ -243,6 +269,7 @@
 		port: value.port,
 		isReady,
 		members,
+		listEvacuations: evacuationProgress.list,
 		async drain() {
 			isStopping = true;
 			void members.announceDraining();
--- a/src/membership/members-document.ts
+++ b/src/membership/members-document.ts
@@ -17,12 +17,14 @@
 		/** Time since the entry became suspected, in milliseconds. */
 		suspectedMillis: z.number().optional(),
 	})),
+	/** Evacuated failure domains, with the entry's requests in flight there; an entry of an earlier version does not list them. */
+	evacuated: z.array(z.object({failureDomain: z.string(), inFlight: z.number()})).default([]),
 });
 
 /** Contents of the document. */
 export type MembersDocument = Readonly<z.infer<typeof membersDocumentSchema>>;
 
 /** Creates the document. */
-export function describeMembers(beliefs: readonly EntryBelief[]): MembersDocument {
-	return {members: [...beliefs]};
+export function describeMembers(beliefs: readonly EntryBelief[], evacuated: MembersDocument['evacuated']): MembersDocument {
+	return {members: [...beliefs], evacuated};
 }
