Detect a change of the popularity of experts also when a sample covers both sides of it

Cause: a switch of the map takes 0.3 to 0.8 s in a group of 72 ranks; the sample after it covers all that time. Change: the bound follows the usual difference between samples, and is 0.05 at least; half a jump makes about 0.09. Result: the new test (40 jumps in the middle of a sample) fails before and passes after.

--- a/src/decisions/placement/__tests__/popularity-change.test.ts
+++ b/src/decisions/placement/__tests__/popularity-change.test.ts
@@ -35,6 +35,26 @@
 	}
 });
 
+void test('a jump in the middle of a long sample, as during a switch of the map, is seen in that sample or the next (40 jumps)', () => {
+	const random = createSeededRandom(11);
+	const change = createPopularityChange();
+	let popularity = drawPopularity(random);
+	for (let jump = 0; jump < 40; jump++) {
+		for (let i = 0; i < 10; i++) {
+			assert.equal(change.observe(drawSample(random, popularity)), false, `jump ${jump}, sample ${i}`);
+		}
+
+		const before = drawSample(random, popularity);
+		popularity = drawPopularity(random, popularity, 0.4);
+		const after = drawSample(random, popularity);
+		const isSeenAtOnce = change.observe(before.map((count, i) => count + (after[i] ?? 0)));
+		const isSeenNext = change.observe(drawSample(random, popularity));
+		assert.ok(isSeenAtOnce || isSeenNext, `jump ${jump}`);
+		change.observe(drawSample(random, popularity));
+		change.observe(drawSample(random, popularity));
+	}
+});
+
 void test('a sample of an almost idle group is not compared, whatever it shows', () => {
 	const change = createPopularityChange();
 	change.observe([100, 0, 0, 0]);
--- a/src/decisions/placement/popularity-change.ts
+++ b/src/decisions/placement/popularity-change.ts
@@ -4,16 +4,24 @@
  */
 import {sum} from '../sum.js';
 
-/** Similarity of a look to those before it below which the popularity has changed; topics of single prompts leave it above 0.9. */
-const CHANGED_SIMILARITY = 0.85;
-/** Weight of the looks so far against the newest one in the reference. */
+/** Least difference (1 less the similarity) that counts as a change. A sample taken half before and half after a jump differs by about 0.09. */
+const MIN_CHANGED_DIFFERENCE = 0.05;
+/** The same as a multiple of the usual difference between samples, which is large where a few prompts with topics of their own make up a sample. */
+const CHANGED_DIFFERENCE_FACTOR = 4;
+/** Difference that counts as a change in any case. */
+const MAX_USUAL_DIFFERENCE = 0.25;
+/** Usual difference before any is known. */
+const INITIAL_DIFFERENCE = 0.02;
+/** Weight of the newest sample in the moving average of the difference. */
+const DIFFERENCE_WEIGHT = 0.1;
+/** Weight of the samples so far against the newest one in the reference. */
 const REFERENCE_WEIGHT = 0.8;
-/** Choices in a look, as a multiple of the number of counters, below which it is too small to compare. */
+/** Choices in a sample, as a multiple of the number of counters, below which it is too small to compare. */
 const MIN_CHOICES_PER_COUNTER = 1;
 
-/** Comparison of looks at the choices of experts. */
+/** Comparison of samples of the choices of experts. */
 export type PopularityChange = Readonly<{
-	/** Records how often each expert of each layer was chosen since the last look; true if the popularity has changed since the looks before. */
+	/** Records how often each expert of each layer was chosen since the last sample; true if the popularity has changed. */
 	observe: (counts: readonly number[]) => boolean;
 }>;
 
@@ -23,21 +31,28 @@
 	return product(left, right) / Math.max(Number.MIN_VALUE, Math.sqrt(product(left, left) * product(right, right)));
 }
 
-/** Creates a detector without looks. */
+/** Creates a detector without samples. */
 export function createPopularityChange(): PopularityChange {
 	let reference: readonly number[] | undefined;
+	let usualDifference = INITIAL_DIFFERENCE;
 	return {
 		observe(counts) {
 			if (sum(counts) < counts.length * MIN_CHOICES_PER_COUNTER) {
 				return false;
 			}
 
-			if (reference?.length !== counts.length || measureSimilarity(reference, counts) < CHANGED_SIMILARITY) {
-				const isFirst = reference === undefined;
+			if (reference?.length !== counts.length) {
 				reference = counts;
-				return !isFirst;
+				return false;
+			}
+
+			const difference = 1 - measureSimilarity(reference, counts);
+			if (difference > Math.min(MAX_USUAL_DIFFERENCE, Math.max(MIN_CHANGED_DIFFERENCE, usualDifference * CHANGED_DIFFERENCE_FACTOR))) {
+				reference = counts;
+				return true;
 			}
 
+			usualDifference += (difference - usualDifference) * DIFFERENCE_WEIGHT;
 			reference = reference.map((value, i) => (value * REFERENCE_WEIGHT) + (counts[i] ?? 0));
 			return false;
 		},
