Reserve permits for more urgent requests where priorities compete

Cause: a request could wait 0.3 of its latency target for a permit, so the least urgent ones, with twice the target, waited longest and were refused least. Change: a service to which routes or accounts send more than one priority reserves permits by the measured arrival rate and hold time of the more urgent requests, less what is released while one of them may wait. Urgent requests may wait as long as their target allows; a refused one is told when the more urgent work is expected to be done, at most 2.5 s. A priority without a permit for 1.5 s goes ahead once. Requests of one priority only take the former path.

--- a/src/decisions/flow/flow-constants.ts
+++ b/src/decisions/flow/flow-constants.ts
@@ -28,6 +28,14 @@
 export const MIN_RETRY_AFTER_MILLIS = 300;
 /** Longest time after which a refused caller is told to retry, in milliseconds; a third of a usual deadline. */
 export const MAX_RETRY_AFTER_MILLIS = 2500;
+/** Time constant with which the arrival rate of a priority decays, in milliseconds; shorter than the peaks of 3 s that it must follow. */
+export const ARRIVAL_RATE_TIME_CONSTANT_MILLIS = 1500;
+/** Largest share of the permits of a service, beyond the first, that is reserved; in the replayed peaks a half cost the least urgent requests more than the others gained. */
+export const MAX_RESERVED_SHARE = 0.25;
+/** Time without a permit after which the next request of a priority goes ahead of all others, in milliseconds; about the time that a permit is held. */
+export const STARVATION_BOUND_MILLIS = 1500;
+/** Interval between looks at a queue that waits behind a reserve, in milliseconds; a reserve also shrinks while no permit is released. */
+export const RESERVE_CHECK_INTERVAL_MILLIS = 50;
 /** Half-life of the failure score of a backend server, in milliseconds. */
 export const FAILURE_HALF_LIFE_MILLIS = 1500;
 /** Decayed failure score from which a backend server is ejected. */
--- a/src/decisions/flow/permit-queue.ts
+++ b/src/decisions/flow/permit-queue.ts
@@ -2,13 +2,17 @@
  * Queues requests during bursts and sustained overload of one service. The order is by priority; within a priority, requests
  * that can still be on time are ahead of late ones, and accounts with fewer requests in flight go first. A request that would
  * wait too long is refused at once with a retry delay.
+ *
+ * Where requests of more than one priority compete, permits are also reserved for the more urgent ones, and a priority that has
+ * got none for the starvation bound goes ahead of the others once.
  */
 import type {Clock} from '../../core/clock.js';
 import type {Teardown} from '../../core/teardown.js';
 import type {RandomSource} from '../random.js';
 import {
-	HOLD_TIME_WEIGHT, MAX_RETRY_AFTER_MILLIS, MAX_QUEUED_REQUESTS, MIN_RETRY_AFTER_MILLIS,
+	HOLD_TIME_WEIGHT, MAX_RETRY_AFTER_MILLIS, MAX_QUEUED_REQUESTS, MIN_RETRY_AFTER_MILLIS, RESERVE_CHECK_INTERVAL_MILLIS,
 } from './flow-constants.js';
+import {createPriorityReserve} from './priority-reserve.js';
 
 /** A request for a permit. */
 export type PermitRequest = Readonly<{
@@ -35,6 +39,8 @@
 	countWaiting: () => number;
 	/** Current limit on requests in flight. */
 	readLimit: () => number;
+	/** Permits that a request of this priority must leave to more urgent ones; 0 where requests of only one priority are sent. */
+	readReserve: (priority: number) => number;
 	/** Grants free permits; called after the limit has changed. */
 	dispatch: () => void;
 }>;
@@ -44,6 +50,8 @@
 	clock: Clock;
 	random: RandomSource;
 	readLimit: () => number;
+	/** Whether requests of more than one priority compete for the permits; by default they do not. */
+	hasPriorities?: () => boolean;
 }>;
 
 type Waiter = Readonly<{
@@ -52,11 +60,13 @@
 	decide: (decision: PermitDecision) => void;
 }>;
 
-export function createPermitQueue({clock, random, readLimit}: PermitQueueDeps): PermitQueue {
+export function createPermitQueue({clock, random, readLimit, hasPriorities = () => false}: PermitQueueDeps): PermitQueue {
+	const priorityReserve = createPriorityReserve();
 	const inFlightByAccount = new Map<string, number>();
 	let inFlight = 0;
 	let meanHoldMillis = 0;
 	let waiting: readonly Waiter[] = [];
+	let isChecking = false;
 
 	function countInFlightOf(account: string): number {
 		return inFlightByAccount.get(account) ?? 0;
@@ -65,18 +75,40 @@
 	function sortWaiting(): readonly Waiter[] {
 		const nowMillis = clock.monotonicMillis();
 		const isLate = ({req, arrivedAtMillis}: Waiter) => nowMillis - arrivedAtMillis > req.onTimeWaitMillis;
+		const overdue = listOverduePriorities(nowMillis);
 		return waiting.toSorted((left, right) =>
-			left.req.priority - right.req.priority
+			Number(overdue.has(right.req.priority)) - Number(overdue.has(left.req.priority))
+			|| left.req.priority - right.req.priority
 			|| Number(isLate(left)) - Number(isLate(right))
 			|| countInFlightOf(left.req.account) - countInFlightOf(right.req.account)
 			|| left.arrivedAtMillis - right.arrivedAtMillis);
 	}
 
+	function listOverduePriorities(nowMillis: number): ReadonlySet<number> {
+		const priorities = hasPriorities() ? new Set(waiting.map(({req}) => req.priority)) : new Set<number>();
+		return new Set([...priorities].filter(priority => priorityReserve.isOverdue(priority, nowMillis)));
+	}
+
+	function readReserve(priority: number): number {
+		const nowMillis = clock.monotonicMillis();
+		return !hasPriorities() || priorityReserve.isOverdue(priority, nowMillis) ? 0 : priorityReserve.read(priority, readLimit(), nowMillis);
+	}
+
+	const hasFreePermit = () => inFlight + 1 <= readLimit();
+
 	/** Expected time until the request at this position of the queue gets a permit, in milliseconds. */
 	function estimateWaitMillis(position: number): number {
 		return ((position + 1) * meanHoldMillis) / Math.max(1, readLimit());
 	}
 
+	/** Time after which the requests ahead of a refused one are expected to have been served; what arrives meanwhile at higher priority is included. */
+	function chooseRetryAfterPriorities({req}: Waiter): number {
+		const ahead = waiting.filter(other => other.req.priority <= req.priority).length + 1;
+		const servedMillis = priorityReserve.estimateServedMillis(req.priority, ahead, readLimit(), clock.monotonicMillis());
+		const baseMillis = Math.max(MIN_RETRY_AFTER_MILLIS, servedMillis);
+		return Math.round(Math.min(MAX_RETRY_AFTER_MILLIS, baseMillis * (1 + random())));
+	}
+
 	function chooseRetryAfterMillis(): number {
 		const backlogMillis = estimateWaitMillis(waiting.length);
 		const baseMillis = Math.min(MAX_RETRY_AFTER_MILLIS, Math.max(MIN_RETRY_AFTER_MILLIS, backlogMillis));
@@ -87,6 +119,7 @@
 		const startedAtMillis = clock.monotonicMillis();
 		let isReleased = false;
 		inFlight++;
+		priorityReserve.noteGrant(req.priority, startedAtMillis);
 		inFlightByAccount.set(req.account, countInFlightOf(req.account) + 1);
 		return {
 			tag: 'admitted',
@@ -105,6 +138,7 @@
 				}
 
 				const heldMillis = clock.monotonicMillis() - startedAtMillis;
+				priorityReserve.noteRelease(req.priority, heldMillis);
 				meanHoldMillis = meanHoldMillis === 0 ? heldMillis : meanHoldMillis + ((heldMillis - meanHoldMillis) * HOLD_TIME_WEIGHT);
 				dispatch();
 			},
@@ -112,29 +146,45 @@
 	}
 
 	function dispatch(): void {
-		while (waiting.length > 0 && inFlight + 1 <= readLimit()) {
+		while (waiting.length > 0 && hasFreePermit()) {
 			const [next] = sortWaiting();
-			waiting = waiting.filter(waiter => waiter !== next);
-			if (next) {
-				next.decide(acquire(next.req));
+			if (!next || inFlight + 1 + readReserve(next.req.priority) > readLimit()) {
+				break;
 			}
+
+			waiting = waiting.filter(waiter => waiter !== next);
+			next.decide(acquire(next.req));
 		}
 	}
 
+	/** Grants permits to requests that wait behind a reserve, as it shrinks. */
+	async function checkReserve(): Promise<void> {
+		isChecking = true;
+		while (waiting.length > 0) {
+			// eslint-disable-next-line no-await-in-loop -- Checks are sequential.
+			await clock.sleep(RESERVE_CHECK_INTERVAL_MILLIS);
+			dispatch();
+		}
+
+		isChecking = false;
+	}
+
 	function refuse(waiter: Waiter, reason: 'overload' | 'withdrawn'): void {
 		if (waiting.includes(waiter)) {
 			waiting = waiting.filter(other => other !== waiter);
-			waiter.decide({tag: 'refused', reason, retryAfterMillis: chooseRetryAfterMillis()});
+			waiter.decide({tag: 'refused', reason, retryAfterMillis: hasPriorities() ? chooseRetryAfterPriorities(waiter) : chooseRetryAfterMillis()});
 		}
 	}
 
 	/** Refuses the requests whose expected wait exceeds the time they may still wait, and those beyond the maximum queue length. */
 	function refuseUnservable(): void {
 		const nowMillis = clock.monotonicMillis();
+		// Requests that wait behind a reserve are not refused early: its end can't be predicted from the queue.
+		const isReserveAhead = hasPriorities() && hasFreePermit();
 		let position = 0;
 		for (const waiter of sortWaiting()) {
 			const remainingMillis = waiter.arrivedAtMillis + waiter.req.maxWaitMillis - nowMillis;
-			if (estimateWaitMillis(position) > remainingMillis || position >= MAX_QUEUED_REQUESTS) {
+			if ((!isReserveAhead && estimateWaitMillis(position) > remainingMillis) || position >= MAX_QUEUED_REQUESTS) {
 				refuse(waiter, 'overload');
 			} else {
 				position++;
@@ -144,7 +194,14 @@
 
 	function enqueue(waiter: Waiter): void {
 		waiting = [...waiting, waiter];
+		if (hasPriorities()) {
+			dispatch();
+		}
+
 		refuseUnservable();
+		if (hasPriorities() && waiting.length > 0 && !isChecking) {
+			void checkReserve();
+		}
 	}
 
 	async function refuseAfterMaxWait(waiter: Waiter, signal: AbortSignal): Promise<void> {
@@ -154,7 +211,8 @@
 
 	return {
 		async admit(req, signal) {
-			if (inFlight + 1 <= readLimit() && waiting.length === 0) {
+			priorityReserve.noteArrival(req.priority, req.maxWaitMillis, clock.monotonicMillis());
+			if (hasFreePermit() && waiting.length === 0 && inFlight + 1 + readReserve(req.priority) <= readLimit()) {
 				return acquire(req);
 			}
 
@@ -182,6 +240,7 @@
 		countInFlight: () => inFlight,
 		countWaiting: () => waiting.length,
 		readLimit,
+		readReserve,
 		dispatch,
 	};
 }
--- a/src/gateway/__tests__/service-flows.test.ts
+++ b/src/gateway/__tests__/service-flows.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {createManualClock} from '../../core/manual-clock.js';
-import type {BackendService, RoutingConfiguration} from '../../routing/routing-configuration.js';
+import type {BackendService, Route, RoutingConfiguration} from '../../routing/routing-configuration.js';
+import {listServicePriorities} from '../../routing/service-priorities.js';
 import type {BackendServer} from '../backend-server.js';
 import {createServiceFlows} from '../service-flows.js';
 
@@ -54,3 +55,24 @@
 	const {permitQueue} = createFlows(1, [createServer('a'), {...createServer('b'), group}, {...createServer('c'), group: {...group, isOpen: true}}]);
 	assert.equal(permitQueue.readLimit(), 24);
 });
+
+void test('priorities come from routes with a share of the service, and from accounts except on public routes', () => {
+	const route: Route = {
+		name: 'r',
+		host: 'h',
+		prefix: '/',
+		retryRule: 'idempotent',
+		isStreaming: false,
+		timeoutMillis: 1,
+		targetLatencyMillis: 1,
+		maxPauseMillis: undefined,
+		maxAttempts: 1,
+		priority: 1,
+		isPublic: false,
+		shares: [{service: 'plain', weight: 1}],
+	};
+	const accounts = new Map(([undefined, 3] as const).map((priority, i) => [`key${i}`, {name: `a${i}`, priority}]));
+	assert.deepEqual(listServicePriorities({routes: [route, {...route, priority: 0, shares: [{service: 'plain', weight: 0}]}], accounts: undefined}, 'plain'), [1]);
+	assert.deepEqual(listServicePriorities({routes: [route, {...route, priority: 0, isPublic: true}], accounts}, 'plain'), [0, 1, 3]);
+	assert.deepEqual(listServicePriorities({routes: [route], accounts}, 'other'), []);
+});
--- a/src/gateway/finish-call.ts
+++ b/src/gateway/finish-call.ts
@@ -128,6 +128,11 @@
 	ctx.metrics.calls.inc({kind, outcome});
 	ctx.metrics.inFlight.set({service}, flow.permitQueue.countInFlight());
 	ctx.metrics.limit.set({service}, flow.permitQueue.readLimit());
+	const leastUrgent = flow.readPriorities().at(-1);
+	if (leastUrgent !== undefined && flow.readPriorities().length > 1) {
+		ctx.metrics.reservedPermits.set({service}, flow.permitQueue.readReserve(leastUrgent));
+	}
+
 	if (firstByteMillis !== undefined) {
 		ctx.metrics.firstByteSeconds.observe({kind}, firstByteMillis / MILLIS_PER_SECOND);
 	}
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -57,6 +57,12 @@
 		limit: new Gauge({
 			name: 'pollenport_calls_limit', help: 'Calls that may be in flight at backend servers, by service', labelNames: ['service'], registers,
 		}),
+		reservedPermits: new Gauge({
+			name: 'pollenport_permits_reserved', help: 'Permits that the least urgent requests must leave to more urgent ones, by service', labelNames: ['service'], registers,
+		}),
+		permitRefusals: new Counter({
+			name: 'pollenport_permit_refusals_total', help: 'Calls refused for lack of a permit, by service and priority, where priorities compete', labelNames: ['service', 'priority'], registers,
+		}),
 		unreadableRows: new Counter({
 			name: 'pollenport_unreadable_rows_total', help: 'Rows of the platform that could not be used, by table', labelNames: ['table'], registers,
 		}),
--- a/src/gateway/serve-call.ts
+++ b/src/gateway/serve-call.ts
@@ -2,6 +2,7 @@
 import {MAX_WAIT_SHARE} from '../decisions/flow/flow-constants.js';
 import type {PermitRequest} from '../decisions/flow/permit-queue.js';
 import {chooseLimitRetryAfter} from '../decisions/rate-limit/limit-retry-after.js';
+import type {LogContext} from '../observability/log.js';
 import {admitRequest} from './admit-request.js';
 import {
 	describeFinding, finishCall, finishUnanswered, refuseCall,
@@ -23,14 +24,29 @@
 /** Permit request of a call, with the time for which it may wait. */
 function createPermitRequest(ctx: GatewayContext, {call, route, account, flow}: RoutedCall): PermitRequest {
 	const expectedMillis = flow.firstByteEstimate.read(ctx.clock.monotonicMillis());
+	const priority = account?.priority ?? route.priority;
+	const onTimeWaitMillis = Math.max(0, route.targetLatencyMillis - expectedMillis);
+	// A request that others are refused for may wait as long as its target allows.
+	const isUrgent = flow.readPriorities().some(other => other > priority);
 	return {
 		account: account?.name ?? '',
-		priority: account?.priority ?? route.priority,
-		onTimeWaitMillis: Math.max(0, route.targetLatencyMillis - expectedMillis),
-		maxWaitMillis: Math.min((call.head.deadlineMillis ?? Infinity) / 2, route.targetLatencyMillis * MAX_WAIT_SHARE),
+		priority,
+		onTimeWaitMillis,
+		maxWaitMillis: Math.min((call.head.deadlineMillis ?? Infinity) / 2, Math.max(route.targetLatencyMillis * MAX_WAIT_SHARE, isUrgent ? onTimeWaitMillis : 0)),
 	};
 }
 
+/** Counts a refusal by its priority where several compete; returns its fields of the log line. */
+function notePriorityRefusal(ctx: GatewayContext, {service, flow}: RoutedCall, {priority}: PermitRequest): LogContext {
+	if (flow.readPriorities().length < 2) {
+		return {};
+	}
+
+	const reserved = flow.permitQueue.readReserve(priority);
+	ctx.metrics.permitRefusals.inc({service, priority});
+	return {priority, reserved};
+}
+
 /** Serves the call until it has ended. Never rejects. */
 export async function serveCall(ctx: GatewayContext, call: Call): Promise<void> {
 	const found = routeCall(ctx, call);
@@ -60,7 +76,11 @@
 	if (decision.tag === 'refused') {
 		if (!call.disconnectSignal.aborted) {
 			refuseCall(ctx, call, createNotRunRefusal('overload', decision.retryAfterMillis), {
-				route: route.name, inFlight: flow.permitQueue.countInFlight(), waiting: flow.permitQueue.countWaiting(), limit: flow.permitQueue.readLimit(),
+				route: route.name,
+				inFlight: flow.permitQueue.countInFlight(),
+				waiting: flow.permitQueue.countWaiting(),
+				limit: flow.permitQueue.readLimit(),
+				...notePriorityRefusal(ctx, found, permitRequest),
 			});
 		}
 
--- a/src/gateway/service-flows.ts
+++ b/src/gateway/service-flows.ts
@@ -9,12 +9,15 @@
 import {sum} from '../decisions/sum.js';
 import {createSharedRetryBudget, type SharedRetryBudgetOptions, type SharedRetryBudget} from '../decisions/retry/shared-retry-budget.js';
 import type {RoutingConfiguration} from '../routing/routing-configuration.js';
+import {listServicePriorities} from '../routing/service-priorities.js';
 import type {BackendServer} from './backend-server.js';
 import type {BackendServers} from './backend-server-list.js';
 
 /** Flow control state shared by all requests to one service. */
 export type ServiceFlow = Readonly<{
 	permitQueue: PermitQueue;
+	/** Priorities with which requests may be sent to the service, the most urgent first. */
+	readPriorities: () => readonly number[];
 	concurrencyLimit: StreamConcurrencyLimit;
 	retryBudget: SharedRetryBudget;
 	/** Estimate of the time from sending a request to the first byte of its answer. */
@@ -59,14 +62,17 @@
 	const maxIdleByService = new Map<string, number>();
 	/** Concurrency limit of this process for each service without an engine. */
 	const plainLimitByService = new Map<string, number>();
+	const prioritiesByService = new Map<string, readonly number[]>();
 
 	function create(service: string): ServiceFlow {
 		const concurrencyLimit = createStreamConcurrencyLimit();
+		const readPriorities = () => prioritiesByService.get(service) ?? [];
 		const permitQueue = createPermitQueue({
-			clock, random, readLimit: () => plainLimitByService.get(service) ?? concurrencyLimit.read(),
+			clock, random, readLimit: () => plainLimitByService.get(service) ?? concurrencyLimit.read(), hasPriorities: () => readPriorities().length > 1,
 		});
 		return {
 			permitQueue,
+			readPriorities,
 			concurrencyLimit,
 			retryBudget: createSharedRetryBudget({
 				clock, random, options: retryBudgetOptions, countProcesses: countRetrySharers,
@@ -93,6 +99,7 @@
 		update(servers, cfg) {
 			const entries = Math.max(1, countEntries());
 			for (const [name, {engine, maxConnections}] of cfg?.services ?? []) {
+				prioritiesByService.set(name, cfg ? listServicePriorities(cfg, name) : []);
 				maxIdleByService.set(name, Math.max(1, Math.floor(maxConnections * IDLE_CONNECTION_SHARE / entries)));
 				const ready = [...servers.values()].filter(server => isAvailableForService(server, name));
 				const slots = sum(ready.map(server => server.slots));
--- a/src/observability/line-schemas.ts
+++ b/src/observability/line-schemas.ts
@@ -71,6 +71,9 @@
 		inFlight: count.optional(),
 		waiting: count.optional(),
 		limit: z.number().optional(),
+		/** Where priorities compete: priority of the request, and permits that it had to leave to more urgent ones. */
+		priority: count.optional(),
+		reserved: z.number().nonnegative().optional(),
 		cause: z.string().optional(),
 		attempts: count.optional(),
 		asked: z.string().optional(),
