--- a/src/routing/routing-configuration.ts
+++ b/src/routing/routing-configuration.ts
@@ -62,6 +62,12 @@
 	stepMillisPerRequest: number;
 	/** Prompt tokens processed per millisecond. */
 	prefillTokensPerMilli: number;
+	/** Largest number of prompt tokens processed in one step; undefined when the configuration does not state it. */
+	prefillTokensPerStep?: number;
+	/** Time that each million pairs of prompt tokens adds to the prefill of a prompt, in milliseconds. */
+	prefillMillisPerMillionPairs?: number;
+	/** Time that each thousand tokens of context of the requests in their decoding phase add to a step, in milliseconds. */
+	stepMillisPerThousandContextTokens?: number;
 	/** Mean prompt length, in tokens. */
 	usualPromptTokens: number;
 	/** Mean answer length, in tokens. */
