Take unread prompt tokens into account when a backend server is picked

A long prompt delays the first events of the requests behind it on its engine, while the picker counts requests alone. pick takes an extra cost for each candidate: the unread prompt tokens there, own ones and those of the requests that the engine reports as waiting, in usual prompts. In force only for services whose engines state a chunk size, for requests that state their prompt tokens, and where the recent sizes differ by more than a factor of two. The effect is not measured yet.

--- a/src/decisions/flow/__tests__/server-picker.test.ts
+++ b/src/decisions/flow/__tests__/server-picker.test.ts
@@ -79,6 +79,13 @@
 	assert.ok((counts.get('a') ?? 0) <= 3 && (counts.get('b') ?? 0) >= 7, JSON.stringify([...counts]));
 });
 
+void test('work in addition to the requests in flight steers requests away, so that a short prompt does not wait for a long one', () => {
+	const {picker} = createPicker();
+	picker.noteStart('b');
+	assert.equal(picker.pick(CANDIDATES.slice(0, 2), ({id}) => id === 'a' ? 4 : 0)?.id, 'b');
+	assert.equal(picker.pick(CANDIDATES.slice(0, 2))?.id, 'a');
+});
+
 void test('no backend server is picked when there is no candidate', () => {
 	const {picker} = createPicker();
 	const picked = picker.pick<Candidate>([]);
--- a/src/decisions/flow/flow-constants.ts
+++ b/src/decisions/flow/flow-constants.ts
@@ -56,3 +56,11 @@
 export const MAX_RETRY_AFTER_DEADLINE_SHARE = 0.45;
 /** Time for which a refusal on behalf of a group keeps requests away from the group, in milliseconds; then the group is tried again. */
 export const GROUP_REFUSAL_TTL_MILLIS = 700;
+/** Number of recent prompts whose sizes are compared; half a minute of requests at one entry. */
+export const MAX_PROMPT_SIZE_SAMPLES = 128;
+/** Least number of prompts from which their sizes are compared. */
+export const MIN_PROMPT_SIZE_SAMPLES = 16;
+/** Quantile from the bottom and from the top whose prompts are compared, so that single exceptions do not decide. */
+export const PROMPT_SIZE_QUANTILE = 0.05;
+/** Ratio between large and small recent prompts above which prompts are treated by size. */
+export const MIN_MIXED_SIZE_RATIO = 2;
--- a/src/decisions/flow/server-picker.ts
+++ b/src/decisions/flow/server-picker.ts
@@ -14,8 +14,8 @@
 
 /** Picks backend servers and learns from the outcomes of requests. */
 export type ServerPicker = Readonly<{
-	/** Picks the candidate with the lowest cost; undefined when there is none. */
-	pick: <T extends Candidate>(candidates: readonly T[]) => T | undefined;
+	/** Picks the candidate with the lowest cost; undefined when there is none. `readExtraCost` returns work in addition to the requests there, in requests. */
+	pick: <T extends Candidate>(candidates: readonly T[], readExtraCost?: (candidate: T) => number) => T | undefined;
 	noteStart: (id: string) => void;
 	/** `millis` is the time to the first byte; undefined when it is not meaningful for the backend server. */
 	noteEnd: (id: string, outcome: 'served' | 'refused' | 'failed', millis?: number) => void;
@@ -64,11 +64,11 @@
 		return state.failures * (2 ** ((state.failedAtMillis - nowMillis) / FAILURE_HALF_LIFE_MILLIS));
 	}
 
-	function readCost({id, slots, coldLeftMillis}: Candidate, medianLatencyMillis: number, nowMillis: number): number {
+	function readCost({id, slots, coldLeftMillis}: Candidate, medianLatencyMillis: number, nowMillis: number, extraCost: number): number {
 		const state = read(id);
 		const othersInFlight = state.othersInFlight * Math.exp((state.reportedAtMillis - nowMillis) / REPORT_TIME_CONSTANT_MILLIS);
 		const relativeLatency = state.latencyMillis > 0 && medianLatencyMillis > 0 ? Math.max(0.5, state.latencyMillis / medianLatencyMillis) : 1;
-		const load = (state.inFlight + othersInFlight + 1) / Math.max(1, slots);
+		const load = (state.inFlight + othersInFlight + 1 + extraCost) / Math.max(1, slots);
 		return load * relativeLatency * (1 + readFailures(state, nowMillis)) * (coldLeftMillis > 0 ? WARM_UP_COST_FACTOR : 1);
 	}
 
@@ -90,14 +90,14 @@
 	}
 
 	return {
-		pick(candidates) {
+		pick(candidates, readExtraCost = () => 0) {
 			const nowMillis = clock.monotonicMillis();
 			const medianLatencyMillis = readMedianLatency(candidates);
 			let best;
 			let bestCost = Infinity;
 			for (const candidate of excludeEjected(candidates, nowMillis)) {
 				// Equal costs are common at low load; the random factor keeps processes from choosing in step.
-				const cost = readCost(candidate, medianLatencyMillis, nowMillis) * (1 + (random() * 0.05));
+				const cost = readCost(candidate, medianLatencyMillis, nowMillis, readExtraCost(candidate)) * (1 + (random() * 0.05));
 				if (cost < bestCost) {
 					bestCost = cost;
 					best = candidate;
--- a/src/gateway/routed-call.ts
+++ b/src/gateway/routed-call.ts
@@ -1,10 +1,12 @@
 /** Resolves the route, client account and service of a call. */
 import {drawService} from '../routing/route-table.js';
+import type {Prompt} from '../decisions/flow/prompt-load.js';
 import type {RequestContent} from '../decisions/quarantine/crash-record.js';
 import type {RoutedAccount, Route, RoutingConfiguration} from '../routing/routing-configuration.js';
 import type {Call} from './call.js';
 import {STOPPING_RETRY_AFTER_MILLIS} from './gateway-constants.js';
 import type {GatewayContext} from './gateway-context.js';
+import {describePrompt} from './prompt-cost.js';
 import {createFingerprint} from './request-fingerprint.js';
 import {createNotRunRefusal, type Refusal} from './refusal.js';
 import type {ServiceFlow} from './service-flows.js';
@@ -21,6 +23,8 @@
 	/** Monotonic time by which the call must have ended. */
 	deadlineMillis: number;
 	flow: ServiceFlow;
+	/** Undefined where the size of the prompt or the figures of the engines are unknown. */
+	prompt: Prompt | undefined;
 	/** Time spent waiting for a permit. */
 	waitedMillis: number;
 }>;
@@ -67,6 +71,7 @@
 		content: {parts: call.head.promptParts, fingerprint: createFingerprint(call, caller?.name ?? '')},
 		deadlineMillis: call.arrivedAtMillis + timeoutMillis,
 		flow: ctx.flows.read(service),
+		prompt: describePrompt(cfg.services.get(service)?.engine, call.head.promptTokens),
 		waitedMillis: 0,
 	};
 }
--- a/src/gateway/send-to-backend-server.ts
+++ b/src/gateway/send-to-backend-server.ts
@@ -38,13 +38,23 @@
 
 /** Sends the call to the backend server and forwards what can be forwarded before the answer is complete. */
 export async function sendToBackendServer(ctx: GatewayContext, routed: RoutedCall, progress: CallProgress, {server, leftMillis}: AttemptTarget): Promise<AttemptOutcome> {
-	const {call, route, flow, account, service} = routed;
+	const {call, route, flow, account, service, prompt} = routed;
 	const {answer} = progress;
 	const startedAtMillis = ctx.clock.monotonicMillis();
 	let firstByteMillis: number | undefined;
 	let eventCount = 0;
 	progress.triedServers.add(server.id);
 	ctx.picker.noteStart(server.id);
+	if (prompt) {
+		flow.promptLoad.assign(prompt, server.id);
+	}
+
+	const notePromptRead = () => {
+		if (prompt) {
+			flow.promptLoad.end(prompt);
+		}
+	};
+
 	const outcome = await runAttempt(ctx, call, {
 		address: server.address,
 		headers: ctx.codec.forwardHeaders(call.headers, {
@@ -67,6 +77,7 @@
 			isStreaming: route.isStreaming,
 			progress: answer,
 			onEvent(pauseMillis) {
+				notePromptRead();
 				eventCount++;
 				if (eventCount === SURVIVED_EVENTS) {
 					ctx.quarantine.noteSound(routed.content);
@@ -95,12 +106,14 @@
 
 			if (head.load) {
 				ctx.picker.noteLoad(server.id, head.load);
+				flow.promptLoad.noteWaiting(server.id, head.load.waiting, ctx.clock.monotonicMillis());
 			}
 		},
 		onAnyHead(head) {
 			noteNotices(ctx, call, server, head);
 		},
 	});
+	notePromptRead();
 	if (firstByteMillis !== undefined) {
 		flow.firstByteEstimate.note(firstByteMillis, firstByteMillis > route.targetLatencyMillis, ctx.clock.monotonicMillis());
 	}
--- a/src/gateway/serve-call.ts
+++ b/src/gateway/serve-call.ts
@@ -16,6 +16,7 @@
 } from './gateway-constants.js';
 import type {GatewayContext} from './gateway-context.js';
 import {chooseNextStep} from './next-step.js';
+import {createPromptCost} from './prompt-cost.js';
 import {createNotRunRefusal} from './refusal.js';
 import {isRefusal, routeCall, type RoutedCall} from './routed-call.js';
 import {isAvailableForService} from './service-flows.js';
@@ -49,6 +50,10 @@
 	}
 
 	flow.retryBudget.noteRequest();
+	if (found.prompt) {
+		flow.promptSizes.note(found.prompt.tokens);
+	}
+
 	const permitRequest = createPermitRequest(ctx, found);
 	const pause = findServicePause(ctx, found.service);
 	if (pause && pause.leftMillis > permitRequest.maxWaitMillis) {
@@ -119,7 +124,7 @@
 			return;
 		}
 
-		const server = call.disconnectSignal.aborted ? undefined : ctx.picker.pick(listCandidates(ctx, routed.service, progress.triedServers));
+		const server = call.disconnectSignal.aborted ? undefined : ctx.picker.pick(listCandidates(ctx, routed.service, progress.triedServers), createPromptCost(ctx, routed));
 		if (!server) {
 			const untriedPause = findServicePause(ctx, routed.service, progress.triedServers);
 			if (untriedPause && ctx.clock.monotonicMillis() + untriedPause.leftMillis <= waitUntilMillis && !call.disconnectSignal.aborted) {
--- a/src/gateway/service-flows.ts
+++ b/src/gateway/service-flows.ts
@@ -4,6 +4,8 @@
 import {createPermitQueue, type PermitQueue} from '../decisions/flow/permit-queue.js';
 import {PLAIN_REQUESTS_PER_SLOT} from '../decisions/flow/flow-constants.js';
 import {createOutageDetector, type OutageDetector} from '../decisions/flow/outage-detector.js';
+import {createPromptLoad, type PromptLoad} from '../decisions/flow/prompt-load.js';
+import {createPromptSizes, type PromptSizes} from '../decisions/flow/prompt-sizes.js';
 import {createStreamConcurrencyLimit, type StreamConcurrencyLimit} from '../decisions/flow/stream-concurrency-limit.js';
 import type {RandomSource} from '../decisions/random.js';
 import {sum} from '../decisions/sum.js';
@@ -20,6 +22,8 @@
 	/** Estimate of the time from sending a request to the first byte of its answer. */
 	firstByteEstimate: FirstByteEstimate;
 	outageDetector: OutageDetector;
+	promptSizes: PromptSizes;
+	promptLoad: PromptLoad;
 	/** Maximum number of idle connections that this process keeps to one backend server. */
 	readMaxIdleConnections: () => number;
 }>;
@@ -73,6 +77,8 @@
 			}),
 			firstByteEstimate: createFirstByteEstimate(ACCEPTED_LATE_SHARE),
 			outageDetector: createOutageDetector(random),
+			promptSizes: createPromptSizes(),
+			promptLoad: createPromptLoad(),
 			readMaxIdleConnections: () => maxIdleByService.get(service) ?? 1,
 		};
 	}
--- a/src/gateway/start-gateway.ts
+++ b/src/gateway/start-gateway.ts
@@ -171,6 +171,10 @@
 		updateFlows();
 		noteReadiness();
 		picker.retain(id => after.has(id));
+		for (const {promptLoad} of flows.list().values()) {
+			promptLoad.retain(id => after.has(id));
+		}
+
 		progress.retain(id => after.has(id));
 		statedLimits.retain();
 		rateLimiter.retain(id => after.has(id));
