Let callers and permits follow the capacities of unequal entries

The smallest entries are overloaded while larger ones have room, since address answers list all entries and permits are divided by their number. Acks carry the sender's own claim where it states a capacity, because entries of an older version pass claims on without it.

--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -57,6 +57,9 @@
 		limit: new Gauge({
 			name: 'pollenport_calls_limit', help: 'Calls that may be in flight at backend servers, by service', labelNames: ['service'], registers,
 		}),
+		callerShare: new Gauge({
+			name: 'pollenport_caller_share', help: 'Share of the callers that this entry expects, and by which it divides the permits', registers,
+		}),
 		unreadableRows: new Counter({
 			name: 'pollenport_unreadable_rows_total', help: 'Rows of the platform that could not be used, by table', labelNames: ['table'], registers,
 		}),
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -20,5 +20,9 @@
 	deadEntryMillis: number;
 	/** Time for which a draining backend server still serves, in milliseconds. */
 	backendDrainMillis: number;
+	/** Processor cores available to the process; undefined if they are not known. */
+	cpuCores?: number | undefined;
+	/** Bandwidth of the link to callers, in Mbit/s; undefined if it is not known. */
+	linkMbps?: number | undefined;
 	retryBudget: SharedRetryBudgetOptions;
 }>;
--- a/src/gateway/service-flows.ts
+++ b/src/gateway/service-flows.ts
@@ -36,7 +36,7 @@
 	clock: Clock;
 	random: RandomSource;
 	retryBudgetOptions: SharedRetryBudgetOptions;
-	/** Number of live entries, including this one. */
+	/** Number by which this entry divides what the entries share; the number of entries, unless their capacities differ. */
 	countEntries: () => number;
 	/** Number of entries that divide the retry budgets; they are not always the same. */
 	countRetrySharers: () => number;
--- a/src/gateway/start-gateway.ts
+++ b/src/gateway/start-gateway.ts
@@ -117,13 +117,15 @@
 			gossipAddress: settings.gossipListen,
 			statusAddress: settings.statusListen,
 			failureDomain: settings.failureDomain,
+			cpuCores: settings.cpuCores,
+			linkMbps: settings.linkMbps,
 		},
 		deadEntryMillis: settings.deadEntryMillis,
 		sharingTimeoutMillis: SHARING_TIMEOUT_MILLIS,
 		onChange: noteMembers,
 	});
 	const flows = createServiceFlows({
-		clock, random, retryBudgetOptions: settings.retryBudget, countEntries: members.countSharingEntries, countRetrySharers: members.countRetrySharers,
+		clock, random, retryBudgetOptions: settings.retryBudget, countEntries: members.countCapacityShares, countRetrySharers: members.countRetrySharers,
 	});
 	const picker = createServerPicker({
 		clock,
@@ -159,6 +161,7 @@
 
 	function noteMembers(): void {
 		metrics.setMembers(members.listBeliefs());
+		metrics.callerShare.set(1 / members.countCapacityShares());
 		updateFlows();
 	}
 
--- a/src/membership/__tests__/entry-world.ts
+++ b/src/membership/__tests__/entry-world.ts
@@ -2,6 +2,7 @@
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {createManualClock, type ManualClock} from '../../core/manual-clock.js';
 import {fail, succeed, type Result} from '../../core/result.js';
+import type {Capacity} from '../../decisions/caller-routing/entry-weights.js';
 import {createRequestQuarantine} from '../../decisions/quarantine/request-quarantine.js';
 import {createStatedLimits} from '../../decisions/rate-limit/stated-limits.js';
 import {createSeededRandom} from '../../decisions/random.js';
@@ -9,6 +10,7 @@
 import type {DatagramSocket} from '../../ports/datagram-socket.js';
 import type {FeedRow, TableFeed} from '../../ports/table-feed.js';
 import type {Row, TableError, TableStore} from '../../ports/table-store.js';
+import {MemberDatagram} from '../../wire/generated/membership.js';
 import {createCrashEvidence} from '../crash-evidence.js';
 import {createEntryMembers} from '../entry-members.js';
 
@@ -18,12 +20,21 @@
 export const SHARING_MILLIS = 10_000;
 const STEP_MILLIS = 20;
 
+function dropCapacities(bytes: Uint8Array): Uint8Array {
+	const datagram = MemberDatagram.decode(bytes);
+	return MemberDatagram.encode({
+		...datagram, claims: datagram.claims.map(claim => ({...claim, cpuCores: undefined, linkMbps: undefined})),
+	}).finish();
+}
+
 /** Rows of the store, and datagrams between sockets without loss. */
 export function createWorld() {
 	const clock: ManualClock = createManualClock();
 	const rows = new Map<string, FeedRow>();
 	const sockets = new Map<string, (bytes: Uint8Array, from: string) => void>();
 	const cut = new Set<string>();
+	/** Addresses of entries of a version that does not know capacities, and drops them from the claims that it passes on. */
+	const withoutCapacities = new Set<string>();
 	let version = 0;
 	let isStoreDown = false;
 	let onDatagram: (size: number) => void = () => undefined;
@@ -62,7 +73,7 @@
 			send(to, bytes) {
 				onDatagram(bytes.length);
 				if (!cut.has(address) && !cut.has(to)) {
-					sockets.get(to)?.(bytes, address);
+					sockets.get(to)?.(withoutCapacities.has(address) ? dropCapacities(bytes) : bytes, address);
 				}
 			},
 			registerListener(listener) {
@@ -74,7 +85,7 @@
 		};
 	}
 
-	function start(id: string, log: Log = silentLog) {
+	function start(id: string, log: Log = silentLog, capacity: Capacity = {}) {
 		const stop = new AbortController();
 		let changes = 0;
 		const quarantine = createRequestQuarantine({clock, onFound: () => undefined, onReleased: () => undefined});
@@ -94,7 +105,7 @@
 				},
 			},
 			self: {
-				id, incarnation: 'x', callerAddress: `${id}:80`, failureDomain: 'a', gossipAddress: `${id}:8`, statusAddress: `${id}:9`,
+				id, incarnation: 'x', callerAddress: `${id}:80`, failureDomain: 'a', gossipAddress: `${id}:8`, statusAddress: `${id}:9`, ...capacity,
 			},
 			deadEntryMillis: DEAD_MILLIS,
 			sharingTimeoutMillis: SHARING_MILLIS,
@@ -121,7 +132,7 @@
 	}
 
 	return {
-		clock, start, run, rows, cut, watchDatagrams(listener: (size: number) => void) {
+		clock, start, run, rows, cut, withoutCapacities, watchDatagrams(listener: (size: number) => void) {
 			onDatagram = listener;
 		},
 		setStoreDown(isDown: boolean) {
--- a/src/membership/entry-members.ts
+++ b/src/membership/entry-members.ts
@@ -2,7 +2,10 @@
 import type {Clock} from '../core/clock.js';
 import {describeError} from '../core/describe-error.js';
 import type {Incarnation, InstanceId} from '../core/ids.js';
+import {weighEntries, type Capacity} from '../decisions/caller-routing/entry-weights.js';
+import {computeInclusion} from '../decisions/caller-routing/weighted-sample.js';
 import type {RandomSource} from '../decisions/random.js';
+import {sum} from '../decisions/sum.js';
 import type {Log} from '../observability/log.js';
 import type {DatagramSocket} from '../ports/datagram-socket.js';
 import type {TableFeed} from '../ports/table-feed.js';
@@ -23,7 +26,7 @@
 import type {StoreObservations} from './store-observations.js';
 
 /** An entry to which callers may connect. */
-export type EntryMember = Readonly<{id: InstanceId; callerAddress: string; failureDomain: string}>;
+export type EntryMember = Readonly<{id: InstanceId; callerAddress: string; failureDomain: string}> & Capacity;
 
 /** An entry and what this one believes of it. */
 export type EntryBelief = EntryMember & Readonly<{state: MemberState | 'leaving'; generation: number; incarnation: number; suspectedMillis?: number | undefined}>;
@@ -39,6 +42,11 @@
 	 * while after they were last known to live; otherwise each of several entries that restart together would claim the full capacity.
 	 */
 	countSharingEntries: () => number;
+	/**
+	 * Returns the number by which this entry divides what the entries share in proportion to the callers that they are expected to get:
+	 * the total capacity of the sharing entries in multiples of its own. It is their number where capacities do not matter.
+	 */
+	countCapacityShares: () => number;
 	/**
 	 * Returns the ids of the entries that divide the limits of backend servers among them, this one included; the same array until they
 	 * change, and empty before this entry has joined. While most of the known entries are out of reach, as in the smaller part of a
@@ -96,7 +104,8 @@
 	let detector: FailureDetector | undefined;
 	let isReady = false;
 	let isDraining = false;
-	let reportedSharing = 1;
+	let reportedShares = 1;
+	let isShareByCapacity = false;
 	let limitSharers: readonly string[] = [];
 	let wake = new AbortController();
 	/** When each address was last sent all evidence. */
@@ -210,8 +219,10 @@
 	/** Registers this entry and starts to look for the others. */
 	async function join(signal: AbortSignal): Promise<FailureDetector | undefined> {
 		const rowDeps = {...deps, signal};
-		const {id, incarnation, ...addresses} = self;
-		const generation = await writeEntryRow(rowDeps, id, {...addresses, incarnation});
+		const {id, incarnation, callerAddress, gossipAddress, statusAddress, failureDomain, cpuCores, linkMbps} = self;
+		const generation = await writeEntryRow(rowDeps, id, {
+			callerAddress, gossipAddress, statusAddress, failureDomain, incarnation,
+		});
 		const seeds = generation === undefined ? undefined : await listEntryRows(rowDeps);
 		if (generation === undefined || seeds === undefined) {
 			return undefined;
@@ -219,7 +230,7 @@
 
 		const joining = createFailureDetector({
 			self: {
-				id, generation, gossipAddress: self.gossipAddress, callerAddress: self.callerAddress, failureDomain: self.failureDomain,
+				id, generation, gossipAddress, callerAddress, failureDomain, cpuCores, linkMbps,
 			},
 			timing,
 			random,
@@ -238,9 +249,20 @@
 
 	const listOthers = (): readonly MemberView[] => detector?.list(clock.monotonicMillis()) ?? [];
 
-	function countSharingEntries(): number {
+	/** The other entries that share the backend servers with this one. */
+	function listSharing(): readonly MemberView[] {
 		const nowMillis = clock.monotonicMillis();
-		return listOthers().filter(member => isSharing(member, nowMillis)).length + 1;
+		return listOthers().filter(member => isSharing(member, nowMillis));
+	}
+
+	const countSharingEntries = () => listSharing().length + 1;
+
+	function countCapacityShares(): number {
+		const entries = [self, ...listSharing().map(({claim}) => claim)];
+		const weights = weighEntries(entries);
+		const probabilities = weights ? computeInclusion(weights, entries.length) : [];
+		const [own] = probabilities;
+		return own === undefined ? entries.length : sum(probabilities) / own;
 	}
 
 	function updateLimitSharers(): void {
@@ -259,12 +281,24 @@
 		return isMajority([self.id, ...reachable], [self.id, ...toIds(known)]) ? toIds(sharing) : toIds(known);
 	}
 
-	/** Reports when an entry has lost its share, which is some time after its death. */
+	/** Logs this entry's share of the callers where it depends on capacities, and when it no longer does. */
+	function logShare(shares: number): void {
+		const entries = countSharingEntries();
+		const isByCapacity = shares !== entries;
+		if (isByCapacity || isShareByCapacity) {
+			log.info('caller share', {share: 1 / shares, entries, isByCapacity});
+		}
+
+		isShareByCapacity = isByCapacity;
+	}
+
+	/** Reports when an entry has lost its share, which is some time after its death, or its capacity has become known. */
 	function noteSharing(): void {
 		updateLimitSharers();
-		const sharing = countSharingEntries();
-		if (sharing !== reportedSharing) {
-			reportedSharing = sharing;
+		const shares = countCapacityShares();
+		if (shares !== reportedShares) {
+			reportedShares = shares;
+			logShare(shares);
 			deps.onChange();
 		}
 	}
@@ -324,6 +358,7 @@
 			];
 		},
 		countSharingEntries,
+		countCapacityShares,
 		listLimitSharers: () => limitSharers,
 		countRetrySharers: () => detector ? listSharersOf(listOthers(), clock.monotonicMillis()).length + 1 : Infinity,
 		setReady(isNowReady) {
--- a/src/membership/failure-detector-types.ts
+++ b/src/membership/failure-detector-types.ts
@@ -19,6 +19,10 @@
 	/** `IP:port` for callers. */
 	callerAddress: string;
 	failureDomain: string;
+	/** Processor cores of the process; undefined if they are not known. */
+	cpuCores?: number | undefined;
+	/** Bandwidth of the link, in Mbit/s; undefined if it is not known. */
+	linkMbps?: number | undefined;
 }>;
 
 /** A datagram to send. */
--- a/src/membership/failure-detector.ts
+++ b/src/membership/failure-detector.ts
@@ -35,6 +35,9 @@
 	/** Suspected members that were asked directly, with the time of the suspicion. */
 	let askedSuspects: ReadonlyMap<string, number> = new Map();
 
+	/** Whether acks include the claim about this entry: entries of an older version pass it on without the capacity. */
+	const statesCapacity = self.cpuCores !== undefined || self.linkMbps !== undefined;
+
 	const hasLeft = () => table.readSelf().status === MemberStatus.LEFT;
 	const listLive = (nowMillis: number) => table.list(nowMillis, isLive);
 
@@ -66,10 +69,10 @@
 	}
 
 	/** Addresses a datagram to a member; a suspected one gets the claim to refute it, and one that may not know this entry gets the claim about this entry. */
-	function sendTo({claim, isVerified, suspectedAtMillis}: MemberRecord, body: Body, nowMillis: number): Outgoing {
+	function sendTo({claim, isVerified, suspectedAtMillis}: MemberRecord, body: Body, nowMillis: number, includesSelf = false): Outgoing {
 		const first = [
 			...(claim.status === MemberStatus.SUSPECT ? [claim] : []),
-			...(!isVerified || suspectedAtMillis !== undefined ? [table.readSelf()] : []),
+			...(includesSelf || !isVerified || suspectedAtMillis !== undefined ? [table.readSelf()] : []),
 		];
 		return {address: claim.gossipAddress, datagram: build([...new Set([...first, ...table.listPendingClaims()])], body, nowMillis)};
 	}
@@ -257,7 +260,7 @@
 			.with({$case: 'ping'}, ({ping}) => {
 				const ack: Body = {$case: 'ack', ack: {sequence: ping.sequence}};
 				const record = table.read(sender);
-				const datagram = record ? sendTo(record, ack, nowMillis).datagram : build([table.readSelf()], ack, nowMillis);
+				const datagram = record ? sendTo(record, ack, nowMillis, statesCapacity).datagram : build([table.readSelf()], ack, nowMillis);
 				return [{address: from, datagram}];
 			})
 			.with({$case: 'ack'}, ({ack}) => receiveAck(ack.sequence, nowMillis))
--- a/src/membership/member-table.ts
+++ b/src/membership/member-table.ts
@@ -3,7 +3,7 @@
 import {MemberStatus, type MemberClaim} from '../wire/generated/membership.js';
 import type {MemberChange, SelfDescription} from './failure-detector-types.js';
 import {
-	compareClaims, hashClaim, isLive, readMemberState, type MemberRecord, type MemberState,
+	adoptCapacity, compareClaims, hashClaim, isLive, readMemberState, type MemberRecord, type MemberState,
 } from './member.js';
 import {FORGET_MILLIS, GOSSIP_ROUNDS} from './membership-constants.js';
 
@@ -112,7 +112,7 @@
 
 			if (order > 0) {
 				update(claim.id, {
-					claim,
+					claim: adoptCapacity(claim, known?.claim),
 					isVerified: true,
 					suspectedAtMillis: claim.status === MemberStatus.SUSPECT ? known?.suspectedAtMillis ?? nowMillis : undefined,
 					isSuspicionLocal: false,
@@ -120,7 +120,11 @@
 				});
 				passOn(claim.id, nowMillis);
 			} else if (order === 0 && known?.isSuspicionLocal) {
-				update(claim.id, {...known, suspectedAtMillis: undefined, isSuspicionLocal: false});
+				update(claim.id, {
+					...known, claim: adoptCapacity(known.claim, claim), suspectedAtMillis: undefined, isSuspicionLocal: false,
+				});
+			} else if (known) {
+				update(claim.id, {...known, claim: adoptCapacity(known.claim, claim)});
 			}
 		},
 		applyOwnClaim(claim, nowMillis) {
--- a/src/membership/member.ts
+++ b/src/membership/member.ts
@@ -33,6 +33,15 @@
 		|| left.status - right.status;
 }
 
+/**
+ * Returns the claim with the capacity that another claim about the same process states, where it states none itself: an entry of
+ * an older version passes claims on without it. A process has the same capacity for as long as it runs.
+ */
+export function adoptCapacity(claim: MemberClaim, other: MemberClaim | undefined): MemberClaim {
+	const lacksCapacity = claim.cpuCores === undefined && claim.linkMbps === undefined;
+	return lacksCapacity && other?.generation === claim.generation ? {...claim, cpuCores: other.cpuCores, linkMbps: other.linkMbps} : claim;
+}
+
 /** Derives the state of a member; a suspicion that is not refuted within `suspicionMillis` means that it is dead. */
 export function readMemberState({claim, isVerified, suspectedAtMillis}: MemberRecord, nowMillis: number, suspicionMillis: number): MemberState {
 	if (claim.status === MemberStatus.LEFT) {
--- a/src/observability/line-schemas.ts
+++ b/src/observability/line-schemas.ts
@@ -113,6 +113,7 @@
 	entry: z.strictObject({
 		entry: z.string(), state: z.string(), former: z.string().optional(), generation: version, memberIncarnation: z.number().int(), address: z.string(),
 	}),
+	'caller share': z.strictObject({share: z.number(), entries: count, isByCapacity: z.boolean()}),
 	registered: z.strictObject({generation: version, entries: count}),
 	'another process has taken over this instance id': z.strictObject({generation: version, successor: version}),
 	'feed is behind the other entries; reading changes': z.strictObject({table: z.string(), version, newest: version}),
