--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -77,6 +77,9 @@
 		permitRefusals: new Counter({
 			name: 'pollenport_permit_refusals_total', help: 'Calls refused for lack of a permit, by service and priority, where priorities compete', labelNames: ['service', 'priority'], registers,
 		}),
+		callerShare: new Gauge({
+			name: 'pollenport_caller_share', help: 'Share of the callers that this entry expects, and by which it divides the permits', registers,
+		}),
 		unreadableRows: new Counter({
 			name: 'pollenport_unreadable_rows_total', help: 'Rows of the platform that could not be used, by table', labelNames: ['table'], registers,
 		}),
--- a/src/gateway/start-gateway.ts
+++ b/src/gateway/start-gateway.ts
@@ -132,6 +132,8 @@
 			gossipAddress: settings.gossipListen,
 			statusAddress: settings.statusListen,
 			failureDomain: settings.failureDomain,
+			cpuCores: settings.cpuCores,
+			linkMbps: settings.linkMbps,
 		},
 		deadEntryMillis: settings.deadEntryMillis,
 		sharingTimeoutMillis: SHARING_TIMEOUT_MILLIS,
@@ -141,7 +143,7 @@
 		clock,
 		random,
 		retryBudgetOptions: settings.retryBudget,
-		countEntries: members.countSharingEntries,
+		countEntries: members.countCapacityShares,
 		countRetrySharers: members.countRetrySharers,
 		isEvacuated: evacuations.isEvacuated,
 		countEvacuatedInFlight: service => evacuationProgress.countInFlight(service),
@@ -183,6 +185,7 @@
 
 	function noteMembers(): void {
 		metrics.setMembers(members.listBeliefs());
+		metrics.callerShare.set(1 / members.countCapacityShares());
 		updateFlows();
 	}
 
