Bound the bytes buffered for callers that read slowly

A caller that stops reading makes a gateway keep up to 262,144 bytes of its answer, without a bound over all connections; and the backend server that is held back for it is taken for silent and its attempt is repeated.

The answers that wait to be read may occupy a tenth of the memory in sum (Limits.MemoryMb, 25,000,000 bytes by default), beside the same for request bodies. Beyond it the answer that buffers the most for the longest time is given up, and each after 10 s without progress, with reason slow_reader. A backend server that is held back is not taken for silent.

--- a/src/explain/explain-request.ts
+++ b/src/explain/explain-request.ts
@@ -87,6 +87,9 @@
 		.with({reason: 'deadline'}, ({deadlineMillis}) => [`its time of ${formatValue(deadlineMillis)} ms was over before it was sent`])
 		.with({reason: 'stopping'}, () => ['the process was stopping and took no streams any more'])
 		.with({reason: 'late'}, ({deadlineMillis}) => [`it was under way when its time of ${formatValue(deadlineMillis)} ms was over`])
+		.with({reason: 'slow_reader'}, ({heldBytes, stalledMillis}) => [
+			`its caller had read nothing for ${formatValue(stalledMillis)} ms, with ${formatValue(heldBytes)} bytes buffered for it`,
+		])
 		.with({outcome: 'bad_call'}, ({reason, version, configurationAgeMillis}) => [
 			`the call itself was refused (${formatValue(reason)}) by version ${formatValue(version)} of the configuration, confirmed ${formatValue(configurationAgeMillis)} ms before`,
 		])
--- a/src/gateway/answer-sink.ts
+++ b/src/gateway/answer-sink.ts
@@ -22,7 +22,7 @@
 	clock: Clock;
 	isStreaming: boolean;
 	progress: AnswerProgress;
-	/** Called for each event with the time since the previous one; undefined for the first. */
+	/** Called for each event with the time since the previous one; undefined for the first, and for one that the caller has held up. */
 	onEvent: (pauseMillis: number | undefined) => void;
 }>;
 
--- a/src/gateway/caller-listener.ts
+++ b/src/gateway/caller-listener.ts
@@ -11,9 +11,12 @@
 import type {CallCodec} from '../ports/call-codec.js';
 import type {CallerLimits} from '../routing/routing-configuration.js';
 import type {Call, CallReply} from './call.js';
+import {createCallerReply} from './caller-reply.js';
 import {
-	CONNECTION_CHECK_INTERVAL_MILLIS, KEEP_ALIVE_SLACK_MILLIS, MAX_CALLER_HEADER_BYTES, MAX_BUFFERED_BYTES,
+	CONNECTION_CHECK_INTERVAL_MILLIS, KEEP_ALIVE_SLACK_MILLIS, MAX_CALLER_HEADER_BYTES, READER_CHECK_INTERVAL_MILLIS,
 } from './gateway-constants.js';
+import type {GatewayMetrics} from './gateway-metrics.js';
+import {createReplyBuffers} from './reply-buffers.js';
 
 /** Listener for callers. */
 export type CallerListener = Readonly<{
@@ -35,6 +38,9 @@
 	/** `IP:port`. */
 	address: string;
 	maxConnections: number;
+	/** Largest number of bytes that request bodies may occupy, and that answers may occupy, each in sum. */
+	maxBufferedBytes: number;
+	metrics: Pick<GatewayMetrics, 'abortedReaders' | 'bufferedBytes' | 'refusals'>;
 	clock: Clock;
 	log: Log;
 	lifeCycle: LifeCycle;
@@ -47,51 +53,16 @@
 	maxHeaderBytes: MAX_CALLER_HEADER_BYTES, maxBodyBytes: 4_194_304, headerTimeoutMillis: 5000, idleTimeoutMillis: 15_000,
 };
 
-function createReply(res: ServerResponse, isClosing: () => boolean): CallReply {
-	let endsWithConnection = false;
-	res.sendDate = false;
-	return {
-		writeHead(status, headers, isEndedByConnection = false) {
-			if (isClosing() || isEndedByConnection) {
-				res.shouldKeepAlive = false;
-			}
-
-			endsWithConnection = isEndedByConnection;
-			res.useChunkedEncodingByDefault = !isEndedByConnection;
-
-			res.writeHead(status, [...headers]);
-		},
-		write(bytes) {
-			res.write(bytes);
-		},
-		needsDrain: () => res.writableNeedDrain,
-		onDrain(resume) {
-			res.once('drain', resume);
-		},
-		end() {
-			res.end();
-		},
-		abort() {
-			// An orderly close would look like the regular end of an unframed body. The reset discards what the caller has not read yet.
-			if (endsWithConnection) {
-				res.socket?.resetAndDestroy();
-			}
-
-			res.destroy();
-		},
-		areHeadersSent: () => res.headersSent,
-	};
-}
-
 type BodyError = 'too_large' | 'memory' | 'caller_left';
 
 /** Starts listening; the life cycle closes the listener and its remaining connections. */
 export async function listenForCallers(deps: CallerListenerDeps): Promise<Result<CallerListener, ListenError>> {
-	const {address, clock, log, lifeCycle, codec} = deps;
+	const {address, clock, log, lifeCycle, codec, maxBufferedBytes, metrics} = deps;
 	let limits = DEFAULT_LIMITS;
 	let isClosing = false;
 	let openCalls = 0;
 	let bufferedBytes = 0;
+	const replyBuffers = createReplyBuffers({clock, maxBytes: maxBufferedBytes});
 
 	async function readBody(req: IncomingMessage): Promise<Result<Uint8Array, BodyError>> {
 		const chunks: Uint8Array[] = [];
@@ -105,7 +76,7 @@
 					return fail('too_large');
 				}
 
-				if (bufferedBytes > MAX_BUFFERED_BYTES) {
+				if (bufferedBytes > maxBufferedBytes) {
 					return fail('memory');
 				}
 			}
@@ -131,6 +102,37 @@
 		res.end();
 	}
 
+	/** Gives up slow callers and reports what is buffered until the process stops. */
+	async function watchReaders(): Promise<void> {
+		while (!lifeCycle.signal.aborted) {
+			replyBuffers.check();
+			metrics.bufferedBytes.set({part: 'answers'}, replyBuffers.readBufferedBytes());
+			metrics.bufferedBytes.set({part: 'requests'}, bufferedBytes);
+			// eslint-disable-next-line no-await-in-loop -- Checks are sequential.
+			await clock.sleep(READER_CHECK_INTERVAL_MILLIS, lifeCycle.signal);
+		}
+	}
+
+	/** Creates the writer of the answer, whose buffer is bounded until the connection is closed or the answer has been read. */
+	function createBoundedReply(res: ServerResponse, request: string | undefined, isDisconnected: boolean): CallReply {
+		const reply = createCallerReply(res, {isClosing: () => isClosing, onWritten: replyBuffers.noteWritten});
+		if (!isDisconnected) {
+			res.once('close', replyBuffers.add({
+				...reply,
+				giveUp({cause, reader}) {
+					metrics.abortedReaders.inc({reason: cause});
+					metrics.refusals.inc({reason: 'slow_reader'});
+					log.info('refused', {
+						request, outcome: 'unknown', reason: 'slow_reader', cause, broken: true, heldBytes: reader.bufferedBytes, stalledMillis: Math.round(reader.stalledMillis),
+					});
+					reply.reset();
+				},
+			}));
+		}
+
+		return reply;
+	}
+
 	async function handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		const arrivedAtMillis = clock.monotonicMillis();
 		const disconnection = new AbortController();
@@ -146,15 +148,16 @@
 		}
 
 		bufferedBytes += body.value.length;
+		const head = codec.readCall(req.rawHeaders);
 		await deps.serve({
 			method: req.method ?? 'GET',
 			path: req.url ?? '/',
 			host: req.headers.host ?? '',
 			headers: req.rawHeaders,
-			head: codec.readCall(req.rawHeaders),
+			head,
 			body: body.value,
 			arrivedAtMillis,
-			reply: createReply(res, () => isClosing),
+			reply: createBoundedReply(res, head.attemptId, disconnection.signal.aborted),
 			disconnectSignal: disconnection.signal,
 		});
 		bufferedBytes -= body.value.length;
@@ -182,6 +185,7 @@
 	}
 
 	setLimits(DEFAULT_LIMITS);
+	void watchReaders();
 	lifeCycle.own('caller listener', () => {
 		server.close();
 		server.closeAllConnections();
--- a/src/gateway/gateway-constants.ts
+++ b/src/gateway/gateway-constants.ts
@@ -25,8 +25,16 @@
 /** Bytes that a backend server may send besides the body of its answer, as status line, headers and framing, and the same for each byte of the body. */
 export const MAX_OVERHEAD_BYTES = 65_536;
 export const MAX_OVERHEAD_PER_BODY_BYTE = 8;
-/** Maximum bytes of request bodies and buffered answers in a process; a tenth of the smallest instance's memory. */
+/** Maximum bytes of request bodies in a process, and of answers that wait to be read; a tenth of the smallest instance's memory. */
 export const MAX_BUFFERED_BYTES = 25_000_000;
+/** The same as a share of the memory of the process, where the settings state it. */
+export const BUFFERED_MEMORY_SHARE = 0.1;
+/** Largest write to a caller's connection, in bytes; a caller that reads 3.3 kB a second completes one within the longest stall. */
+export const MAX_WRITE_BYTES = 32_768;
+/** Time without progress after which an answer is given up, in milliseconds. */
+export const MAX_READER_STALL_MILLIS = 10_000;
+/** Interval between checks of the progress of slow callers, in milliseconds. */
+export const READER_CHECK_INTERVAL_MILLIS = 1000;
 /** Least remaining time for which an attempt is made, in milliseconds; two network crossings and a short answer. */
 export const MIN_ATTEMPT_MILLIS = 15;
 /** Shortest sleep before a backend server is looked for again, in milliseconds; timers are no finer. */
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -57,6 +57,12 @@
 		limit: new Gauge({
 			name: 'pollenport_calls_limit', help: 'Calls that may be in flight at backend servers, by service', labelNames: ['service'], registers,
 		}),
+		bufferedBytes: new Gauge({
+			name: 'pollenport_buffered_bytes', help: 'Bytes of request bodies, and of answers that callers have not read yet', labelNames: ['part'], registers,
+		}),
+		abortedReaders: new Counter({
+			name: 'pollenport_aborted_readers_total', help: 'Connections closed because their callers read too slowly', labelNames: ['reason'], registers,
+		}),
 		callerShare: new Gauge({
 			name: 'pollenport_caller_share', help: 'Share of the callers that this entry expects, and by which it divides the permits', registers,
 		}),
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -24,5 +24,7 @@
 	cpuCores?: number | undefined;
 	/** Bandwidth of the link to callers, in Mbit/s; undefined if it is not known. */
 	linkMbps?: number | undefined;
+	/** Memory available to the process, in bytes; undefined if it is not known. */
+	memoryBytes?: number | undefined;
 	retryBudget: SharedRetryBudgetOptions;
 }>;
--- a/src/gateway/run-attempt.ts
+++ b/src/gateway/run-attempt.ts
@@ -86,6 +86,9 @@
 		let abortOutcome: AttemptOutcome | undefined;
 		let hasData = false;
 		let receivedBytes = 0;
+		/** Whether the backend server is held back because the caller reads too slowly. */
+		let isPaused = false;
+		let wasPausedSinceEvent = false;
 		let lastProgressAtMillis = clock.monotonicMillis();
 		const ended = new AbortController();
 
@@ -102,6 +105,10 @@
 		/** Aborts the attempt once the backend server has sent nothing for too long while others make progress. */
 		async function watchSilence({firstByteMillis, pauseMillis, isOtherAlive}: SilenceLimit): Promise<void> {
 			while (!ended.signal.aborted) {
+				if (isPaused) {
+					lastProgressAtMillis = clock.monotonicMillis();
+				}
+
 				const limitMillis = hasData ? pauseMillis : firstByteMillis;
 				const leftMillis = lastProgressAtMillis + limitMillis - clock.monotonicMillis();
 				if (leftMillis <= 0 && isOtherAlive()) {
@@ -149,7 +156,9 @@
 					...plan.sink,
 					onEvent(pauseMillis) {
 						noteData();
-						plan.sink.onEvent(pauseMillis);
+						// A pause that the caller has caused says nothing about the load of the backend servers.
+						plan.sink.onEvent(wasPausedSinceEvent ? undefined : pauseMillis);
+						wasPausedSinceEvent = isPaused;
 					},
 				});
 				return true;
@@ -175,8 +184,12 @@
 				}
 
 				if (call.reply.needsDrain()) {
+					isPaused = true;
+					wasPausedSinceEvent = true;
 					exchange.pause();
 					call.reply.onDrain(() => {
+						isPaused = false;
+						lastProgressAtMillis = clock.monotonicMillis();
 						exchange.resume();
 					});
 				}
--- a/src/gateway/start-gateway.ts
+++ b/src/gateway/start-gateway.ts
@@ -32,7 +32,9 @@
 import {createCrashWatch} from './crash-watch.js';
 import {drainGateway} from './drain-gateway.js';
 import {describeFinding} from './finish-call.js';
-import {SERVER_LIST_MIN_INTERVAL_SHARE, SHARING_TIMEOUT_MILLIS} from './gateway-constants.js';
+import {
+	BUFFERED_MEMORY_SHARE, MAX_BUFFERED_BYTES, SERVER_LIST_MIN_INTERVAL_SHARE, SHARING_TIMEOUT_MILLIS,
+} from './gateway-constants.js';
 import type {GatewayContext} from './gateway-context.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import type {GatewaySettings} from './gateway-settings.js';
@@ -227,6 +229,8 @@
 	const listening = await listenForCallers({
 		address: settings.callerListen,
 		maxConnections: settings.maxConnections,
+		maxBufferedBytes: settings.memoryBytes === undefined ? MAX_BUFFERED_BYTES : settings.memoryBytes * BUFFERED_MEMORY_SHARE,
+		metrics,
 		clock,
 		log,
 		lifeCycle,
--- a/src/observability/line-schemas.ts
+++ b/src/observability/line-schemas.ts
@@ -81,6 +81,8 @@
 		fingerprint: z.string().optional(),
 		status: z.number().int().optional(),
 		heldBytes: count.optional(),
+		/** Time for which a slow caller had read nothing. */
+		stalledMillis: millis.optional(),
 	}),
 	'request lost in a crash': z.strictObject({
 		request: id, server: z.string(), startedAt: z.number(), promptParts: z.string(), fingerprint: z.string(),
