Lend permits between entries where priorities compete

Cause: each entry's limit is its share of the batch slots (5 to 15 permits), so an entry refuses requests while another has free permits. Change: an entry with waiting requests and no free permit asks an entry that has stated spare permits for one, by datagram. The lender counts it until its return or expiry (10 s), the borrower starts on it only a request whose deadline is before an expiry that it counts from its request. Messages about loans are added to the datagrams between members; entries without them are not asked.

--- a/src/decisions/flow/flow-constants.ts
+++ b/src/decisions/flow/flow-constants.ts
@@ -36,6 +36,10 @@
 export const STARVATION_BOUND_MILLIS = 1500;
 /** Interval between looks at a queue that waits behind a reserve, in milliseconds; a reserve also shrinks while no permit is released. */
 export const RESERVE_CHECK_INTERVAL_MILLIS = 50;
+/** Free permits that an entry keeps for its own next request, besides its reserve, when it lends others. */
+export const MIN_KEPT_PERMITS = 1;
+/** Largest share of its permits that an entry lends, as its own demand may rise within the time of a loan. */
+export const MAX_LENT_SHARE = 0.3;
 /** Half-life of the failure score of a backend server, in milliseconds. */
 export const FAILURE_HALF_LIFE_MILLIS = 1500;
 /** Decayed failure score from which a backend server is ejected. */
--- a/src/decisions/flow/permit-queue.ts
+++ b/src/decisions/flow/permit-queue.ts
@@ -10,8 +10,9 @@
 import type {Teardown} from '../../core/teardown.js';
 import type {RandomSource} from '../random.js';
 import {
-	HOLD_TIME_WEIGHT, MAX_RETRY_AFTER_MILLIS, MAX_QUEUED_REQUESTS, MIN_RETRY_AFTER_MILLIS, RESERVE_CHECK_INTERVAL_MILLIS,
+	HOLD_TIME_WEIGHT, MAX_LENT_SHARE, MAX_RETRY_AFTER_MILLIS, MAX_QUEUED_REQUESTS, MIN_KEPT_PERMITS, MIN_RETRY_AFTER_MILLIS, RESERVE_CHECK_INTERVAL_MILLIS,
 } from './flow-constants.js';
+import {LOAN_TTL_MILLIS} from './permit-loans.js';
 import {createPriorityReserve} from './priority-reserve.js';
 
 /** A request for a permit. */
@@ -23,6 +24,8 @@
 	onTimeWaitMillis: number;
 	/** Longest time that it may wait for a permit, in milliseconds. */
 	maxWaitMillis: number;
+	/** Longest time until it will have ended, in milliseconds; undefined if that is not known, so that it can't use a borrowed permit. */
+	maxHoldMillis?: number;
 }>;
 
 /** Outcome of a request for a permit. */
@@ -43,6 +46,20 @@
 	readReserve: (priority: number) => number;
 	/** Grants free permits; called after the limit has changed. */
 	dispatch: () => void;
+	/** Decides again on the waiting requests, after a permit has come back or a loan has been denied. */
+	reexamine: () => void;
+	/** Permits that can be lent to another entry now. */
+	countSpare: () => number;
+	/** Uses a borrowed permit for the first waiting request that will have ended before `expiresAtMillis`; false if there is none. */
+	useLoan: (expiresAtMillis: number, giveBack: Teardown) => boolean;
+}>;
+
+/** Loans of permits between entries. */
+export type QueueLoans = Readonly<{
+	/** Asks other entries for loans, so that `wanted` are awaited; returns how many are. */
+	borrow: (wanted: number) => number;
+	/** Permits lent to other entries. */
+	countLent: () => number;
 }>;
 
 /** `readLimit` is called before each decision. */
@@ -52,18 +69,24 @@
 	readLimit: () => number;
 	/** Whether requests of more than one priority compete for the permits; by default they do not. */
 	hasPriorities?: () => boolean;
+	/** Used where requests of more than one priority compete; by default nothing is lent or borrowed. */
+	loans?: QueueLoans;
 }>;
 
+const noLoans: QueueLoans = {borrow: () => 0, countLent: () => 0};
+
 type Waiter = Readonly<{
 	req: PermitRequest;
 	arrivedAtMillis: number;
 	decide: (decision: PermitDecision) => void;
 }>;
 
-export function createPermitQueue({clock, random, readLimit, hasPriorities = () => false}: PermitQueueDeps): PermitQueue {
+export function createPermitQueue({clock, random, readLimit, hasPriorities = () => false, loans = noLoans}: PermitQueueDeps): PermitQueue {
 	const priorityReserve = createPriorityReserve();
 	const inFlightByAccount = new Map<string, number>();
 	let inFlight = 0;
+	/** Requests in flight on borrowed permits. */
+	let onLoan = 0;
 	let meanHoldMillis = 0;
 	let waiting: readonly Waiter[] = [];
 	let isChecking = false;
@@ -94,7 +117,9 @@
 		return !hasPriorities() || priorityReserve.isOverdue(priority, nowMillis) ? 0 : priorityReserve.read(priority, readLimit(), nowMillis);
 	}
 
-	const hasFreePermit = () => inFlight + 1 <= readLimit();
+	/** Permits of this entry that are neither in use nor lent. */
+	const countFree = () => readLimit() - loans.countLent() - (inFlight - onLoan);
+	const hasFreePermit = () => countFree() >= 1;
 
 	/** Expected time until the request at this position of the queue gets a permit, in milliseconds. */
 	function estimateWaitMillis(position: number): number {
@@ -115,10 +140,11 @@
 		return Math.round(baseMillis * (1 + random()));
 	}
 
-	function acquire(req: PermitRequest): PermitDecision {
+	function acquire(req: PermitRequest, giveBack?: Teardown): PermitDecision {
 		const startedAtMillis = clock.monotonicMillis();
 		let isReleased = false;
 		inFlight++;
+		onLoan += giveBack ? 1 : 0;
 		priorityReserve.noteGrant(req.priority, startedAtMillis);
 		inFlightByAccount.set(req.account, countInFlightOf(req.account) + 1);
 		return {
@@ -130,6 +156,11 @@
 
 				isReleased = true;
 				inFlight--;
+				if (giveBack) {
+					onLoan--;
+					giveBack();
+				}
+
 				const count = countInFlightOf(req.account) - 1;
 				if (count > 0) {
 					inFlightByAccount.set(req.account, count);
@@ -148,7 +179,7 @@
 	function dispatch(): void {
 		while (waiting.length > 0 && hasFreePermit()) {
 			const [next] = sortWaiting();
-			if (!next || inFlight + 1 + readReserve(next.req.priority) > readLimit()) {
+			if (!next || countFree() < 1 + readReserve(next.req.priority)) {
 				break;
 			}
 
@@ -176,15 +207,21 @@
 		}
 	}
 
+	/** Asks for a loan for each waiting request that can use one, unless permits are free; returns how many loans are awaited. */
+	function borrowForWaiting(): number {
+		return !hasPriorities() || hasFreePermit() ? 0 : loans.borrow(waiting.filter(({req}) => (req.maxHoldMillis ?? Infinity) < LOAN_TTL_MILLIS).length);
+	}
+
 	/** Refuses the requests whose expected wait exceeds the time they may still wait, and those beyond the maximum queue length. */
 	function refuseUnservable(): void {
 		const nowMillis = clock.monotonicMillis();
 		// Requests that wait behind a reserve are not refused early: its end can't be predicted from the queue.
 		const isReserveAhead = hasPriorities() && hasFreePermit();
+		const awaitedLoans = borrowForWaiting();
 		let position = 0;
 		for (const waiter of sortWaiting()) {
 			const remainingMillis = waiter.arrivedAtMillis + waiter.req.maxWaitMillis - nowMillis;
-			if ((!isReserveAhead && estimateWaitMillis(position) > remainingMillis) || position >= MAX_QUEUED_REQUESTS) {
+			if ((!isReserveAhead && position >= awaitedLoans && estimateWaitMillis(position - awaitedLoans) > remainingMillis) || position >= MAX_QUEUED_REQUESTS) {
 				refuse(waiter, 'overload');
 			} else {
 				position++;
@@ -212,7 +249,7 @@
 	return {
 		async admit(req, signal) {
 			priorityReserve.noteArrival(req.priority, req.maxWaitMillis, clock.monotonicMillis());
-			if (hasFreePermit() && waiting.length === 0 && inFlight + 1 + readReserve(req.priority) <= readLimit()) {
+			if (waiting.length === 0 && countFree() >= 1 + readReserve(req.priority)) {
 				return acquire(req);
 			}
 
@@ -242,5 +279,27 @@
 		readLimit,
 		readReserve,
 		dispatch,
+		reexamine() {
+			dispatch();
+			if (hasPriorities()) {
+				refuseUnservable();
+			}
+		},
+		countSpare() {
+			const leastUrgentReserve = hasPriorities() ? priorityReserve.read(Infinity, readLimit(), clock.monotonicMillis()) : 0;
+			const free = countFree() - leastUrgentReserve - MIN_KEPT_PERMITS;
+			const lendable = (readLimit() * MAX_LENT_SHARE) - loans.countLent();
+			return !hasPriorities() || waiting.length > 0 ? 0 : Math.max(0, Math.floor(Math.min(free, lendable)));
+		},
+		useLoan(expiresAtMillis, giveBack) {
+			const leftMillis = expiresAtMillis - clock.monotonicMillis();
+			const next = sortWaiting().find(({req}) => (req.maxHoldMillis ?? Infinity) <= leftMillis);
+			if (next) {
+				waiting = waiting.filter(waiter => waiter !== next);
+				next.decide(acquire(next.req, giveBack));
+			}
+
+			return next !== undefined;
+		},
 	};
 }
--- a/src/gateway/finish-call.ts
+++ b/src/gateway/finish-call.ts
@@ -131,6 +131,8 @@
 	const leastUrgent = flow.readPriorities().at(-1);
 	if (leastUrgent !== undefined && flow.readPriorities().length > 1) {
 		ctx.metrics.reservedPermits.set({service}, flow.permitQueue.readReserve(leastUrgent));
+		ctx.metrics.lentPermits.set({service}, ctx.permitLoans.countLent(service));
+		ctx.metrics.borrowedPermits.set({service}, ctx.permitLoans.countBorrowed(service));
 	}
 
 	if (firstByteMillis !== undefined) {
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -7,6 +7,7 @@
 import type {RateLimiter} from '../decisions/rate-limit/rate-limiter.js';
 import type {StatedLimits} from '../decisions/rate-limit/stated-limits.js';
 import type {RandomSource} from '../decisions/random.js';
+import type {EntryMembers} from '../membership/entry-members.js';
 import type {Log} from '../observability/log.js';
 import type {CallCodec} from '../ports/call-codec.js';
 import type {BackendConnections} from './backend-connections.js';
@@ -28,6 +29,7 @@
 	readServers: () => BackendServers;
 	picker: ServerPicker;
 	flows: ServiceFlows;
+	permitLoans: EntryMembers['permits'];
 	progress: ProgressTracker;
 	groupRefusals: GroupRefusals;
 	serverBackoff: ServerBackoff;
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -60,6 +60,12 @@
 		reservedPermits: new Gauge({
 			name: 'pollenport_permits_reserved', help: 'Permits that the least urgent requests must leave to more urgent ones, by service', labelNames: ['service'], registers,
 		}),
+		lentPermits: new Gauge({
+			name: 'pollenport_permits_lent', help: 'Permits lent to other entries, by service', labelNames: ['service'], registers,
+		}),
+		borrowedPermits: new Gauge({
+			name: 'pollenport_permits_borrowed', help: 'Permits borrowed from other entries and in use, by service', labelNames: ['service'], registers,
+		}),
 		permitRefusals: new Counter({
 			name: 'pollenport_permit_refusals_total', help: 'Calls refused for lack of a permit, by service and priority, where priorities compete', labelNames: ['service', 'priority'], registers,
 		}),
--- a/src/gateway/serve-call.ts
+++ b/src/gateway/serve-call.ts
@@ -22,7 +22,7 @@
 import {isAvailableForService} from './service-flows.js';
 
 /** Permit request of a call, with the time for which it may wait. */
-function createPermitRequest(ctx: GatewayContext, {call, route, account, flow}: RoutedCall): PermitRequest {
+function createPermitRequest(ctx: GatewayContext, {call, route, account, flow, deadlineMillis}: RoutedCall): PermitRequest {
 	const expectedMillis = flow.firstByteEstimate.read(ctx.clock.monotonicMillis());
 	const priority = account?.priority ?? route.priority;
 	const onTimeWaitMillis = Math.max(0, route.targetLatencyMillis - expectedMillis);
@@ -33,6 +33,7 @@
 		priority,
 		onTimeWaitMillis,
 		maxWaitMillis: Math.min((call.head.deadlineMillis ?? Infinity) / 2, Math.max(route.targetLatencyMillis * MAX_WAIT_SHARE, isUrgent ? onTimeWaitMillis : 0)),
+		maxHoldMillis: deadlineMillis - ctx.clock.monotonicMillis(),
 	};
 }
 
--- a/src/gateway/service-flows.ts
+++ b/src/gateway/service-flows.ts
@@ -8,6 +8,7 @@
 import type {RandomSource} from '../decisions/random.js';
 import {sum} from '../decisions/sum.js';
 import {createSharedRetryBudget, type SharedRetryBudgetOptions, type SharedRetryBudget} from '../decisions/retry/shared-retry-budget.js';
+import type {PermitExchange, PermitPool} from '../membership/permit-exchange.js';
 import type {RoutingConfiguration} from '../routing/routing-configuration.js';
 import {listServicePriorities} from '../routing/service-priorities.js';
 import type {BackendServer} from './backend-server.js';
@@ -33,6 +34,8 @@
 	/** Recomputes the limits from the backend servers, the configuration and the number of entries that share the servers. */
 	update: (servers: BackendServers, cfg: RoutingConfiguration | undefined) => void;
 	list: () => ReadonlyMap<string, ServiceFlow>;
+	/** Permits by service, for the services whose permits entries lend each other. */
+	listPermitPools: () => ReadonlyMap<string, PermitPool>;
 }>;
 
 type Deps = Readonly<{
@@ -43,6 +46,8 @@
 	countEntries: () => number;
 	/** Number of entries that divide the retry budgets; they are not always the same. */
 	countRetrySharers: () => number;
+	/** Loans of permits between the entries; without them, none are lent. */
+	loans?: Pick<PermitExchange, 'borrow' | 'countLent'>;
 }>;
 
 /** Share of a backend server's maximum connections that all entries together may keep idle. */
@@ -56,7 +61,7 @@
 }
 
 /** Creates the flows; the flow of a service is created when it is first read. */
-export function createServiceFlows({clock, random, retryBudgetOptions, countEntries, countRetrySharers}: Deps): ServiceFlows {
+export function createServiceFlows({clock, random, retryBudgetOptions, countEntries, countRetrySharers, loans}: Deps): ServiceFlows {
 	const flows = new Map<string, ServiceFlow>();
 	/** Maximum idle connections to one backend server, by service. */
 	const maxIdleByService = new Map<string, number>();
@@ -68,7 +73,11 @@
 		const concurrencyLimit = createStreamConcurrencyLimit();
 		const readPriorities = () => prioritiesByService.get(service) ?? [];
 		const permitQueue = createPermitQueue({
-			clock, random, readLimit: () => plainLimitByService.get(service) ?? concurrencyLimit.read(), hasPriorities: () => readPriorities().length > 1,
+			clock,
+			random,
+			readLimit: () => plainLimitByService.get(service) ?? concurrencyLimit.read(),
+			hasPriorities: () => readPriorities().length > 1,
+			loans: loans && {borrow: wanted => loans.borrow(service, wanted), countLent: () => loans.countLent(service)},
 		});
 		return {
 			permitQueue,
@@ -114,5 +123,6 @@
 			}
 		},
 		list: () => flows,
+		listPermitPools: () => new Map([...flows].filter(([, flow]) => flow.readPriorities().length > 1).map(([service, {permitQueue}]) => [service, permitQueue])),
 	};
 }
--- a/src/gateway/start-gateway.ts
+++ b/src/gateway/start-gateway.ts
@@ -110,6 +110,7 @@
 		store,
 		evidence: createCrashEvidence(quarantine, clock),
 		limits: statedLimits,
+		listPermitPools: () => flows.listPermitPools(),
 		self: {
 			id: settings.instanceId,
 			incarnation: deps.incarnation,
@@ -123,7 +124,7 @@
 		onChange: noteMembers,
 	});
 	const flows = createServiceFlows({
-		clock, random, retryBudgetOptions: settings.retryBudget, countEntries: members.countSharingEntries, countRetrySharers: members.countRetrySharers,
+		clock, random, retryBudgetOptions: settings.retryBudget, countEntries: members.countSharingEntries, countRetrySharers: members.countRetrySharers, loans: members.permits,
 	});
 	const picker = createServerPicker({
 		clock,
@@ -211,6 +212,7 @@
 		readServers: servers.servers.read,
 		picker,
 		flows,
+		permitLoans: members.permits,
 		progress,
 		groupRefusals: createGroupRefusals(),
 		serverBackoff,
--- a/src/membership/__tests__/entry-world.ts
+++ b/src/membership/__tests__/entry-world.ts
@@ -11,6 +11,7 @@
 import type {Row, TableError, TableStore} from '../../ports/table-store.js';
 import {createCrashEvidence} from '../crash-evidence.js';
 import {createEntryMembers} from '../entry-members.js';
+import type {PermitPool} from '../permit-exchange.js';
 
 /** Time within which a dead entry must no longer be listed, in milliseconds. */
 export const DEAD_MILLIS = 4000;
@@ -74,13 +75,14 @@
 		};
 	}
 
-	function start(id: string, log: Log = silentLog) {
+	function start(id: string, log: Log = silentLog, permitPools: ReadonlyMap<string, PermitPool> = new Map()) {
 		const stop = new AbortController();
 		let changes = 0;
 		const quarantine = createRequestQuarantine({clock, onFound: () => undefined, onReleased: () => undefined});
 		const limits = createStatedLimits({clock, readIncarnation: () => 1});
 		const members = createEntryMembers({
 			limits,
+			listPermitPools: () => permitPools,
 			evidence: createCrashEvidence(quarantine, clock),
 			clock,
 			log,
--- a/src/membership/__tests__/failure-detector.test.ts
+++ b/src/membership/__tests__/failure-detector.test.ts
@@ -11,7 +11,7 @@
 const SETTLE_MILLIS = 8000;
 
 const EMPTY_DATAGRAM = {
-	sender: '', generation: 0, incarnation: 0, digest: 0, store: undefined, claims: [], body: undefined, crashDigest: 0, crashes: [], limitDigest: 0, limits: [],
+	sender: '', generation: 0, incarnation: 0, digest: 0, store: undefined, claims: [], body: undefined, crashDigest: 0, crashes: [], limitDigest: 0, limits: [], sparePermits: [], loan: undefined,
 };
 
 function othersThan(id: string, ids: readonly string[]): readonly string[] {
--- a/src/membership/entry-members.ts
+++ b/src/membership/entry-members.ts
@@ -20,6 +20,7 @@
 import {createLimitGossip} from './limit-gossip.js';
 import {isLive, type MemberState} from './member.js';
 import {ACK_TIMEOUT_SHARE, PROBE_INTERVAL_SHARE, SUSPICION_SHARE} from './membership-constants.js';
+import {createPermitExchange, type PermitExchange, type PermitPool} from './permit-exchange.js';
 import type {StoreObservations} from './store-observations.js';
 
 /** An entry to which callers may connect. */
@@ -49,6 +50,8 @@
 	countRetrySharers: () => number;
 	/** Tells the other entries whether this one accepts callers. */
 	setReady: (isReady: boolean) => void;
+	/** Loans of permits between this entry and others. */
+	permits: Pick<PermitExchange, 'borrow' | 'countLent' | 'countBorrowed'>;
 	/** Joins the other entries and observes them until `signal` aborts. */
 	run: (signal: AbortSignal) => Promise<void>;
 	/** Announces to the other entries that this one is draining. */
@@ -65,6 +68,8 @@
 	store: Pick<StoreObservations, 'describe' | 'merge'>;
 	evidence: CrashEvidence;
 	limits: StatedLimits;
+	/** Permits of this entry by service, for the services whose permits entries lend each other. */
+	listPermitPools?: () => ReadonlyMap<string, PermitPool>;
 	self: EntryMember & Readonly<{incarnation: Incarnation; gossipAddress: string; statusAddress: string}>;
 	/** Time within which a dead entry must no longer be listed, in milliseconds. */
 	deadEntryMillis: number;
@@ -112,6 +117,21 @@
 		send: sendLimits,
 	});
 
+	const permits = createPermitExchange({
+		clock,
+		log,
+		random,
+		listPools: deps.listPermitPools ?? (() => new Map()),
+		isActive: () => detector !== undefined && !isDraining,
+		listMembers: () => new Map(listOthers().filter(({state}) => isLive(state)).map(({claim}) => [claim.id, claim.gossipAddress])),
+		send(address, loan) {
+			const base = detector?.createDatagram(clock.monotonicMillis());
+			if (base) {
+				send([{address, datagram: {...base, loan}}]);
+			}
+		},
+	});
+
 	/** Addresses of the entries that may be alive. */
 	function listReachable(): readonly string[] {
 		return listOthers().filter(({state}) => isLive(state) || state === 'suspect').map(({claim}) => claim.gossipAddress);
@@ -125,9 +145,10 @@
 	}
 
 	function send(outgoing: readonly Outgoing[]): void {
+		const sparePermits = permits.describeSpare();
 		for (const {address, datagram} of outgoing) {
 			socket.send(address, MemberDatagram.encode({
-				...datagram, crashDigest: evidence.readDigest(), limitDigest: limitGossip.readDigest(),
+				...datagram, crashDigest: evidence.readDigest(), limitDigest: limitGossip.readDigest(), sparePermits,
 			}).finish());
 		}
 	}
@@ -202,6 +223,7 @@
 		send(detector.receive(datagram, from, clock.monotonicMillis()));
 		exchangeEvidence(datagram, from);
 		exchangeLimits(datagram, from);
+		permits.receive(datagram, from);
 		if (detector.nextDueMillis() < dueMillis) {
 			wake.abort();
 		}
@@ -324,6 +346,7 @@
 			];
 		},
 		countSharingEntries,
+		permits,
 		listLimitSharers: () => limitSharers,
 		countRetrySharers: () => detector ? listSharersOf(listOthers(), clock.monotonicMillis()).length + 1 : Infinity,
 		setReady(isNowReady) {
--- a/src/membership/failure-detector.ts
+++ b/src/membership/failure-detector.ts
@@ -62,6 +62,8 @@
 			crashes: [],
 			limitDigest: 0,
 			limits: [],
+			sparePermits: [],
+			loan: undefined,
 		};
 	}
 
--- a/src/observability/line-schemas.ts
+++ b/src/observability/line-schemas.ts
@@ -98,6 +98,14 @@
 /** Lines about the configuration, other processes and expert maps, as the process sees them. */
 const systemLines = {
 	'backend server limit': z.strictObject({server: z.string(), requestsPerSecond: z.number().optional(), entries: z.number()}),
+	'permit loan': z.strictObject({
+		service: z.string(),
+		lender: z.string().optional(),
+		borrower: z.string().optional(),
+		sequence: count,
+		outcome: z.enum(['lent', 'refused', 'borrowed', 'not_needed', 'denied', 'unanswered']),
+		leftOut: count.optional(),
+	}),
 	'backend server crashed': z.strictObject({server: z.string(), startedAt: z.number(), address: z.string()}),
 	'request quarantined': z.strictObject({fingerprint: z.string(), crashed: z.string(), requests: z.string()}),
 	'request released': z.strictObject({fingerprint: z.string()}),
