--- a/src/gateway/start-gateway.ts
+++ b/src/gateway/start-gateway.ts
@@ -111,6 +111,10 @@
 		evidence: createCrashEvidence(quarantine, clock),
 		limits: statedLimits,
 		listPermitPools: () => flows.listPermitPools(),
+		onLoansChanged(service) {
+			metrics.lentPermits.set({service}, members.permits.countLent(service));
+			metrics.borrowedPermits.set({service}, members.permits.countBorrowed(service));
+		},
 		self: {
 			id: settings.instanceId,
 			incarnation: deps.incarnation,
--- a/src/membership/__tests__/permit-exchange.test.ts
+++ b/src/membership/__tests__/permit-exchange.test.ts
@@ -42,6 +42,7 @@
 			log: silentLog,
 			random,
 			listPools: () => new Map([[SERVICE, queue]]),
+			onChange: () => undefined,
 			isActive: () => joined.has(id),
 			listMembers: () => new Map([...joined].filter(other => joined.has(id) && other !== id).map(other => [other, other])),
 			send(to, loan) {
--- a/src/membership/entry-members.ts
+++ b/src/membership/entry-members.ts
@@ -70,6 +70,8 @@
 	limits: StatedLimits;
 	/** Permits of this entry by service, for the services whose permits entries lend each other. */
 	listPermitPools?: () => ReadonlyMap<string, PermitPool>;
+	/** Called when the number of lent or borrowed permits of a service has changed. */
+	onLoansChanged?: (service: string) => void;
 	self: EntryMember & Readonly<{incarnation: Incarnation; gossipAddress: string; statusAddress: string}>;
 	/** Time within which a dead entry must no longer be listed, in milliseconds. */
 	deadEntryMillis: number;
@@ -122,6 +124,7 @@
 		log,
 		random,
 		listPools: deps.listPermitPools ?? (() => new Map()),
+		onChange: deps.onLoansChanged ?? (() => undefined),
 		isActive: () => detector !== undefined && !isDraining,
 		listMembers: () => new Map(listOthers().filter(({state}) => isLive(state)).map(({claim}) => [claim.id, claim.gossipAddress])),
 		send(address, loan) {
--- a/src/membership/permit-exchange.ts
+++ b/src/membership/permit-exchange.ts
@@ -44,6 +44,8 @@
 	/** Addresses of the other live entries by id. */
 	listMembers: () => ReadonlyMap<string, string>;
 	send: (address: string, loan: LoanMessage) => void;
+	/** Called when the number of lent or borrowed permits of a service has changed, except by expiry. */
+	onChange: (service: string) => void;
 }>;
 
 /** Time in which a loan must be answered, in milliseconds; several round trips between failure domains. */
@@ -56,7 +58,7 @@
 type Spare = Readonly<{count: number; atMillis: number}>;
 
 /** Creates the exchange of an entry that has neither lent nor borrowed. */
-export function createPermitExchange({clock, log, random, listPools, isActive, listMembers, send}: Deps): PermitExchange {
+export function createPermitExchange({clock, log, random, listPools, isActive, listMembers, send, onChange}: Deps): PermitExchange {
 	const loansByService = new Map<string, PermitLoans>();
 	/** Spare permits of other entries, by service and id of the entry. */
 	const spareByService = new Map<string, Map<string, Spare>>();
@@ -128,6 +130,7 @@
 		const {lender, sequence, expiresAtMillis} = permit;
 		const giveBack = () => {
 			readLoans(service).finish(permit);
+			onChange(service);
 			sendReturn(service, address, sequence);
 		};
 
@@ -135,7 +138,9 @@
 		log.debug('permit loan', {
 			service, lender, sequence, outcome: isUsed ? 'borrowed' : 'not_needed',
 		});
-		if (!isUsed) {
+		if (isUsed) {
+			onChange(service);
+		} else {
 			giveBack();
 		}
 	}
@@ -146,6 +151,7 @@
 		log.debug('permit loan', {
 			service, borrower, sequence, outcome: granted ? 'lent' : 'refused',
 		});
+		onChange(service);
 		send(from, {$case: 'loanAnswer', loanAnswer: {service, sequence, granted}});
 	}
 
@@ -186,6 +192,7 @@
 				})
 				.with({$case: 'loanReturn'}, ({loanReturn: {service, sequence}}) => {
 					readLoans(service).end({borrower: sender, generation, sequence});
+					onChange(service);
 					listPools().get(service)?.reexamine();
 				})
 				.with(undefined, () => undefined)
