--- a/src/gateway/start-gateway.ts
+++ b/src/gateway/start-gateway.ts
@@ -127,6 +127,11 @@
 		store,
 		evidence: createCrashEvidence(quarantine, clock),
 		limits: statedLimits,
+		listPermitPools: () => flows.listPermitPools(),
+		onLoansChanged(service) {
+			metrics.lentPermits.set({service}, members.permits.countLent(service));
+			metrics.borrowedPermits.set({service}, members.permits.countBorrowed(service));
+		},
 		self: {
 			id: settings.instanceId,
 			incarnation: deps.incarnation,
@@ -149,6 +154,7 @@
 		countRetrySharers: members.countRetrySharers,
 		isEvacuated: evacuations.isEvacuated,
 		countEvacuatedInFlight: service => evacuationProgress.countInFlight(service),
+		loans: members.permits,
 	});
 	const picker = createServerPicker({
 		clock,
@@ -246,6 +252,7 @@
 		evacuationProgress,
 		picker,
 		flows,
+		permitLoans: members.permits,
 		progress,
 		groupRefusals: createGroupRefusals(),
 		serverBackoff,
