Limit the requests to cold engines over all entries

Nothing limited the aggregate request rate to an engine that has just started: it looks idle to all entries at the same moment.

The limiter for stated limits now takes the lower of the stated rate and that of a cold engine. Half of ColdPerS x ColdOverage + ColdSlack is divided among the entries, burst included, since split entries may send twice what they divide. An engine that accepted no connection counts as cold too, because it may start anew while the store is out of reach. Permits count the slots of a cold engine that its rate can fill. Off without Bounds.ColdOverage and Bounds.ColdSlack, or ColdPerS.

--- a/src/gateway/__tests__/service-flows.test.ts
+++ b/src/gateway/__tests__/service-flows.test.ts
@@ -60,3 +60,8 @@
 	const {permitQueue} = createFlows(1, servers, {isEvacuated: failureDomain => failureDomain === 'z', countEvacuatedInFlight: () => 5});
 	assert.equal(permitQueue.readLimit(), 24 + 5);
 });
+
+void test('a cold engine adds to the limit no more than what is in use at the rate at which it gets requests', () => {
+	const {permitQueue} = createFlows(1, undefined, {readColdRate: server => server === 'a' ? 0.002 : undefined});
+	assert.equal(permitQueue.readLimit(), 2 * (2 + 6 + 6));
+});
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -4,6 +4,7 @@
 import type {ServerBackoff} from '../decisions/flow/server-backoff.js';
 import type {ServerPicker} from '../decisions/flow/server-picker.js';
 import type {RequestQuarantine} from '../decisions/quarantine/request-quarantine.js';
+import type {ColdEngines} from '../decisions/rate-limit/cold-engines.js';
 import type {RateLimiter} from '../decisions/rate-limit/rate-limiter.js';
 import type {StatedLimits} from '../decisions/rate-limit/stated-limits.js';
 import type {RandomSource} from '../decisions/random.js';
@@ -36,6 +37,7 @@
 	groupRefusals: GroupRefusals;
 	serverBackoff: ServerBackoff;
 	statedLimits: StatedLimits;
+	coldEngines: ColdEngines;
 	rateLimiter: RateLimiter;
 	noteLeaving: BackendServerList['noteLeaving'];
 	quarantine: RequestQuarantine;
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -59,6 +59,9 @@
 		limitedServers: new Gauge({
 			name: 'pollenport_limited_backend_servers', help: 'Backend servers that state a limit on the rate of their requests', registers,
 		}),
+		coldServers: new Gauge({
+			name: 'pollenport_cold_backend_servers', help: 'Backend servers that take few requests because they have just started', registers,
+		}),
 		retries: new Counter({
 			name: 'pollenport_repeats_total', help: 'Attempts beyond the first of a call, by reason', labelNames: ['reason'], registers,
 		}),
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -1,5 +1,6 @@
 import type {SharedRetryBudgetOptions} from '../decisions/retry/shared-retry-budget.js';
 import type {InstanceId} from '../core/ids.js';
+import type {ColdBounds} from '../decisions/rate-limit/cold-engines.js';
 
 /** Settings of a gateway process. */
 export type GatewaySettings = Readonly<{
@@ -20,5 +21,7 @@
 	deadEntryMillis: number;
 	/** Time for which a draining backend server still serves, in milliseconds. */
 	backendDrainMillis: number;
+	/** Bound on the requests to a cold engine; absent where none is cold. */
+	coldBounds?: ColdBounds | undefined;
 	retryBudget: SharedRetryBudgetOptions;
 }>;
--- a/src/gateway/send-to-backend-server.ts
+++ b/src/gateway/send-to-backend-server.ts
@@ -171,6 +171,10 @@
 
 		case 'not_sent':
 		case 'lost': {
+			if (outcome.tag === 'not_sent') {
+				ctx.coldEngines.noteUnreachable(server.id);
+			}
+
 			ctx.connections.closeIdleConnections(server.address);
 			ctx.picker.noteEnd(server.id, 'failed');
 			break;
--- a/src/gateway/service-flows.ts
+++ b/src/gateway/service-flows.ts
@@ -8,7 +8,7 @@
 import type {RandomSource} from '../decisions/random.js';
 import {sum} from '../decisions/sum.js';
 import {createSharedRetryBudget, type SharedRetryBudgetOptions, type SharedRetryBudget} from '../decisions/retry/shared-retry-budget.js';
-import type {RoutingConfiguration} from '../routing/routing-configuration.js';
+import type {EngineFigures, RoutingConfiguration} from '../routing/routing-configuration.js';
 import type {BackendServer} from './backend-server.js';
 import type {BackendServers} from './backend-server-list.js';
 
@@ -44,10 +44,14 @@
 	isEvacuated?: (failureDomain: string) => boolean;
 	/** Requests of a service in flight in evacuated failure domains, which use no capacity of the other ones; optional. */
 	countEvacuatedInFlight?: (service: string) => number;
+	/** Requests per millisecond that all entries together may send to a cold engine; undefined if it is warm; optional. */
+	readColdRate?: (server: string) => number | undefined;
 }>;
 
 /** Share of a backend server's maximum connections that all entries together may keep idle. */
 const IDLE_CONNECTION_SHARE = 0.6;
+/** Time for which a request is assumed to use a slot if its service names no usual size, in milliseconds. */
+const DEFAULT_HOLD_MILLIS = 1000;
 /** Share of answers whose first byte may arrive later than estimated. */
 const ACCEPTED_LATE_SHARE = 0.1;
 
@@ -56,8 +60,17 @@
 	return server.service === service && server.state === 'ready' && server.group?.isOpen !== false && !isEvacuated(server.failureDomain);
 }
 
+/** Time for which a usual request uses a slot, in milliseconds. */
+function estimateHoldMillis(engine: EngineFigures | undefined): number {
+	return engine && engine.usualAnswerTokens > 0
+		? (engine.usualPromptTokens / engine.prefillTokensPerMilli) + (engine.usualAnswerTokens * engine.stepMillis)
+		: DEFAULT_HOLD_MILLIS;
+}
+
 /** Creates the flows; the flow of a service is created when it is first read. */
-export function createServiceFlows({clock, random, retryBudgetOptions, countEntries, countRetrySharers, isEvacuated = () => false, countEvacuatedInFlight = () => 0}: Deps): ServiceFlows {
+export function createServiceFlows({
+	clock, random, retryBudgetOptions, countEntries, countRetrySharers, isEvacuated = () => false, countEvacuatedInFlight = () => 0, readColdRate = () => undefined,
+}: Deps): ServiceFlows {
 	const flows = new Map<string, ServiceFlow>();
 	/** Maximum idle connections to one backend server, by service. */
 	const maxIdleByService = new Map<string, number>();
@@ -81,6 +94,12 @@
 		};
 	}
 
+	/** Slots of a backend server that requests can fill: those of a cold one that are in use at the rate at which it gets requests. */
+	function countUsableSlots({id, slots}: BackendServer, engine: EngineFigures | undefined): number {
+		const coldRate = readColdRate(id);
+		return coldRate === undefined ? slots : Math.min(slots, coldRate * estimateHoldMillis(engine));
+	}
+
 	function read(service: string): ServiceFlow {
 		const known = flows.get(service);
 		if (known) {
@@ -99,7 +118,7 @@
 			for (const [name, {engine, maxConnections}] of cfg?.services ?? []) {
 				maxIdleByService.set(name, Math.max(1, Math.floor(maxConnections * IDLE_CONNECTION_SHARE / entries)));
 				const ready = [...servers.values()].filter(server => isAvailableForService(server, name, isEvacuated));
-				const slots = sum(ready.map(server => server.slots));
+				const slots = sum(ready.map(server => countUsableSlots(server, engine)));
 				const {concurrencyLimit, permitQueue} = read(name);
 				if (engine) {
 					concurrencyLimit.setSlots(slots / entries);
--- a/src/gateway/start-gateway.ts
+++ b/src/gateway/start-gateway.ts
@@ -9,6 +9,7 @@
 import {createServerBackoff} from '../decisions/flow/server-backoff.js';
 import {createServerPicker} from '../decisions/flow/server-picker.js';
 import {createRequestQuarantine} from '../decisions/quarantine/request-quarantine.js';
+import {createColdEngines} from '../decisions/rate-limit/cold-engines.js';
 import {createRateLimiter} from '../decisions/rate-limit/rate-limiter.js';
 import {createStatedLimits} from '../decisions/rate-limit/stated-limits.js';
 import {listLostRequests} from '../decisions/quarantine/finding.js';
@@ -28,6 +29,7 @@
 import {createBackendConnections} from './backend-connections.js';
 import {createBackendServerList, type BackendServerList, type ReadBackendServer} from './backend-server-list.js';
 import {listenForCallers, type CallerListener} from './caller-listener.js';
+import {createColdWatch} from './cold-watch.js';
 import {createConfigurationInForce} from './configuration-in-force.js';
 import {createCrashWatch} from './crash-watch.js';
 import {drainGateway} from './drain-gateway.js';
@@ -94,6 +96,7 @@
 			metrics.configVersion.set(cfg.version);
 			opened.listener?.setLimits(cfg.limits);
 			updateFlows();
+			coldWatch.check();
 			noteReadiness();
 		},
 	});
@@ -137,6 +140,12 @@
 		sharingTimeoutMillis: SHARING_TIMEOUT_MILLIS,
 		onChange: noteMembers,
 	});
+	const coldEngines = createColdEngines({
+		clock, bounds: settings.coldBounds, readRule: service => configuration.read()?.cfg.services.get(service)?.cold,
+	});
+	const coldWatch = createColdWatch({
+		clock, log, metrics, signal: lifeCycle.signal, engines: coldEngines, onChange: updateFlows,
+	});
 	const flows = createServiceFlows({
 		clock,
 		random,
@@ -144,6 +153,7 @@
 		countEntries: members.countSharingEntries,
 		countRetrySharers: members.countRetrySharers,
 		isEvacuated: evacuations.isEvacuated,
+		readColdRate: server => coldEngines.readRate(server)?.requestsPerMilli,
 		countEvacuatedInFlight: service => evacuationProgress.countInFlight(service),
 	});
 	const picker = createServerPicker({
@@ -160,7 +170,7 @@
 		metrics.limitedServers.set(statedLimits.list().filter(limit => limit.requestsPerSecond !== undefined).length);
 	});
 	const rateLimiter = createRateLimiter({
-		clock, self: settings.instanceId, limits: statedLimits, listEntries: members.listLimitSharers,
+		clock, self: settings.instanceId, limits: statedLimits, coldEngines, listEntries: members.listLimitSharers,
 	});
 	const connections = createBackendConnections({clock, lifeCycle});
 	const evacuationProgress = createEvacuationProgress({
@@ -192,7 +202,9 @@
 
 	servers.servers.registerListener((after, before) => {
 		hasServers ||= after.size > 0;
+		coldEngines.update(after);
 		updateFlows();
+		coldWatch.check();
 		noteReadiness();
 		picker.retain(id => after.has(id));
 		progress.retain(id => after.has(id));
@@ -241,6 +253,7 @@
 		groupRefusals: createGroupRefusals(),
 		serverBackoff,
 		statedLimits,
+		coldEngines,
 		rateLimiter,
 		noteLeaving: servers.noteLeaving,
 		quarantine,
--- a/src/routing/routing-configuration.ts
+++ b/src/routing/routing-configuration.ts
@@ -1,5 +1,6 @@
 /** Operator-managed configuration of request routing: routes, services, client accounts and limits. */
 import type {AccountName} from '../core/ids.js';
+import type {ColdRule} from '../decisions/rate-limit/cold-engines.js';
 
 /**
  * How a request may be retried after an attempt that may have run.
@@ -77,6 +78,8 @@
 	healthPath: string;
 	/** Largest number of connections that one backend server accepts from all instances together. */
 	maxConnections: number;
+	/** Limit on the requests to backend servers that have just started; absent if there is none. */
+	cold?: ColdRule | undefined;
 	/** Undefined for a plain service. */
 	engine: EngineFigures | undefined;
 }>;
