--- a/src/gateway/__tests__/service-flows.test.ts
+++ b/src/gateway/__tests__/service-flows.test.ts
@@ -82,3 +82,8 @@
 	assert.deepEqual(listServicePriorities({routes: [route, {...route, priority: 0, isPublic: true}], accounts}, 'plain'), [0, 1, 3]);
 	assert.deepEqual(listServicePriorities({routes: [route], accounts}, 'other'), []);
 });
+
+void test('a cold engine adds to the limit no more than what is in use at the rate at which it gets requests', () => {
+	const {permitQueue} = createFlows(1, undefined, {readColdRate: server => server === 'a' ? 0.002 : undefined});
+	assert.equal(permitQueue.readLimit(), 2 * (2 + 6 + 6));
+});
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -1,5 +1,6 @@
 import type {SharedRetryBudgetOptions} from '../decisions/retry/shared-retry-budget.js';
 import type {InstanceId} from '../core/ids.js';
+import type {ColdBounds} from '../decisions/rate-limit/cold-engines.js';
 
 /** Settings of a gateway process. */
 export type GatewaySettings = Readonly<{
@@ -26,5 +27,7 @@
 	linkMbps?: number | undefined;
 	/** Memory available to the process, in bytes; undefined if it is not known. */
 	memoryBytes?: number | undefined;
+	/** Bound on the requests to a cold engine; absent where none is cold. */
+	coldBounds?: ColdBounds | undefined;
 	retryBudget: SharedRetryBudgetOptions;
 }>;
