--- a/src/gateway/finish-call.ts
+++ b/src/gateway/finish-call.ts
@@ -122,7 +122,7 @@
 
 /** Updates the metrics and writes the log line of a finished call. */
 function recordCall(ctx: GatewayContext, routed: RoutedCall, progress: CallProgress, outcome: string): void {
-	const {call, cfg, route, service, account, waitedMillis, flow} = routed;
+	const {call, cfg, route, service, account, waitedMillis, flow, prompt} = routed;
 	const {triedServers, attempts, answer, firstByteMillis, longestPauseMillis} = progress;
 	const kind = route.isStreaming ? 'stream' : route.retryRule;
 	ctx.metrics.calls.inc({kind, outcome});
@@ -139,6 +139,13 @@
 		ctx.metrics.firstByteSeconds.observe({kind}, firstByteMillis / MILLIS_PER_SECOND);
 	}
 
+	if (prompt) {
+		ctx.metrics.unreadPromptTokens.set({service}, flow.promptLoad.countTokens());
+		if (firstByteMillis !== undefined) {
+			ctx.metrics.firstEventSeconds.observe({service, prompt: flow.promptSizes.classify(prompt.tokens)}, firstByteMillis / MILLIS_PER_SECOND);
+		}
+	}
+
 	ctx.log.debug('call', {
 		request: call.head.attemptId,
 		deadlineMillis: call.head.deadlineMillis,
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -68,6 +68,12 @@
 		firstByteSeconds: new Histogram({
 			name: 'pollenport_call_first_byte_seconds', help: 'Time from arrival to the first byte of the answer', labelNames: ['kind'], buckets: LATENCY_BUCKETS_SECONDS, registers,
 		}),
+		firstEventSeconds: new Histogram({
+			name: 'pollenport_first_event_seconds', help: 'Time from arrival to the first event by size of the prompt, where prompt sizes are known', labelNames: ['service', 'prompt'], buckets: LATENCY_BUCKETS_SECONDS, registers,
+		}),
+		unreadPromptTokens: new Gauge({
+			name: 'pollenport_unread_prompt_tokens', help: 'Prompt tokens of calls in flight without a first event, by service', labelNames: ['service'], registers,
+		}),
 		inFlight: new Gauge({
 			name: 'pollenport_calls_in_flight', help: 'Calls in flight at backend servers, by service', labelNames: ['service'], registers,
 		}),
