--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -69,7 +69,11 @@
 			name: 'pollenport_call_first_byte_seconds', help: 'Time from arrival to the first byte of the answer', labelNames: ['kind'], buckets: LATENCY_BUCKETS_SECONDS, registers,
 		}),
 		firstEventSeconds: new Histogram({
-			name: 'pollenport_first_event_seconds', help: 'Time from arrival to the first event by size of the prompt, where prompt sizes are known', labelNames: ['service', 'prompt'], buckets: LATENCY_BUCKETS_SECONDS, registers,
+			name: 'pollenport_first_event_seconds',
+			help: 'Time from arrival to the first event by size of the prompt, where prompt sizes are known',
+			labelNames: ['service', 'prompt'],
+			buckets: LATENCY_BUCKETS_SECONDS,
+			registers,
 		}),
 		unreadPromptTokens: new Gauge({
 			name: 'pollenport_unread_prompt_tokens', help: 'Prompt tokens of calls in flight without a first event, by service', labelNames: ['service'], registers,
