--- a/src/decisions/placement/popularity-change.ts
+++ b/src/decisions/placement/popularity-change.ts
@@ -8,7 +8,7 @@
 const MIN_CHANGED_DIFFERENCE = 0.05;
 /** The same as a multiple of the usual difference between samples, which is large where a few prompts with topics of their own make up a sample. */
 const CHANGED_DIFFERENCE_FACTOR = 4;
-/** Difference that counts as a change in any case. */
+/** Upper bound of that multiple: a larger difference always counts as a change. */
 const MAX_USUAL_DIFFERENCE = 0.25;
 /** Usual difference before any is known. */
 const INITIAL_DIFFERENCE = 0.02;
--- a/src/membership/permit-exchange.ts
+++ b/src/membership/permit-exchange.ts
@@ -24,7 +24,7 @@
 	borrow: (service: string, wanted: number) => number;
 	countLent: (service: string) => number;
 	countBorrowed: (service: string) => number;
-	/** What other entries are told about this one's permits. */
+	/** Spare permits of this entry, as it advertises them to the others. */
 	describeSpare: () => readonly SparePermits[];
 	/** Takes over what a datagram of a live entry says about permits. */
 	receive: (datagram: MemberDatagram, from: string) => void;
--- a/src/rank-agent/observe-group.ts
+++ b/src/rank-agent/observe-group.ts
@@ -17,7 +17,7 @@
 	epoch: number;
 	/** Counts of each rank at the last reading; empty for ranks that were not read. */
 	counts: ReadonlyArray<readonly number[]>;
-	/** In a large group, detects that scenarios from before a change of the popularity are of no more use. */
+	/** In a large group, detects when the popularity changes, so that scenarios from before are discarded. */
 	change: PopularityChange;
 }>;
 
