--- a/src/gateway/__tests__/backend-server-list.test.ts
+++ b/src/gateway/__tests__/backend-server-list.test.ts
@@ -169,3 +169,17 @@
 		assert.deepEqual(list(), []);
 	});
 }
+
+void test('a backend server that has crashed gets no requests once another one has started at its address', () => {
+	const {listener, list} = createList();
+	const successor = {
+		...READY, id: 's2', incarnation: 200, sequence: 1,
+	};
+	listener.onSnapshot([row(READY), row({...READY, id: 's3', address: '10.0.0.3:1'})], UNINTERRUPTED);
+	listener.onChanges([row(successor)], UNINTERRUPTED);
+	assert.deepEqual(list().map(({id}) => id), ['s3', 's2']);
+	listener.onSnapshot([row(READY), row(successor)], UNINTERRUPTED);
+	assert.deepEqual(list(), [successor], 'its entry is still listed until enough heartbeats are missed');
+	listener.onSnapshot([row(READY)], UNINTERRUPTED);
+	assert.deepEqual(list(), [], 'it does not come back when its successor leaves');
+});
--- a/src/gateway/backend-server-list.ts
+++ b/src/gateway/backend-server-list.ts
@@ -49,6 +49,19 @@
 		|| (next.incarnation === known.incarnation && next.sequence < known.sequence);
 }
 
+/**
+ * Backend servers at whose address another one has started since. They have ended, although after a crash or a loss of power their
+ * entries are listed until enough heartbeats are missed.
+ */
+export function listReplaced(listed: BackendServers): readonly BackendServer[] {
+	const startedAtByAddress = new Map<string, number>();
+	for (const {address, incarnation} of listed.values()) {
+		startedAtByAddress.set(address, Math.max(incarnation, startedAtByAddress.get(address) ?? -Infinity));
+	}
+
+	return [...listed.values()].filter(({address, incarnation}) => incarnation < (startedAtByAddress.get(address) ?? -Infinity));
+}
+
 /** Creates an empty list. */
 export function createBackendServerList({clock, log, read, readFailureAgeMillis = () => Infinity, drainMillis = Infinity}: Deps): BackendServerList {
 	const servers = createSnapshotStore<BackendServers>(new Map());
@@ -134,6 +147,7 @@
 	function update(rows: readonly FeedRow[], isRemoved: (id: string) => boolean): void {
 		remove([...servers.read().values()].filter(({id}) => isRemoved(id)));
 		servers.update(before => applyRows(before, rows));
+		drop(listReplaced(servers.read()), 'another one has started at its address');
 	}
 
 	function noteContact(isAfterOutage: boolean): void {
