--- a/src/map-switch/__tests__/map-switch.test.ts
+++ b/src/map-switch/__tests__/map-switch.test.ts
@@ -11,6 +11,7 @@
 	isGroupState, PLANNER_RANK, readGroupState, type GroupRanks,
 } from '../group-ranks.js';
 import {switchMap} from '../switch-map.js';
+import {createSwitchTiming} from '../switch-timing.js';
 import {createVersionSource} from '../version-row.js';
 import {createFakeRankGroup, NO_FAULTS, type OrderFaults} from './fake-rank-group.js';
 
@@ -63,7 +64,7 @@
 		ranks, kill, freeze, thaw,
 	} = group.openAccess();
 	const deps = {
-		ranks, clock: group.clock, log: silentLog, ...createVersionSource(table, silentLog, 'g', owner),
+		ranks, clock: group.clock, log: silentLog, timing: createSwitchTiming(), ...createVersionSource(table, silentLog, 'g', owner),
 	};
 	let marker = 0;
 	return {
@@ -333,3 +334,68 @@
 
 	assert.ok(interventions > SEEDS, `${interventions} interventions`);
 });
+
+/** Access to a group that calls `onSent` with the rank and the order after each order has taken effect. */
+function watchOrders(ranks: GroupRanks, onSent: (rank: number, tag: string) => void): GroupRanks {
+	return ranks.map((rank, i): RankEngine => ({
+		...rank,
+		async order(order, epoch) {
+			const outcome = await rank.order(order, epoch);
+			onSent(i, order.tag);
+			return outcome;
+		},
+	}));
+}
+
+/** Runs a switch whose planner is frozen, its rank unreachable, after its `last`-th order that can block the group; undefined if it sends fewer. */
+async function freezeAfterOrder(last: number): Promise<Readonly<{order: string; isHeld: boolean; mixed: readonly number[]}> | undefined> {
+	const group = createFakeRankGroup(RANKS + 1, createExperts(0), createSeededRandom(last));
+	const stop = new AbortController();
+	const access = group.openAccess();
+	let sent = 0;
+	let order: string | undefined;
+	const ranks = watchOrders(access.ranks, (rank, tag) => {
+		sent += tag === 'prepare' ? 0 : 1;
+		if (sent === last && order === undefined) {
+			order = `${tag} ${rank}`;
+			access.freeze();
+		}
+	});
+	const isAway = () => order !== undefined;
+	const reachable = openAccessWithoutPlannerRank(group, isAway);
+	void watchForStalledSwitch({
+		clock: group.clock, log: silentLog, engine: reachable[1]!, readRanks: () => reachable,
+	}, stop.signal);
+	const experts = createExperts(1);
+	void switchMap({
+		ranks, clock: group.clock, log: silentLog, timing: createSwitchTiming(), ...createVersionSource(createTable(), silentLog, 'g', 'a'),
+	}, {
+		epoch: 1, experts, base: experts, copyMillis: 10,
+	});
+	await runTicks(group, RUN_TICKS * 2);
+	const isHeld = group.readHeldStep() !== undefined;
+	access.thaw();
+	await runTicks(group, RUN_TICKS);
+	stop.abort();
+	await runTicks(group, 40);
+	return order === undefined ? undefined : {order, isHeld, mixed: group.readMixedPasses()};
+}
+
+void test('a planner that freezes just after any of its orders holds the group for a bounded time, except while its own rank may be armed', async () => {
+	const held: string[] = [];
+	let orders = 0;
+	for (let last = 1; ; last++) {
+		// eslint-disable-next-line no-await-in-loop -- One run after the other.
+		const end = await freezeAfterOrder(last);
+		if (!end) {
+			break;
+		}
+
+		orders++;
+		assert.deepEqual(end.mixed, [], `after ${end.order}: passes on two maps`);
+		held.push(...(end.isHeld ? [end.order] : []));
+	}
+
+	assert.ok(orders >= RANKS + 3, `${orders} orders: hold, one arm for each rank, go`);
+	assert.ok(held.every(order => ['arm 1', `arm ${PLANNER_RANK}`].includes(order)), `held for the whole freeze after ${held.join(', ')}`);
+});
--- a/src/map-switch/map-switch-constants.ts
+++ b/src/map-switch/map-switch-constants.ts
@@ -1,13 +1,32 @@
 /** Versions per proposal: its own, followed by the one that fences it off. */
 export const VERSIONS_PER_PROPOSAL = 2;
-/** Passes from the last one begun to the one at which a switch takes effect; two round trips to all ranks fit in one pass. */
-export const LEAD_STEPS = 2;
+/** Proposals whose versions one write of the row in the store allocates; popularity shifts every few seconds, so a block lasts for half a minute. */
+export const PROPOSALS_PER_BLOCK = 16;
+/** Proposals left in a block below which the next one is allocated; enough for an outage of the store of a few shifts. */
+export const MIN_SPARE_PROPOSALS = 10;
+/** Number of remainders by which the passes of successive proposers differ. */
+export const PROPOSER_TURNS = 2;
+/** Least passes from the last one begun to the one at which a switch takes effect. */
+export const MIN_LEAD_STEPS = 2;
+/** Most passes of that lead; a later switch gains less before popularity shifts again. */
+export const MAX_LEAD_STEPS = 12;
 /** Passes added to the lead after each hold that came too late. */
 export const EXTRA_LEAD_STEPS_PER_MISS = 2;
 /** Maximum number of hold attempts for one switch. */
 export const MAX_HOLD_ATTEMPTS = 3;
+/** Weight of the latest switch or order in moving averages. */
+export const TIMING_WEIGHT = 0.25;
+/** Deviations above the mean for which time is allowed. */
+export const TIMING_DEVIATIONS = 2;
+/** Deviations above the mean after which an order counts as unanswered; as for retransmissions in TCP. */
+export const ANSWER_TIMEOUT_DEVIATIONS = 4;
+/** Least and most time until an unanswered order is sent again, in milliseconds. */
+export const MIN_ANSWER_TIMEOUT_MILLIS = 12;
+export const MAX_ANSWER_TIMEOUT_MILLIS = 100;
 /** Interval between reads of a rank while an order takes effect, in milliseconds. */
 export const ORDER_POLL_INTERVAL_MILLIS = 25;
+/** The same for orders that take effect at once, while the group may be held. */
+export const ARM_POLL_INTERVAL_MILLIS = 5;
 /** Time allowed for copying beyond the calculated copy time, in milliseconds. */
 export const PREPARE_SLACK_MILLIS = 1200;
 /** Timeout for arming all ranks, in milliseconds; allows for a few unanswered orders. The group may be blocked meanwhile. */
@@ -17,16 +36,22 @@
 /** Timeout for a hold to take effect, in milliseconds. */
 export const HOLD_TIMEOUT_MILLIS = 300;
 /** Interval between recovery steps of an unfinished switch, in milliseconds. */
-export const RECOVERY_POLL_INTERVAL_MILLIS = 40;
+export const RECOVERY_POLL_INTERVAL_MILLIS = 20;
+/** Time after which a rank counts as unreachable in a recovery, in milliseconds; the group may be held meanwhile. */
+export const RECOVERY_READ_TIMEOUT_MILLIS = 150;
 /** Interval between load readings of a group, in milliseconds; a few passes. */
 export const OBSERVE_INTERVAL_MILLIS = 250;
+/** The same until the first switch of a group, whose first map knows nothing of its load. */
+export const FIRST_OBSERVE_INTERVAL_MILLIS = 100;
 /** Maximum counts that all ranks report per second; at two to three bytes each, a third of the slowest link beside an engine. */
 export const MAX_COUNTS_PER_SECOND = 100_000;
 /** Interval between readings of the sampled ranks of a large group, in milliseconds; one or two passes of a loaded group. */
 export const SAMPLE_INTERVAL_MILLIS = 100;
 /** Interval between readings of the states of all ranks of a large group, in milliseconds; each takes a call to every agent. */
 export const STATE_INTERVAL_MILLIS = 500;
+/** Interval between looks whether a group has opened and its ranks are known, in milliseconds; one pass of a loaded group. */
+export const START_PAUSE_MILLIS = 50;
 /** Pause after a failed reading or one that found the group idle, in milliseconds. */
-export const FAILURE_PAUSE_MILLIS = 500;
+export const FAILURE_PAUSE_MILLIS = 200;
 /** Interval between readings while a released switch waits for its pass, in milliseconds; half a pass of a loaded group. */
 export const PENDING_SWITCH_POLL_INTERVAL_MILLIS = 50;
--- a/src/map-switch/recover-switch.ts
+++ b/src/map-switch/recover-switch.ts
@@ -11,11 +11,14 @@
  */
 import type {Clock} from '../core/clock.js';
 import type {Log} from '../observability/log.js';
-import type {GroupExperts, RankState} from '../ports/rank-engine.js';
+import {fail} from '../core/result.js';
+import type {
+	GroupExperts, RankEngine, RankOrder, RankState,
+} from '../ports/rank-engine.js';
 import {
-	getAnchorRank, isGroupState, hasAllRanks, filterRanks, sendOrder, PLANNER_RANK, readGroupState, readHeldStep, type GroupRanks, type GroupState,
+	getAnchorRank, isGroupState, hasAllRanks, filterRanks, sendOrder, PLANNER_RANK, readGroupState, readHeldStep, type GroupRanks, type GroupState, type GroupStateError,
 } from './group-ranks.js';
-import {RECOVERY_POLL_INTERVAL_MILLIS, VERSIONS_PER_PROPOSAL} from './map-switch-constants.js';
+import {RECOVERY_POLL_INTERVAL_MILLIS, RECOVERY_READ_TIMEOUT_MILLIS, VERSIONS_PER_PROPOSAL} from './map-switch-constants.js';
 
 /** Dependencies of the recovery of a switch. */
 export type RecoveryDeps = Readonly<{
@@ -70,11 +73,24 @@
 	await sendOrder(ranks, [getAnchorRank(size)], {tag: 'go', step: heldStep}, epoch);
 }
 
+/** Fences the version off at one rank that is not armed; returns whether that rank shows it, so that nothing more needs to be read first. */
+async function fenceWitness({ranks, log}: RecoveryDeps, state: GroupState, fence: Extract<RankOrder, {tag: 'prepare'}>): Promise<boolean> {
+	const {epoch} = state;
+	const [witness] = filterRanks(state, rank => rank.armed === undefined);
+	if (witness === undefined) {
+		return false;
+	}
+
+	log.info('fencing a map switch off', {version: fence.version, epoch, witness});
+	await sendOrder(ranks, [witness], fence, epoch);
+	const shown = await ranks[witness]?.readState();
+	return shown?.ok === true && shown.value.group.epoch === epoch && shown.value.armed === undefined && shown.value.preparedVersion === fence.version;
+}
+
 /** Performs one step of the rollback to the active map; its effect shows when the state is read again. */
-async function rollBackOneStep(deps: RecoveryDeps, state: GroupState, version: number): Promise<void> {
+async function rollBackOneStep(deps: RecoveryDeps, state: GroupState, version: number, experts: GroupExperts | undefined): Promise<void> {
 	const {ranks, log} = deps;
 	const {epoch} = state;
-	const experts = await deps.readExperts(hasAllRanks(state));
 	if (!experts) {
 		return;
 	}
@@ -82,13 +98,7 @@
 	const fence = {
 		tag: 'prepare', version: getFenceVersion(version), experts, base: experts,
 	} as const;
-	if (!state.ranks.some(rank => isFenced(rank, version))) {
-		const witness = filterRanks(state, rank => rank.armed === undefined)[0];
-		if (witness !== undefined) {
-			log.info('fencing a map switch off', {version, epoch, witness});
-			await sendOrder(ranks, [witness], fence, epoch);
-		}
-
+	if (!state.ranks.some(rank => isFenced(rank, version)) && !await fenceWitness(deps, state, fence)) {
 		return;
 	}
 
@@ -107,12 +117,40 @@
 	}
 }
 
+/** Reads the group without waiting for a rank that cannot be reached: the group may be held until the switch is ended. */
+async function readReachableState({ranks, clock}: RecoveryDeps, withPlanner: boolean): Promise<GroupState | GroupStateError> {
+	const answered = new AbortController();
+	const withTimeout = ranks.map((rank, i): RankEngine => ({
+		...rank,
+		async readState() {
+			const timeout = clock.sleep(RECOVERY_READ_TIMEOUT_MILLIS, answered.signal).then(() => fail({tag: 'unavailable' as const, detail: `rank ${i} does not answer`}));
+			return Promise.race([rank.readState(), timeout]);
+		},
+	}));
+	const state = await readGroupState(withTimeout, withPlanner);
+	answered.abort();
+	return state;
+}
+
 /** Brings the group to a state that needs no recovery; returns false if the group cannot be read. */
 export async function recoverSwitch(deps: RecoveryDeps, signal: AbortSignal): Promise<boolean> {
 	/* eslint-disable no-await-in-loop -- Each step depends on the effect of the previous one. */
 	let withPlanner = true;
+	let active: Readonly<{key: string; experts: GroupExperts}> | undefined;
+
+	/** Active experts, which are read once for each map in force. */
+	async function readExperts(state: GroupState): Promise<GroupExperts | undefined> {
+		const key = `${state.epoch} ${state.ranks[0]?.mapVersion} ${hasAllRanks(state)}`;
+		if (active?.key !== key) {
+			const experts = await deps.readExperts(hasAllRanks(state));
+			active = experts && {key, experts};
+		}
+
+		return active?.experts;
+	}
+
 	while (!signal.aborted) {
-		const state = await readGroupState(deps.ranks, withPlanner);
+		const state = await readReachableState(deps, withPlanner);
 		if (!isGroupState(state)) {
 			if (!withPlanner || state.tag !== 'unavailable' || state.rank !== PLANNER_RANK) {
 				return false;
@@ -137,7 +175,7 @@
 				return false;
 			}
 
-			await rollBackOneStep(deps, state, version);
+			await rollBackOneStep(deps, state, version, await readExperts(state));
 		} else if (heldStep !== undefined) {
 			// No rank has prepared a proposal, so none can be armed. The planner's rank has none that the others did not get.
 			deps.log.info('releasing a hold without a proposal', {epoch: state.epoch, heldStep});
--- a/src/map-switch/switch-map.ts
+++ b/src/map-switch/switch-map.ts
@@ -3,12 +3,13 @@
 import {invariant} from '../core/invariant.js';
 import type {Log} from '../observability/log.js';
 import type {
-	GroupExperts, RankEngine, RankOrder, RankState,
+	GroupExperts, OrderOutcome, RankEngine, RankOrder, RankState,
 } from '../ports/rank-engine.js';
 import {getAnchorRank, PLANNER_RANK, type GroupRanks} from './group-ranks.js';
 import {
-	ARM_TIMEOUT_MILLIS, HOLD_TIMEOUT_MILLIS, LEAD_STEPS, EXTRA_LEAD_STEPS_PER_MISS, ORDER_POLL_INTERVAL_MILLIS, MAX_HOLD_ATTEMPTS, PREPARE_SLACK_MILLIS, RELEASE_TIMEOUT_MILLIS,
+	ARM_POLL_INTERVAL_MILLIS, ARM_TIMEOUT_MILLIS, HOLD_TIMEOUT_MILLIS, EXTRA_LEAD_STEPS_PER_MISS, ORDER_POLL_INTERVAL_MILLIS, MAX_HOLD_ATTEMPTS, PREPARE_SLACK_MILLIS, RELEASE_TIMEOUT_MILLIS,
 } from './map-switch-constants.js';
+import type {SwitchTiming} from './switch-timing.js';
 
 /** Dependencies of a switch. */
 export type SwitchDeps = Readonly<{
@@ -17,15 +18,24 @@
 	log: Log;
 	/** Allocates a version that no other proposal ever uses; undefined if none could be allocated. */
 	takeVersion: () => Promise<number | undefined>;
-	/** Reserves a pass for the last allocated version; false if there is a newer proposal or if this or a later pass is reserved. */
-	reserveStep: (epoch: number, step: number) => Promise<boolean>;
+	/** First pass from `earliestStep` on that no other proposal names; undefined if none can be named. */
+	chooseStep: (epoch: number, earliestStep: number) => number | undefined;
+	/** What the switches of this group have taken; updated by each one. */
+	timing: SwitchTiming;
 }>;
 
 /** How a switch ended. `unfinished`: ranks may be held or armed, so it must be recovered before anything else. */
 export type SwitchOutcome
-	= | Readonly<{tag: 'switched'; version: number; step: number; tookMillis: number}>
-		| Readonly<{tag: 'not_begun'; reason: string}>
-		| Readonly<{tag: 'unfinished'; version: number; reason: string}>;
+	= | Readonly<{
+		tag: 'switched';
+		version: number;
+		step: number;
+		tookMillis: number;
+		/** Estimated time for which the group was held up, in milliseconds. */
+		heldMillis: number;
+	}>
+	| Readonly<{tag: 'not_begun'; reason: string}>
+	| Readonly<{tag: 'unfinished'; version: number; reason: string}>;
 
 /** Target of a switch. */
 export type SwitchPlan = Readonly<{
@@ -40,104 +50,180 @@
 /** Effect of an order at a rank: seen, refused, or neither in time. */
 type OrderEffect = 'done' | 'refused' | 'late';
 
+/** Effect of an order, and how often it was sent. */
+type OrderEnd = Readonly<{effect: OrderEffect; sends: number}>;
+
 /** Expected effect of an order. */
 type ExpectedEffect = Readonly<{
 	epoch: number;
 	timeoutMillis: number;
 	/** Least time that the order takes, in milliseconds. */
 	minMillis?: number;
+	pollMillis?: number;
 	isDone: (state: RankState) => boolean;
 }>;
 
+/** Resolves to the value, or to undefined once the time is over. */
+async function waitAtMost<T>(clock: Clock, value: Promise<T>, millis: number): Promise<T | undefined> {
+	const settled = new AbortController();
+	const timeout = clock.sleep(millis, settled.signal).then(() => undefined);
+	return Promise.race([value, timeout]).finally(() => {
+		settled.abort();
+	});
+}
+
+/** Sends an order once; undefined if no answer came in the usual time of one. */
+async function sendOnce({clock, timing}: SwitchDeps, engine: RankEngine, order: RankOrder, epoch: number): Promise<OrderOutcome['tag'] | undefined> {
+	const sentAtMillis = clock.monotonicMillis();
+	const outcome = await waitAtMost(clock, engine.order(order, epoch), timing.readAnswerTimeoutMillis());
+	if (outcome?.tag === 'done' || outcome?.tag === 'accepted') {
+		timing.noteAnswer(clock.monotonicMillis() - sentAtMillis);
+	}
+
+	return outcome?.tag;
+}
+
+/** Reads whether a rank shows the effect of an order; undefined if it does not yet. */
+async function readEffect(engine: RankEngine, {epoch, isDone}: ExpectedEffect): Promise<OrderEffect | undefined> {
+	const state = await engine.readState();
+	if (state.ok && state.value.group.epoch !== epoch) {
+		return 'refused';
+	}
+
+	return state.ok && isDone(state.value) ? 'done' : undefined;
+}
+
 /**
- * Sends an order to a rank until the rank shows its effect, and again while it is unanswered. An unanswered order may be executed
- * at any later time, which is harmless because each order names a version or pass of its own.
+ * Sends an order to a rank until the rank shows its effect, and again while it is unanswered: after the usual time of an answer, if the
+ * rank does not show the effect. An unanswered order may be executed at any later time, which is harmless because each order
+ * names a version or pass of its own.
  */
-async function executeOrder({clock}: SwitchDeps, engine: RankEngine, order: RankOrder, expected: ExpectedEffect): Promise<OrderEffect> {
-	const {epoch, timeoutMillis, minMillis = 0, isDone} = expected;
+async function executeOrder(deps: SwitchDeps, engine: RankEngine, order: RankOrder, expected: ExpectedEffect): Promise<OrderEnd> {
+	const {clock} = deps;
+	const {epoch, timeoutMillis, minMillis = 0, pollMillis = ORDER_POLL_INTERVAL_MILLIS} = expected;
 	const dueMillis = clock.monotonicMillis() + timeoutMillis;
-	let isAccepted = false;
-	let mayHaveTakenEffect = false;
+	let sends = 0;
 	/* eslint-disable no-await-in-loop -- Steps run sequentially. */
-	for (;;) {
+	for (let isAccepted = false; ;) {
 		if (!isAccepted) {
-			const {tag} = await engine.order(order, epoch);
-			if (tag === 'done') {
-				return 'done';
-			}
-
+			const answer = await sendOnce(deps, engine, order, epoch);
+			sends++;
 			// If an earlier order may have been executed, a refusal may mean that it was.
-			if (tag === 'refused' && !mayHaveTakenEffect) {
-				return 'refused';
+			if (answer === 'done' || (answer === 'refused' && sends === 1)) {
+				return {effect: answer, sends};
 			}
 
-			isAccepted = tag === 'accepted';
-			mayHaveTakenEffect = true;
-			await clock.sleep(minMillis);
-		}
-
-		const state = await engine.readState();
-		if (state.ok && state.value.group.epoch !== epoch) {
-			return 'refused';
+			isAccepted = answer === 'accepted';
+			await clock.sleep(isAccepted ? minMillis : ARM_POLL_INTERVAL_MILLIS);
 		}
 
-		if (state.ok && isDone(state.value)) {
-			return 'done';
+		const effect = await readEffect(engine, expected);
+		if (effect) {
+			return {effect, sends};
 		}
 
 		if (clock.monotonicMillis() >= dueMillis) {
-			return 'late';
+			return {effect: 'late', sends};
 		}
 
-		await clock.sleep(ORDER_POLL_INTERVAL_MILLIS);
+		if (isAccepted) {
+			await clock.sleep(pollMillis);
+		}
 	}
 	/* eslint-enable no-await-in-loop */
 }
 
-/** Executes an order at several ranks concurrently and returns the worst effect. */
-async function executeOrderAtAll(deps: SwitchDeps, ranks: GroupRanks, order: RankOrder, expected: ExpectedEffect): Promise<OrderEffect> {
+/** Executes an order at several ranks concurrently and returns the worst effect, and the most sends to one of them. */
+async function executeOrderAtAll(deps: SwitchDeps, ranks: GroupRanks, order: RankOrder, expected: ExpectedEffect): Promise<OrderEnd> {
 	const ends = await Promise.all(ranks.map(async engine => executeOrder(deps, engine, order, expected)));
-	return (['refused', 'late'] as const).find(end => ends.includes(end)) ?? 'done';
+	return {
+		effect: (['refused', 'late'] as const).find(worst => ends.some(({effect}) => effect === worst)) ?? 'done',
+		sends: Math.max(0, ...ends.map(({sends}) => sends)),
+	};
+}
+
+/** Pass that a rank had begun at some time. */
+type StepReading = Readonly<{step: number; atMillis: number}>;
+
+async function readStep({clock}: SwitchDeps, rank: RankEngine): Promise<StepReading | undefined> {
+	const state = await rank.readState();
+	return state.ok ? {step: state.value.step, atMillis: clock.monotonicMillis()} : undefined;
 }
 
-type HoldOutcome = Readonly<{tag: 'held'; step: number}> | Readonly<{tag: 'not_held'; mayHold: boolean}>;
+type HoldOutcome
+	= | Readonly<{
+		tag: 'held';
+		step: number;
+		/** Monotonic time at which the pass was expected to begin. */
+		dueMillis: number;
+	}>
+	| Readonly<{tag: 'not_held'; mayHold: boolean}>;
 
-/** Holds the anchor rank at a pass that no proposal has reserved before. */
-async function holdAnchor(deps: SwitchDeps, anchor: RankEngine, epoch: number): Promise<HoldOutcome> {
-	let lead = LEAD_STEPS;
+/** What is known of the pace of a group before it is held. */
+type HoldTerms = Readonly<{epoch: number; before: StepReading | undefined; sends: number}>;
+
+/** Holds the anchor rank at a pass that no proposal has named before. */
+async function holdAnchor(deps: SwitchDeps, anchor: RankEngine, {epoch, before, sends}: HoldTerms): Promise<HoldOutcome> {
+	let extraSteps = 0;
 	/* eslint-disable no-await-in-loop -- A later pass is tried only if the hold came too late for the previous one. */
 	for (let i = 0; i < MAX_HOLD_ATTEMPTS; i++) {
 		const state = await anchor.readState();
+		const nowMillis = deps.clock.monotonicMillis();
 		if (!state.ok || state.value.group.epoch !== epoch || state.value.heldStep !== undefined) {
 			return {tag: 'not_held', mayHold: false};
 		}
 
-		const step = state.value.step + lead;
-		if (!await deps.reserveStep(epoch, step)) {
+		const begun = state.value.step;
+		const passMillis = before && begun > before.step ? (nowMillis - before.atMillis) / (begun - before.step) : undefined;
+		const step = deps.chooseStep(epoch, begun + deps.timing.chooseLeadSteps(passMillis, sends) + extraSteps);
+		if (step === undefined) {
 			return {tag: 'not_held', mayHold: false};
 		}
 
-		const end = await executeOrder(deps, anchor, {tag: 'hold', step}, {
-			epoch, timeoutMillis: HOLD_TIMEOUT_MILLIS, isDone: ({heldStep}) => heldStep === step,
+		const {effect} = await executeOrder(deps, anchor, {tag: 'hold', step}, {
+			epoch, timeoutMillis: HOLD_TIMEOUT_MILLIS, pollMillis: ARM_POLL_INTERVAL_MILLIS, isDone: ({heldStep}) => heldStep === step,
 		});
-		if (end === 'done') {
-			return {tag: 'held', step};
+		if (effect === 'done') {
+			return {tag: 'held', step, dueMillis: nowMillis + ((step - begun) * (passMillis ?? 0))};
 		}
 
-		if (end === 'late') {
+		if (effect === 'late') {
 			return {tag: 'not_held', mayHold: true};
 		}
 
-		lead += EXTRA_LEAD_STEPS_PER_MISS;
+		extraSteps += EXTRA_LEAD_STEPS_PER_MISS;
 	}
 	/* eslint-enable no-await-in-loop */
 
 	return {tag: 'not_held', mayHold: false};
 }
 
+/**
+ * Arms all ranks, the planner's last: recovery without the planner's rank relies on that order. The anchor is armed after the others, so that
+ * a planner that stops while it sends the orders to them leaves a rank that is not armed, and the switch can be taken back.
+ */
+async function armAll(deps: SwitchDeps, order: RankOrder, expected: ExpectedEffect): Promise<OrderEffect> {
+	const {ranks} = deps;
+	const anchorRank = getAnchorRank(ranks.length);
+	const successive = [
+		ranks.filter((_, rank) => rank !== PLANNER_RANK && rank !== anchorRank),
+		ranks.filter((_, rank) => rank !== PLANNER_RANK && rank === anchorRank),
+		ranks.slice(PLANNER_RANK, PLANNER_RANK + 1),
+	];
+	for (const armed of successive) {
+		// eslint-disable-next-line no-await-in-loop -- Ranks are armed in this order.
+		const {effect} = await executeOrderAtAll(deps, armed, order, expected);
+		if (effect !== 'done') {
+			return effect;
+		}
+	}
+
+	return 'done';
+}
+
 /** Runs a switch until it completes or a step fails. */
 export async function switchMap(deps: SwitchDeps, plan: SwitchPlan): Promise<SwitchOutcome> {
-	const {clock, log, ranks} = deps;
+	const {clock, log, ranks, timing} = deps;
 	const {epoch, experts, base, copyMillis} = plan;
 	const anchor = ranks[getAnchorRank(ranks.length)];
 	invariant(anchor, 'rank group has an anchor rank');
@@ -147,45 +233,47 @@
 		return {tag: 'not_begun', reason: 'no version'};
 	}
 
-	const prepared = await executeOrderAtAll(deps, ranks, {
-		tag: 'prepare', version, experts, base,
-	}, {
-		epoch, timeoutMillis: copyMillis + PREPARE_SLACK_MILLIS, minMillis: copyMillis, isDone: ({preparedVersion}) => preparedVersion === version,
-	});
-	if (prepared !== 'done') {
-		return {tag: 'not_begun', reason: `prepare ${prepared}`};
+	const [before, prepared] = await Promise.all([
+		readStep(deps, anchor),
+		executeOrderAtAll(deps, ranks, {
+			tag: 'prepare', version, experts, base,
+		}, {
+			epoch, timeoutMillis: copyMillis + PREPARE_SLACK_MILLIS, minMillis: copyMillis, isDone: ({preparedVersion}) => preparedVersion === version,
+		}),
+	]);
+	if (prepared.effect !== 'done') {
+		return {tag: 'not_begun', reason: `prepare ${prepared.effect}`};
 	}
 
 	const preparedAtMillis = clock.monotonicMillis();
-	const held = await holdAnchor(deps, anchor, epoch);
+	const held = await holdAnchor(deps, anchor, {epoch, before, sends: prepared.sends});
 	if (held.tag === 'not_held') {
 		return held.mayHold ? {tag: 'unfinished', version, reason: 'hold not confirmed'} : {tag: 'not_begun', reason: 'no hold'};
 	}
 
-	const {step} = held;
-	const arm = async (armedRanks: GroupRanks) => executeOrderAtAll(deps, armedRanks, {tag: 'arm', version, step}, {
-		epoch, timeoutMillis: ARM_TIMEOUT_MILLIS, isDone: ({armed: own}) => own?.version === version && own.step === step,
+	const {step, dueMillis} = held;
+	const armed = await armAll(deps, {tag: 'arm', version, step}, {
+		epoch, timeoutMillis: ARM_TIMEOUT_MILLIS, pollMillis: ARM_POLL_INTERVAL_MILLIS, isDone: ({armed: own}) => own?.version === version && own.step === step,
 	});
-	// Recovery without the planner's rank relies on this rank being armed last.
-	const others = await arm(ranks.filter((_, rank) => rank !== PLANNER_RANK));
-	const armed = others === 'done' ? await arm(ranks.slice(PLANNER_RANK, PLANNER_RANK + 1)) : others;
 	if (armed !== 'done') {
 		return {tag: 'unfinished', version, reason: `arm ${armed}`};
 	}
 
 	// All ranks were seen armed, so none can become the witness that is required to abort the switch.
 	const released = await executeOrder(deps, anchor, {tag: 'go', step}, {
-		epoch, timeoutMillis: RELEASE_TIMEOUT_MILLIS, isDone: ({heldStep}) => heldStep !== step,
+		epoch, timeoutMillis: RELEASE_TIMEOUT_MILLIS, pollMillis: ARM_POLL_INTERVAL_MILLIS, isDone: ({heldStep}) => heldStep !== step,
 	});
-	if (released !== 'done') {
-		return {tag: 'unfinished', version, reason: `release ${released}`};
+	if (released.effect !== 'done') {
+		return {tag: 'unfinished', version, reason: `release ${released.effect}`};
 	}
 
 	const nowMillis = clock.monotonicMillis();
+	timing.noteSwitch(nowMillis - preparedAtMillis);
+	const heldMillis = Math.max(0, Math.round(nowMillis - dueMillis));
 	log.debug('map switch steps', {
-		version, step, prepareMillis: Math.round(preparedAtMillis - startedAtMillis), armMillis: Math.round(nowMillis - preparedAtMillis),
+		version, step, prepareMillis: Math.round(preparedAtMillis - startedAtMillis), armMillis: Math.round(nowMillis - preparedAtMillis), heldMillis,
 	});
 	return {
-		tag: 'switched', version, step, tookMillis: nowMillis - startedAtMillis,
+		tag: 'switched', version, step, tookMillis: nowMillis - startedAtMillis, heldMillis,
 	};
 }
--- /dev/null
+++ b/src/map-switch/switch-timing.ts
@@ -0,0 +1,76 @@
+/**
+ * Chooses how far ahead of the running pass a switch takes effect. The group is held at that pass until all ranks are armed: with too short a
+ * lead every stream of the group pauses, with too long a one the old map stays in force. Both follow from what orders have
+ * taken lately, which is tens of milliseconds, or several times as much while a part of them is not answered.
+ */
+import {
+	ANSWER_TIMEOUT_DEVIATIONS, MAX_ANSWER_TIMEOUT_MILLIS, MAX_LEAD_STEPS, MIN_ANSWER_TIMEOUT_MILLIS, MIN_LEAD_STEPS, TIMING_DEVIATIONS, TIMING_WEIGHT,
+} from './map-switch-constants.js';
+
+/** Moving mean and mean deviation of durations, in milliseconds. */
+export type DurationEstimate = Readonly<{
+	note: (millis: number) => void;
+	/** Duration that is rarely exceeded; undefined before the first one. */
+	read: (deviations: number) => number | undefined;
+}>;
+
+/** Creates an estimate without durations. */
+export function createDurationEstimate(): DurationEstimate {
+	let mean: number | undefined;
+	let deviation = 0;
+
+	return {
+		note(millis) {
+			deviation = mean === undefined ? millis / 2 : deviation + ((Math.abs(millis - mean) - deviation) * TIMING_WEIGHT);
+			mean = mean === undefined ? millis : mean + ((millis - mean) * TIMING_WEIGHT);
+		},
+		read: deviations => mean === undefined ? undefined : mean + (deviations * deviation),
+	};
+}
+
+/** What the orders and switches of one group have taken lately. */
+export type SwitchTiming = Readonly<{
+	/** Records the time from an order that had to be sent only once to its answer, in milliseconds. */
+	noteAnswer: (millis: number) => void;
+	/** Records the time from the order to hold a group to its release, in milliseconds. */
+	noteSwitch: (millis: number) => void;
+	/** Time after which an order without an answer is sent again, in milliseconds. */
+	readAnswerTimeoutMillis: () => number;
+	/**
+	 * Passes from the last one begun to the one at which the switch takes effect. `sends` is how often the orders of this switch had to be
+	 * sent so far until every rank had one: while orders are not answered, holding and arming take as many.
+	 */
+	chooseLeadSteps: (passMillis: number | undefined, sends: number) => number;
+}>;
+
+/** Orders that follow one another between hold and release: hold, arm all, arm the anchor, arm the planner's rank, release. */
+const SUCCESSIVE_ORDERS = 5;
+/** Of these, the ones that a single rank gets, which are sent again less often than those for all ranks. */
+const REPEATED_ORDERS = 2;
+
+/** Creates the timing of a group whose orders have not been measured. */
+export function createSwitchTiming(): SwitchTiming {
+	const answers = createDurationEstimate();
+	const switches = createDurationEstimate();
+
+	function readAnswerTimeoutMillis(): number {
+		return Math.min(MAX_ANSWER_TIMEOUT_MILLIS, Math.max(MIN_ANSWER_TIMEOUT_MILLIS, answers.read(ANSWER_TIMEOUT_DEVIATIONS) ?? Infinity));
+	}
+
+	return {
+		noteAnswer: answers.note,
+		noteSwitch: switches.note,
+		readAnswerTimeoutMillis,
+		chooseLeadSteps(passMillis, sends) {
+			if (passMillis === undefined) {
+				return MIN_LEAD_STEPS;
+			}
+
+			const usualMillis = switches.read(TIMING_DEVIATIONS) ?? SUCCESSIVE_ORDERS * (answers.read(TIMING_DEVIATIONS) ?? 0);
+			const repeatedMillis = sends > 1 ? ((answers.read(0) ?? 0) * SUCCESSIVE_ORDERS) + ((sends - 1) * REPEATED_ORDERS * readAnswerTimeoutMillis()) : 0;
+			// The pass after the last one begun may begin at once.
+			const steps = 1 + Math.ceil(Math.max(usualMillis, repeatedMillis) / passMillis);
+			return Math.min(MAX_LEAD_STEPS, Math.max(MIN_LEAD_STEPS, steps));
+		},
+	};
+}
--- a/src/map-switch/version-row.ts
+++ b/src/map-switch/version-row.ts
@@ -1,29 +1,39 @@
-/** Allocates expert map versions and reserves passes, using one row per group in the table store. */
+/**
+ * Allocates expert map versions in blocks, using one row per group in the table store, so that a switch waits for the store only once in
+ * a while and an outage of the store does not stop the switches.
+ */
 import {z} from 'zod';
 import type {Log} from '../observability/log.js';
 import type {Row, TableStore} from '../ports/table-store.js';
-import {VERSIONS_PER_PROPOSAL} from './map-switch-constants.js';
+import {
+	MIN_SPARE_PROPOSALS, PROPOSALS_PER_BLOCK, PROPOSER_TURNS, VERSIONS_PER_PROPOSAL,
+} from './map-switch-constants.js';
 import type {SwitchDeps} from './switch-map.js';
 
 /** Table with one row per group. */
 export const MAP_VERSION_TABLE = 'map_versions';
 
 const rowSchema = z.object({
-	/** Epoch of the group in which the pass below was reserved. */
-	epoch: z.number().int(),
-	/** Last pass reserved by a proposal. */
-	step: z.number().int(),
 	owner: z.string(),
+	/** Remainder of the passes that the owner uses; the next owner uses another one. */
+	turn: z.number().int().nonnegative(),
 });
 
-type VersionSource = Pick<SwitchDeps, 'takeVersion' | 'reserveStep'>;
+type VersionSource = Pick<SwitchDeps, 'takeVersion' | 'chooseStep'>;
+
+/** Versions of one write of the row, which are unique because the row version is. */
+type Block = Readonly<{firstVersion: number; turn: number}>;
 
 /**
- * Creates the version source of one proposer. The version of a proposal derives from the row version of its write, which is
- * unique. A pass is reserved by a write conditional on that row version, so that the passes reserved in one epoch increase.
+ * Creates the version source of one proposer. A block of versions derives from the row version of its write, which is unique. Passes are told
+ * apart by their remainder: a proposer uses another one than the proposer before it, and each of its passes once.
  */
 export function createVersionSource(table: TableStore, log: Log, group: string, owner: string): VersionSource {
 	let row: Row | undefined;
+	let block: Block | undefined;
+	let used = 0;
+	let refilling: Promise<void> | undefined;
+	let lastStep: Readonly<{epoch: number; step: number}> = {epoch: -1, step: -1};
 
 	async function readRow(): Promise<boolean> {
 		const found = await table.read(MAP_VERSION_TABLE, group);
@@ -36,48 +46,77 @@
 		return true;
 	}
 
-	function readReserved(): Readonly<{epoch: number; step: number}> {
+	function isOwn(written: Row | undefined): boolean {
+		const parsed = rowSchema.safeParse(written?.value);
+		return parsed.success && parsed.data.owner === owner;
+	}
+
+	/** Remainder of the passes of this proposer: its own, if it wrote the row, or else the one after that of the last owner. */
+	function chooseTurn(): number {
 		const parsed = rowSchema.safeParse(row?.value);
-		return parsed.success ? parsed.data : {epoch: -1, step: -1};
+		if (!parsed.success) {
+			return 0;
+		}
+
+		return isOwn(row) ? parsed.data.turn : (parsed.data.turn + 1) % PROPOSER_TURNS;
 	}
 
-	async function write(value: Readonly<{epoch: number; step: number}>): Promise<boolean> {
+	/** Writes the row for a further block; without an answer of the store, the current block stays in use. */
+	async function takeBlock(): Promise<void> {
+		if (!row && !await readRow()) {
+			return;
+		}
+
+		const turn = chooseTurn();
 		const written = await table.transact({
 			conditions: [{table: MAP_VERSION_TABLE, key: group, version: row?.version ?? 0}],
-			writes: [{table: MAP_VERSION_TABLE, key: group, value: {...value, owner}}],
+			writes: [{table: MAP_VERSION_TABLE, key: group, value: {owner, turn}}],
 		});
+		row = written.ok ? written.value[0] : undefined;
 		if (!written.ok) {
 			log.info('map version could not be written', {group, error: written.error.tag});
-			row = undefined;
-			return false;
+			// If another proposer has written the row, its passes may have the remainder of this one. A write of this one may take effect late.
+			block = written.error.tag === 'conflict' && !isOwn(written.error.rows[0]) ? undefined : block;
+		} else if (row) {
+			block = {firstVersion: row.version * PROPOSALS_PER_BLOCK * VERSIONS_PER_PROPOSAL, turn};
+			used = 0;
 		}
+	}
 
-		row = written.value[0];
-		return row !== undefined;
+	async function refill(): Promise<void> {
+		refilling ??= takeBlock().finally(() => {
+			refilling = undefined;
+		});
+		return refilling;
 	}
 
 	return {
 		async takeVersion() {
-			if (!row && !await readRow()) {
+			if (!block || used >= PROPOSALS_PER_BLOCK) {
+				await refill();
+			}
+
+			if (!block || used >= PROPOSALS_PER_BLOCK) {
 				return undefined;
 			}
 
-			return await write(readReserved()) ? (row?.version ?? 0) * VERSIONS_PER_PROPOSAL : undefined;
-		},
-		async reserveStep(epoch, step) {
-			if (!row) {
-				return false;
+			const version = block.firstVersion + (used * VERSIONS_PER_PROPOSAL);
+			used++;
+			if (PROPOSALS_PER_BLOCK - used < MIN_SPARE_PROPOSALS) {
+				void refill();
 			}
 
-			const reserved = readReserved();
-			if (reserved.epoch > epoch || (reserved.epoch === epoch && reserved.step >= step)) {
-				log.info('step already reserved', {
-					group, epoch, step, named: reserved.step,
-				});
-				return false;
+			return version;
+		},
+		chooseStep(epoch, earliestStep) {
+			if (!block) {
+				return undefined;
 			}
 
-			return write({epoch, step});
+			const firstStep = lastStep.epoch === epoch ? Math.max(earliestStep, lastStep.step + 1) : earliestStep;
+			const step = firstStep + ((((block.turn - firstStep) % PROPOSER_TURNS) + PROPOSER_TURNS) % PROPOSER_TURNS);
+			lastStep = {epoch, step};
+			return step;
 		},
 	};
 }
--- a/src/rank-agent/__tests__/group-planner.test.ts
+++ b/src/rank-agent/__tests__/group-planner.test.ts
@@ -56,7 +56,7 @@
 			version += 2;
 			return version;
 		},
-		reserveStep: async () => true,
+		chooseStep: (_epoch: number, earliestStep: number) => earliestStep,
 	};
 	startPlanner({
 		group, ranks, layout, versions,
@@ -118,7 +118,7 @@
 			asked++;
 			return undefined;
 		},
-		reserveStep: async () => false,
+		chooseStep: () => undefined,
 	};
 	startPlanner({
 		group, ranks, layout: LAYOUT, versions,
--- a/src/rank-agent/group-planner.ts
+++ b/src/rank-agent/group-planner.ts
@@ -3,12 +3,14 @@
 import {planMoves, type MovesPlan} from '../decisions/placement/plan-moves.js';
 import {recoverSwitch, hasUnfinishedSwitch} from '../map-switch/recover-switch.js';
 import {
-	isGroupState, type GroupRanks, type GroupState, type GroupStateError,
+	isGroupState, PLANNER_RANK, type GroupRanks, type GroupState, type GroupStateError,
 } from '../map-switch/group-ranks.js';
 import {
-	PENDING_SWITCH_POLL_INTERVAL_MILLIS, FAILURE_PAUSE_MILLIS, MAX_COUNTS_PER_SECOND, OBSERVE_INTERVAL_MILLIS, SAMPLE_INTERVAL_MILLIS, STATE_INTERVAL_MILLIS,
+	FIRST_OBSERVE_INTERVAL_MILLIS, FAILURE_PAUSE_MILLIS, MAX_COUNTS_PER_SECOND, OBSERVE_INTERVAL_MILLIS,
+	PENDING_SWITCH_POLL_INTERVAL_MILLIS, SAMPLE_INTERVAL_MILLIS, START_PAUSE_MILLIS, STATE_INTERVAL_MILLIS,
 } from '../map-switch/map-switch-constants.js';
 import {switchMap, type SwitchDeps} from '../map-switch/switch-map.js';
+import {createSwitchTiming} from '../map-switch/switch-timing.js';
 import type {Log} from '../observability/log.js';
 import type {GroupExperts} from '../ports/rank-engine.js';
 import type {ExpertLayout} from '../routing/routing-configuration.js';
@@ -24,7 +26,7 @@
 	readRanks: () => GroupRanks | undefined;
 	/** Expert layout of the group; undefined until a configuration is known. */
 	readLayout: () => ExpertLayout | undefined;
-	versions: Pick<SwitchDeps, 'takeVersion' | 'reserveStep'>;
+	versions: Pick<SwitchDeps, 'takeVersion' | 'chooseStep'>;
 }>;
 
 const MILLIS_PER_SECOND = 1000;
@@ -56,14 +58,16 @@
 export async function planGroup(deps: GroupPlannerDeps, signal: AbortSignal): Promise<void> {
 	const {clock, log} = deps;
 	const observer = createGroupObserver();
+	const timing = createSwitchTiming();
 	let activeMap: ActiveMap | undefined;
+	let isOpen = false;
 	/** State of a large group as last read, which is used until it is due again. */
 	let known: Readonly<{state: GroupState; untilMillis: number}> | undefined;
 
 	/** Switches to the planned map; resolves to the time until the next reading. */
 	async function applyMoves(ranks: GroupRanks, {epoch, experts: base}: ActiveMap, moves: MovesPlan, copyMillis: number): Promise<number> {
 		const outcome = await switchMap({
-			ranks, clock, log, ...deps.versions,
+			ranks, clock, log, timing, ...deps.versions,
 		}, {
 			epoch, experts: moves.experts, base, copyMillis: moves.maxRankCopies * copyMillis,
 		});
@@ -73,6 +77,7 @@
 			version: 'version' in outcome ? outcome.version : undefined,
 			step: 'step' in outcome ? outcome.step : undefined,
 			tookMillis: 'tookMillis' in outcome ? Math.round(outcome.tookMillis) : undefined,
+			heldMillis: 'heldMillis' in outcome ? outcome.heldMillis : undefined,
 			epoch,
 			copies: moves.copies,
 			skewBefore: moves.skewBefore,
@@ -104,11 +109,18 @@
 		return state;
 	}
 
+	/** Updates whether the group is open from the engine beside this process, which costs no call to another instance. */
+	async function lookIfOpen(ranks: GroupRanks): Promise<void> {
+		const state = await ranks[PLANNER_RANK]?.readState();
+		isOpen = state?.ok === true && state.value.group.isOpen;
+	}
+
 	/** Reads the group and acts on its state; resolves to the time until the next reading. */
 	async function observeAndAct(ranks: GroupRanks, layout: ExpertLayout): Promise<number> {
 		const startedAtMillis = clock.monotonicMillis();
 		const state = await observe(ranks, layout);
 		if (!isGroupState(state)) {
+			isOpen = false;
 			log.debug('group cannot be planned', {reason: state.tag, rank: state.rank});
 			return FAILURE_PAUSE_MILLIS;
 		}
@@ -145,14 +157,24 @@
 		}
 
 		const numbers = layout.layers * layout.experts * ranks.length;
-		return Math.max(OBSERVE_INTERVAL_MILLIS, numbers * MILLIS_PER_SECOND / MAX_COUNTS_PER_SECOND);
+		const intervalMillis = state.ranks.every(({mapVersion}) => mapVersion === 0) ? FIRST_OBSERVE_INTERVAL_MILLIS : OBSERVE_INTERVAL_MILLIS;
+		return Math.max(intervalMillis, numbers * MILLIS_PER_SECOND / MAX_COUNTS_PER_SECOND);
+	}
+
+	/** Looks often whether a broken group has opened: until its first switch, its load is spread by a map that knows nothing of it. */
+	async function observeOnceOpen(ranks: GroupRanks, layout: ExpertLayout): Promise<number> {
+		if (!isOpen) {
+			await lookIfOpen(ranks);
+		}
+
+		return isOpen ? observeAndAct(ranks, layout) : START_PAUSE_MILLIS;
 	}
 
 	/* eslint-disable no-await-in-loop -- Steps run sequentially. */
 	while (!signal.aborted) {
 		const ranks = deps.readRanks();
 		const layout = deps.readLayout();
-		await clock.sleep(ranks && layout ? await observeAndAct(ranks, layout) : FAILURE_PAUSE_MILLIS, signal);
+		await clock.sleep(ranks && layout ? await observeOnceOpen(ranks, layout) : START_PAUSE_MILLIS, signal);
 	}
 	/* eslint-enable no-await-in-loop */
 }
--- a/src/rank-agent/rank-agent-constants.ts
+++ b/src/rank-agent/rank-agent-constants.ts
@@ -9,6 +9,8 @@
 /** Maximum copy time of a rank per switch, in milliseconds; copying delays the gain, and popularity shifts within seconds. */
 export const MAX_COPY_MILLIS = 160;
 /** Interval between checks of the engine for a stalled switch, in milliseconds; reading the local engine costs nothing. */
-export const WATCH_INTERVAL_MILLIS = 150;
+export const WATCH_INTERVAL_MILLIS = 100;
 /** Time without a pass after which a switch is considered stalled, in milliseconds; several passes of a loaded group. */
 export const STALLED_SWITCH_MILLIS = 600;
+/** The same while the rank holds the next pass back and is not released, in milliseconds; longer than arming all ranks usually takes. */
+export const HELD_SWITCH_MILLIS = 350;
--- a/src/rank-agent/watch-for-stalled-switch.ts
+++ b/src/rank-agent/watch-for-stalled-switch.ts
@@ -5,7 +5,7 @@
 import type {Log} from '../observability/log.js';
 import type {RankEngine, RankState} from '../ports/rank-engine.js';
 import {readGroupExperts} from './read-group-experts.js';
-import {STALLED_SWITCH_MILLIS, WATCH_INTERVAL_MILLIS} from './rank-agent-constants.js';
+import {HELD_SWITCH_MILLIS, STALLED_SWITCH_MILLIS, WATCH_INTERVAL_MILLIS} from './rank-agent-constants.js';
 
 /** Dependencies of {@link watchForStalledSwitch}. */
 export type SwitchWatchDeps = Readonly<{
@@ -30,6 +30,11 @@
 	return group.isOpen && (armed !== undefined || hasWork);
 }
 
+/** Time without a change after which a rank is taken to wait for a planner that has stopped. */
+function chooseStallMillis({heldStep, step}: RankState): number {
+	return heldStep === step + 1 ? HELD_SWITCH_MILLIS : STALLED_SWITCH_MILLIS;
+}
+
 /** Watches until the signal aborts. */
 export async function watchForStalledSwitch({clock, log, engine, readRanks}: SwitchWatchDeps, signal: AbortSignal): Promise<void> {
 	let lastChange: Readonly<{state: RankState; sinceMillis: number}> | undefined;
@@ -41,7 +46,7 @@
 			lastChange = undefined;
 		} else if (!lastChange || !isUnchanged(lastChange.state, reading.value)) {
 			lastChange = {state: reading.value, sinceMillis: nowMillis};
-		} else if (nowMillis - lastChange.sinceMillis >= STALLED_SWITCH_MILLIS) {
+		} else if (nowMillis - lastChange.sinceMillis >= chooseStallMillis(reading.value)) {
 			const ranks = readRanks();
 			const isEnded = ranks && await recoverSwitch({
 				ranks, clock, log, readExperts: async withPlanner => readGroupExperts(ranks, withPlanner),
