--- a/src/gateway/attempt-outcome.ts
+++ b/src/gateway/attempt-outcome.ts
@@ -12,6 +12,8 @@
 		| Readonly<{tag: 'passed'}>
 	/** The request was written but no complete answer arrived; it may have run. `isSilent`: it was given up, as nothing came for too long. */
 		| Readonly<{tag: 'lost'; detail: string; isSilent?: true}>
+	/** The attempt was ended here, to be continued at another backend server; it has run in part. */
+		| Readonly<{tag: 'moved'}>
 	/** The attempt timed out; it may have run. */
 		| Readonly<{tag: 'late'}>
 		| Readonly<{tag: 'caller_left'}>;
--- a/src/gateway/call-progress.ts
+++ b/src/gateway/call-progress.ts
@@ -43,7 +43,7 @@
 	if (outcome.tag === 'answered') {
 		progress.failure = outcome;
 		progress.mayHaveRun = true;
-	} else if (outcome.tag === 'lost') {
+	} else if (outcome.tag === 'lost' || outcome.tag === 'moved') {
 		progress.mayHaveRun = true;
 	} else {
 		progress.lastNotRunCause = outcome.tag === 'not_sent' ? 'not_sent' : 'refused_by_backend_server';
--- a/src/gateway/finish-call.ts
+++ b/src/gateway/finish-call.ts
@@ -93,6 +93,7 @@
 
 		case 'late':
 		case 'lost':
+		case 'moved':
 		case 'not_run':
 		case 'not_sent': {
 			recordCall(ctx, routed, progress, 'unknown');
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -11,6 +11,7 @@
 import type {EntryMembers} from '../membership/entry-members.js';
 import type {Log} from '../observability/log.js';
 import type {CallCodec} from '../ports/call-codec.js';
+import type {SlowRankList} from '../slow-ranks/slow-rank-list.js';
 import type {BackendConnections} from './backend-connections.js';
 import type {BackendServerList, BackendServers} from './backend-server-list.js';
 import type {ConfigurationInForce} from './configuration-in-force.js';
@@ -37,6 +38,7 @@
 	permitLoans: EntryMembers['permits'];
 	progress: ProgressTracker;
 	groupRefusals: GroupRefusals;
+	slowRanks: SlowRankList;
 	serverBackoff: ServerBackoff;
 	statedLimits: StatedLimits;
 	coldEngines: ColdEngines;
--- a/src/gateway/next-step.ts
+++ b/src/gateway/next-step.ts
@@ -27,6 +27,7 @@
 			return rule !== 'at_most_once' && isServerFailure(outcome.head.status) ? 'repeat' : 'deliver';
 		}
 
+		case 'moved':
 		case 'not_sent':
 		case 'not_run': {
 			return 'repeat';
--- a/src/gateway/run-attempt.ts
+++ b/src/gateway/run-attempt.ts
@@ -33,6 +33,8 @@
 	sink: SinkDeps;
 	/** Limit on the time without data; undefined if there is no limit. */
 	silenceLimit: SilenceLimit | undefined;
+	/** Aborts when the call is to be continued at another backend server. */
+	moveSignal: AbortSignal;
 	/** Called whenever data arrives from the backend server. */
 	onProgress: () => void;
 	/** Called with the headers of each answer to this attempt. */
@@ -130,7 +132,12 @@
 			abortWith({tag: 'caller_left'});
 		};
 
+		const onMoved = () => {
+			abortWith({tag: 'moved'});
+		};
+
 		call.disconnectSignal.addEventListener('abort', onCallerDisconnected, {once: true});
+		plan.moveSignal.addEventListener('abort', onMoved, {once: true});
 		const exchange: Exchange = connections.send(plan.address, {
 			method: call.method, path: call.path, headers: plan.headers, body: call.body, allowsLongIdleConnection: plan.allowsLongIdleConnection, maxIdleConnections: plan.maxIdleConnections,
 		}, {
@@ -200,6 +207,7 @@
 			onEnd(error) {
 				ended.abort();
 				call.disconnectSignal.removeEventListener('abort', onCallerDisconnected);
+				plan.moveSignal.removeEventListener('abort', onMoved);
 				if (abortOutcome) {
 					resolve(abortOutcome);
 				} else if (error === undefined) {
--- a/src/gateway/send-to-backend-server.ts
+++ b/src/gateway/send-to-backend-server.ts
@@ -34,6 +34,16 @@
 	}
 }
 
+/**
+ * Whether a call at a slow rank is continued elsewhere. A call that may be sent once more is, as far as the retry budget allows: it would
+ * delay the streams of the whole group until its end.
+ */
+function mayMove({slowRanks, readServers}: GatewayContext, {route, service, flow}: RoutedCall, {attempts, triedServers}: CallProgress): boolean {
+	const hasOther = [...readServers().values()].some(server =>
+		server.service === service && server.state === 'ready' && !slowRanks.isSlow(server.group) && !triedServers.has(server.id));
+	return route.retryRule !== 'at_most_once' && attempts + 1 < route.maxAttempts && hasOther && flow.retryBudget.tryTake();
+}
+
 /** Backend server of an attempt and the time left for it. */
 export type AttemptTarget = Readonly<{server: BackendServer; leftMillis: number}>;
 
@@ -58,6 +68,12 @@
 		}
 	};
 
+	const moving = new AbortController();
+	const stopWatching = ctx.slowRanks.registerListener(() => {
+		if (!moving.signal.aborted && ctx.slowRanks.isSlow(server.group) && mayMove(ctx, routed, progress)) {
+			moving.abort();
+		}
+	});
 	const outcome = await runAttempt(ctx, call, {
 		address: server.address,
 		headers: ctx.codec.forwardHeaders(call.headers, {
@@ -70,6 +86,7 @@
 		allowsLongIdleConnection: route.retryRule !== 'at_most_once',
 		maxIdleConnections: flow.readMaxIdleConnections(),
 		timeoutMillis: leftMillis,
+		moveSignal: moving.signal,
 		silenceLimit: route.retryRule === 'at_most_once' ? undefined : createSilenceLimit(ctx, routed, server),
 		onProgress() {
 			ctx.progress.note(service, server.id, ctx.clock.monotonicMillis());
@@ -125,6 +142,7 @@
 			noteNotices(ctx, call, server, head);
 		},
 	});
+	stopWatching();
 	notePromptRead();
 	if (firstByteMillis !== undefined) {
 		flow.firstByteEstimate.note(firstByteMillis, firstByteMillis > route.targetLatencyMillis, ctx.clock.monotonicMillis());
@@ -210,6 +228,7 @@
 			break;
 		}
 
+		case 'moved':
 		case 'caller_left': {
 			ctx.picker.noteEnd(server.id, 'served');
 			break;
--- a/src/gateway/serve-call.ts
+++ b/src/gateway/serve-call.ts
@@ -158,7 +158,8 @@
 function listCandidates(ctx: GatewayContext, service: string, triedServers: ReadonlySet<string>): readonly BackendServer[] {
 	const available = [...ctx.readServers().values()].filter(server =>
 		isAvailableForService(server, service, ctx.evacuations.isEvacuated) && !triedServers.has(server.id) && readServerWaitMillis(ctx, server) === 0);
-	return ctx.groupRefusals.excludeRefusing(available, ctx.clock.monotonicMillis()).map(server => applyReturn(ctx, server));
+	const fast = available.filter(({group}) => !ctx.slowRanks.isSlow(group));
+	return ctx.groupRefusals.excludeRefusing(fast.length > 0 ? fast : available, ctx.clock.monotonicMillis()).map(server => applyReturn(ctx, server));
 }
 
 /** Time in which no backend server of a service takes a request of this entry. */
@@ -249,6 +250,12 @@
 		return progress.triedServers.size < MAX_TRIED_SERVERS;
 	}
 
+	// The retry budget was asked before the attempt was ended.
+	if (outcome.tag === 'moved') {
+		ctx.metrics.retries.inc({reason: outcome.tag});
+		return true;
+	}
+
 	if (progress.attempts >= route.maxAttempts || !flow.retryBudget.tryTake()) {
 		ctx.log.info('not repeated', {
 			request: call.head.attemptId, after: outcome.tag, attempts: progress.attempts, maxAttempts: route.maxAttempts,
--- a/src/gateway/service-flows.ts
+++ b/src/gateway/service-flows.ts
@@ -56,6 +56,8 @@
 	isEvacuated?: (failureDomain: string) => boolean;
 	/** Requests of a service in flight in evacuated failure domains, which use no capacity of the other ones; optional. */
 	countEvacuatedInFlight?: (service: string) => number;
+	/** Whether a backend server gets no requests because its group waits for it in each pass; optional. */
+	isSlow?: (server: BackendServer) => boolean;
 	/** Loans of permits between the entries; without them, none are lent. */
 	loans?: Pick<PermitExchange, 'borrow' | 'countLent'>;
 	/** Requests per millisecond that all entries together may send to a cold engine; undefined if it is warm; optional. */
@@ -83,7 +85,7 @@
 
 /** Creates the flows; the flow of a service is created when it is first read. */
 export function createServiceFlows({
-	clock, random, retryBudgetOptions, countEntries, countRetrySharers, isEvacuated = () => false, countEvacuatedInFlight = () => 0, loans, readColdRate = () => undefined,
+	clock, random, retryBudgetOptions, countEntries, countRetrySharers, isEvacuated = () => false, countEvacuatedInFlight = () => 0, loans, readColdRate = () => undefined, isSlow = () => false,
 }: Deps): ServiceFlows {
 	const flows = new Map<string, ServiceFlow>();
 	/** Maximum idle connections to one backend server, by service. */
@@ -143,7 +145,7 @@
 				prioritiesByService.set(name, cfg ? listServicePriorities(cfg, name) : []);
 				maxIdleByService.set(name, Math.max(1, Math.floor(maxConnections * IDLE_CONNECTION_SHARE / entries)));
 				const ready = [...servers.values()].filter(server => isAvailableForService(server, name, isEvacuated));
-				const slots = sum(ready.map(server => countUsableSlots(server, engine)));
+				const slots = sum(ready.filter(server => !isSlow(server)).map(server => countUsableSlots(server, engine)));
 				const {concurrencyLimit, permitQueue, availability} = read(name);
 				availability.note(ready.length > 0, clock.monotonicMillis());
 				if (engine) {
--- a/src/gateway/start-gateway.ts
+++ b/src/gateway/start-gateway.ts
@@ -26,6 +26,8 @@
 import type {DatagramSocket} from '../ports/datagram-socket.js';
 import type {TableFeed} from '../ports/table-feed.js';
 import type {TableStore} from '../ports/table-store.js';
+import {createSlowRankList} from '../slow-ranks/slow-rank-list.js';
+import {SLOW_RANK_TABLE} from '../slow-ranks/slow-rank-row.js';
 import {createBackendConnections} from './backend-connections.js';
 import {createBackendServerList, type BackendServerList, type ReadBackendServer} from './backend-server-list.js';
 import {listenForCallers, type CallerListener} from './caller-listener.js';
@@ -165,6 +167,7 @@
 		readColdRate: server => coldEngines.readRate(server)?.requestsPerMilli,
 		countEvacuatedInFlight: service => evacuationProgress.countInFlight(service),
 		loans: members.permits,
+		isSlow: server => slowRanks.isSlow(server.group),
 	});
 	const picker = createServerPicker({
 		clock,
@@ -174,6 +177,8 @@
 		},
 	});
 	const progress = createProgressTracker();
+	const slowRanks = createSlowRankList({clock, log});
+	slowRanks.registerListener(updateFlows);
 	const serverBackoff = createServerBackoff(random);
 	statedLimits.registerListener(({server, requestsPerSecond}) => {
 		log.info('backend server limit', {server, requestsPerSecond, entries: members.listLimitSharers().length});
@@ -267,6 +272,7 @@
 		permitLoans: members.permits,
 		progress,
 		groupRefusals: createGroupRefusals(),
+		slowRanks,
 		serverBackoff,
 		statedLimits,
 		coldEngines,
@@ -294,6 +300,7 @@
 	opened.listener = listening.value;
 	follow(deps.configuration.table, 0, combineListeners([evacuations.listener, configuration.listener]));
 	follow(deps.backendServers.table, settings.backendDrainMillis * SERVER_LIST_MIN_INTERVAL_SHARE, servers.listener);
+	follow(SLOW_RANK_TABLE, 0, slowRanks.listener);
 	void members.run(lifeCycle.signal);
 	const {value} = listening;
 	return succeed({
--- a/src/rank-agent/group-planner.ts
+++ b/src/rank-agent/group-planner.ts
@@ -14,6 +14,7 @@
 import type {Log} from '../observability/log.js';
 import type {GroupExperts} from '../ports/rank-engine.js';
 import type {ExpertLayout} from '../routing/routing-configuration.js';
+import type {SlowRankPublisher} from '../slow-ranks/slow-rank-publisher.js';
 import {createGroupObserver, isLargeGroup, type Observation} from './observe-group.js';
 import {MAX_COPY_MILLIS} from './rank-agent-constants.js';
 import {readGroupExperts} from './read-group-experts.js';
@@ -26,6 +27,8 @@
 	readRanks: () => GroupRanks | undefined;
 	/** Expert layout of the group; undefined until a configuration is known. */
 	readLayout: () => ExpertLayout | undefined;
+	/** Tells the entries which ranks are slow; optional. */
+	slowRanks?: SlowRankPublisher;
 	versions: Pick<SwitchDeps, 'takeVersion' | 'chooseStep'>;
 }>;
 
@@ -125,6 +128,7 @@
 			return FAILURE_PAUSE_MILLIS;
 		}
 
+		void deps.slowRanks?.publish(state);
 		if (hasUnfinishedSwitch(state)) {
 			activeMap = undefined;
 			known = undefined;
--- a/src/rank-agent/start-rank-agent.ts
+++ b/src/rank-agent/start-rank-agent.ts
@@ -19,6 +19,7 @@
 import type {TableStore} from '../ports/table-store.js';
 import {findNewestConfiguration, type ReadConfiguration} from '../routing/newest-configuration.js';
 import type {ExpertLayout, RoutingConfiguration} from '../routing/routing-configuration.js';
+import {createSlowRankPublisher} from '../slow-ranks/slow-rank-publisher.js';
 import {createChangeDescriber} from './map-change.js';
 import {planGroup} from './group-planner.js';
 import {RANK_FEED_LONG_POLL_MILLIS} from './rank-agent-constants.js';
@@ -148,6 +149,9 @@
 		follow(deps.configuration.table, {onSnapshot: applyConfiguration, onChanges: applyConfiguration}, lifeCycle.signal);
 		await planGroup({
 			clock, log, readRanks: () => readRanks(openRank), readLayout, versions: createVersionSource(deps.table, log, group, deps.incarnation),
+			slowRanks: createSlowRankPublisher({
+				clock, log, table: deps.table, group,
+			}),
 		}, stopping.signal);
 	}
 
