--- a/src/observability/line-schemas.ts
+++ b/src/observability/line-schemas.ts
@@ -149,13 +149,14 @@
 		version: version.optional(),
 		step: count.optional(),
 		tookMillis: millis.optional(),
+		heldMillis: millis.optional(),
 		epoch: version,
 		copies: count,
 		skewBefore: z.number(),
 		skewAfter: z.number(),
 	}),
 	'map switch steps': z.strictObject({
-		version, step: count, prepareMillis: millis, armMillis: millis, leftOut: count.optional(),
+		version, step: count, prepareMillis: millis, armMillis: millis, heldMillis: millis, leftOut: count.optional(),
 	}),
 	'fencing a map switch off': z.strictObject(mapSwitchFields),
 	'map switch abandoned': z.strictObject(mapSwitchFields),
@@ -169,9 +170,10 @@
 	}),
 	'map version could not be read': z.strictObject({group: z.string(), error: z.string()}),
 	'map version could not be written': z.strictObject({group: z.string(), error: z.string()}),
-	'step already reserved': z.strictObject({
-		group: z.string(), epoch: version, step: count, named: count,
+	'slow ranks': z.strictObject({
+		group: z.string(), epoch: version.optional(), ranks: z.string().optional(), factors: z.string().optional(),
 	}),
+	'slow ranks could not be written': z.strictObject({group: z.string(), error: z.string()}),
 } as const;
 
 /** Lines about the process itself. */
