--- a/src/feeds/long-poll.ts
+++ b/src/feeds/long-poll.ts
@@ -17,6 +17,11 @@
 	return Math.round(MIN_WAIT_MILLIS + (random() * rangeMillis));
 }
 
+/** Draws the wait of one call for a table that changes seldom, at any number of entries. */
+export function chooseSeldomLongPollMillis(random: RandomSource): number {
+	return Math.round(MAX_WAIT_MILLIS * (1 + random()) / 2);
+}
+
 /** Delays after failed calls, as chosen by one of `entries`. */
 export function chooseRetryBackoff(entries: number): Readonly<{initialMillis: number; maxMillis: number}> {
 	return {
--- a/src/gateway/start-gateway.ts
+++ b/src/gateway/start-gateway.ts
@@ -16,7 +16,7 @@
 import type {RandomSource} from '../decisions/random.js';
 import {createFeedInterrupt} from '../feeds/feed-interrupt.js';
 import {combineListeners, followTable, type TableListener} from '../feeds/follow-table.js';
-import {chooseLongPollMillis, chooseRetryBackoff} from '../feeds/long-poll.js';
+import {chooseLongPollMillis, chooseRetryBackoff, chooseSeldomLongPollMillis} from '../feeds/long-poll.js';
 import {createCrashEvidence} from '../membership/crash-evidence.js';
 import {createEntryMembers, type EntryMembers} from '../membership/entry-members.js';
 import {createStoreObservations} from '../membership/store-observations.js';
@@ -239,7 +239,12 @@
 		}
 	});
 
-	function follow(table: string, minIntervalMillis: number, tableListener: TableListener): void {
+	function follow(
+		table: string,
+		minIntervalMillis: number,
+		tableListener: TableListener,
+		chooseWaitMillis = () => chooseLongPollMillis(members.countSharingEntries(), random),
+	): void {
 		void followTable({
 			feed,
 			table,
@@ -247,7 +252,7 @@
 			log,
 			random,
 			signal: lifeCycle.signal,
-			chooseWaitMillis: () => chooseLongPollMillis(members.countSharingEntries(), random),
+			chooseWaitMillis,
 			chooseBackoff: () => chooseRetryBackoff(members.countSharingEntries()),
 			minIntervalMillis,
 			listener: tableListener,
@@ -300,7 +305,7 @@
 	opened.listener = listening.value;
 	follow(deps.configuration.table, 0, combineListeners([evacuations.listener, configuration.listener]));
 	follow(deps.backendServers.table, settings.backendDrainMillis * SERVER_LIST_MIN_INTERVAL_SHARE, servers.listener);
-	follow(SLOW_RANK_TABLE, 0, slowRanks.listener);
+	follow(SLOW_RANK_TABLE, 0, slowRanks.listener, () => chooseSeldomLongPollMillis(random));
 	void members.run(lifeCycle.signal);
 	const {value} = listening;
 	return succeed({
