--- a/src/decisions/flow/flow-constants.ts
+++ b/src/decisions/flow/flow-constants.ts
@@ -28,8 +28,8 @@
 export const HOLD_TIME_WEIGHT = 0.05;
 /** Longest wait of a request as a share of its latency target; a request that would wait longer is refused early. */
 export const MAX_WAIT_SHARE = 0.3;
-/** Share of the permits that late requests leave to those which can still be on time; otherwise a backlog makes each request behind it late too. */
-export const LATE_RESERVED_SHARE = 0.15;
+/** Share of the permits that late requests leave to those which can still be on time: room for a shift of expert popularity, which at a full limit makes all streams late. */
+export const LATE_RESERVED_SHARE = 0.3;
 /** Largest number of requests of a service queued at one process. */
 export const MAX_QUEUED_REQUESTS = 512;
 /** Shortest time after which a refused caller is told to retry, in milliseconds. */
