--- a/src/decisions/flow/flow-constants.ts
+++ b/src/decisions/flow/flow-constants.ts
@@ -26,7 +26,7 @@
 export const INTERRUPTION_FACTOR = 2;
 /** Weight of the latest request in the moving average of the time that a permit is held. */
 export const HOLD_TIME_WEIGHT = 0.05;
-/** Longest wait of a request as a share of its latency target; a request that would wait longer is refused early. */
+/** Longest wait for a pause or limit that backend servers state, as a share of the latency target; a request that would wait longer is refused at once. */
 export const MAX_WAIT_SHARE = 0.3;
 /** Share of the permits that late requests leave to those which can still be on time: room for a shift of expert popularity, which at a full limit makes all streams late. */
 export const LATE_RESERVED_SHARE = 0.3;
