--- a/fakes/http/stand-in.ts
+++ b/fakes/http/stand-in.ts
@@ -3,7 +3,7 @@
 import {getRequestListener, type HttpBindings} from '@hono/node-server';
 import {Hono} from 'hono';
 import {invariant} from '../../src/core/invariant.js';
-import {parseHostPort} from '../../src/core/listen-on.js';
+import {parseHostPort} from '../../src/core/host-port.js';
 import {createFaultControl, type FaultControl} from '../faults/fault-control.js';
 import {registerFaultMiddleware} from '../faults/fault-middleware.js';
 import {registerControlRoutes} from './control-routes.js';
--- a/src/agent/link-server.ts
+++ b/src/agent/link-server.ts
@@ -3,7 +3,7 @@
 import type {LinkAccess} from '../access/link-access.js';
 import type {Clock} from '../core/clock.js';
 import type {ListenError} from '../core/listen-error.js';
-import {parseHostPort} from '../core/listen-on.js';
+import {parseHostPort} from '../core/host-port.js';
 import {fail, succeed, type Result} from '../core/result.js';
 import {LISTENER_CLOSE_TIMEOUT_MILLIS, MAX_FRAME_BYTES} from './agent-constants.js';
 
--- a/src/gateway/caller-listener.ts
+++ b/src/gateway/caller-listener.ts
@@ -3,6 +3,7 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import type {Clock} from '../core/clock.js';
 import {describeError} from '../core/describe-error.js';
+import type {EarlyListener} from '../core/early-listener.js';
 import type {LifeCycle} from '../core/life-cycle.js';
 import type {ListenError} from '../core/listen-error.js';
 import {listenOn} from '../core/listen-on.js';
@@ -37,6 +38,8 @@
 export type CallerListenerDeps = Readonly<{
 	/** `IP:port`. */
 	address: string;
+	/** Where it is bound already; optional. */
+	earlyListener?: EarlyListener;
 	maxConnections: number;
 	/** Largest number of bytes that request bodies may occupy, and that answers may occupy, each in sum. */
 	maxBufferedBytes: number;
@@ -173,7 +176,7 @@
 		void handle(req, res);
 	});
 	server.maxConnections = deps.maxConnections;
-	const listening = await listenOn(server, address);
+	const listening = await listenOn(server, address, deps.earlyListener);
 	if (!listening.ok) {
 		return listening;
 	}
--- a/src/gateway/start-gateway.ts
+++ b/src/gateway/start-gateway.ts
@@ -1,5 +1,6 @@
 /** Starts a gateway: accepts calls and sends them directly to backend servers, using the protocol of its deployment. */
 import type {Clock} from '../core/clock.js';
+import type {EarlyListener} from '../core/early-listener.js';
 import type {Incarnation} from '../core/ids.js';
 import type {LifeCycle} from '../core/life-cycle.js';
 import type {ListenError} from '../core/listen-error.js';
@@ -59,6 +60,8 @@
 	codec: CallCodec;
 	feed: TableFeed;
 	table: TableStore;
+	/** Listener for callers that was opened while the process was being loaded; optional. */
+	earlyListener?: EarlyListener;
 	/** Socket for the datagrams between entries. */
 	socket: DatagramSocket;
 	configuration: Readonly<{table: string; read: ReadConfiguration}>;
@@ -289,6 +292,7 @@
 	};
 	const listening = await listenForCallers({
 		address: settings.callerListen,
+		earlyListener: deps.earlyListener,
 		maxConnections: settings.maxConnections,
 		maxBufferedBytes: settings.memoryBytes === undefined ? MAX_BUFFERED_BYTES : settings.memoryBytes * BUFFERED_MEMORY_SHARE,
 		metrics,
--- a/src/observability/enabled-roarr.ts
+++ b/src/observability/enabled-roarr.ts
@@ -4,4 +4,5 @@
 process.env.ROARR_LOG = 'true';
 
 /** The log library, with its output enabled. */
-export const {ROARR, Roarr} = await import('roarr');
+const {default: roarr} = await import('roarr');
+export const {ROARR, Roarr} = roarr;
--- a/src/rank-agent/start-rank-agent.ts
+++ b/src/rank-agent/start-rank-agent.ts
@@ -5,7 +5,7 @@
 import type {Incarnation} from '../core/ids.js';
 import type {LifeCycle} from '../core/life-cycle.js';
 import type {ListenError} from '../core/listen-error.js';
-import {parseHostPort} from '../core/listen-on.js';
+import {parseHostPort} from '../core/host-port.js';
 import {succeed, type Result} from '../core/result.js';
 import type {RandomSource} from '../decisions/random.js';
 import {followTable, type TableListener} from '../feeds/follow-table.js';
