--- a/src/decisions/flow/flow-constants.ts
+++ b/src/decisions/flow/flow-constants.ts
@@ -18,10 +18,6 @@
 export const MIN_BATCH_SHARE = 0.3;
 /** Requests for each slot of a plain service, its queue included; the service sheds load beyond its own queue. */
 export const PLAIN_REQUESTS_PER_SLOT = 2;
-/** Time for which pauses must have been out of reach of their latency target at any load before all slots are filled, in milliseconds; longer than it takes to balance the experts after a shift of their popularity. */
-export const MIN_UNATTAINABLE_MILLIS = 1500;
-/** Share of the smallest limit from which a limit that is predicted while all slots are filled is tried. */
-export const FILLED_PREDICTION_SHARE = 0.6;
 /** Factor to the pause before it from which a late pause is taken for an interruption of the group instead of load; a prompt in the same step adds less. */
 export const INTERRUPTION_FACTOR = 2;
 /** Weight of the latest request in the moving average of the time that a permit is held. */
--- a/src/decisions/flow/stream-concurrency-limit.ts
+++ b/src/decisions/flow/stream-concurrency-limit.ts
@@ -1,13 +1,10 @@
 /**
  * Keeps the load below the point at which all streams of a lock-step group become late together: one request too many slows
  * all of them, and the number of requests in flight alone does not show it. The limit follows the pauses between events.
- *
- * Where streams would be late even at a small load, as while one rank is many times slower than the others, a small limit serves nobody in
- * time. Then the slots are filled, so that as many requests as possible are served late instead of being refused.
  */
 import {
-	TARGET_PAUSE_RATIO, FIXED_STEP_TIME_SHARE, FILLED_PREDICTION_SHARE, INTERRUPTION_FACTOR, LIMIT_DECREASE_GAIN, LIMIT_INCREASE_GAIN,
-	INITIAL_BATCH_SHARE, MIN_BATCH_SHARE, MIN_PAUSE_SAMPLES, LIMIT_UPDATE_INTERVAL_MILLIS, MIN_UNATTAINABLE_MILLIS, PAUSE_QUANTILE,
+	TARGET_PAUSE_RATIO, FIXED_STEP_TIME_SHARE, INTERRUPTION_FACTOR, LIMIT_DECREASE_GAIN, LIMIT_INCREASE_GAIN,
+	INITIAL_BATCH_SHARE, MIN_BATCH_SHARE, MIN_PAUSE_SAMPLES, LIMIT_UPDATE_INTERVAL_MILLIS, PAUSE_QUANTILE,
 } from './flow-constants.js';
 
 /** Limit on the requests that this process has in flight at the engines of one service. */
@@ -45,28 +42,10 @@
 	let ratios: number[] = [];
 	let totalInFlight = 0;
 	let changedAtMillis = -Infinity;
-	/** Since when the latency target of pauses is out of reach at the smallest limit; undefined while it is not. */
-	let unattainableSinceMillis: number | undefined;
-
-	/** Whether the target has been out of reach for so long that all slots are filled. */
-	function isFilling(): boolean {
-		return unattainableSinceMillis !== undefined && changedAtMillis - unattainableSinceMillis >= MIN_UNATTAINABLE_MILLIS;
-	}
-
 	function updateShare(): void {
-		const wasFilling = isFilling();
-		const predictedShare = predictLimit(readQuantile(ratios, PAUSE_QUANTILE), totalInFlight / ratios.length) / Math.max(1, slots);
-		// A prediction from all slots in use is rough, so that a smaller load is tried early.
-		const attainableShare = MIN_BATCH_SHARE * (wasFilling ? FILLED_PREDICTION_SHARE : 1);
-		unattainableSinceMillis = predictedShare < attainableShare ? unattainableSinceMillis ?? changedAtMillis : undefined;
-		const targetShare = isFilling() ? 1 : Math.min(1, Math.max(MIN_BATCH_SHARE, predictedShare));
-		if (wasFilling) {
-			// Nothing was kept on time, so there is nothing to approach slowly.
-			share = targetShare;
-		} else {
-			share += (targetShare - share) * (targetShare > share ? LIMIT_INCREASE_GAIN : LIMIT_DECREASE_GAIN);
-		}
-
+		const predicted = predictLimit(readQuantile(ratios, PAUSE_QUANTILE), totalInFlight / ratios.length);
+		const targetShare = Math.min(1, Math.max(MIN_BATCH_SHARE, predicted / Math.max(1, slots)));
+		share += (targetShare - share) * (targetShare > share ? LIMIT_INCREASE_GAIN : LIMIT_DECREASE_GAIN);
 		ratios = [];
 		totalInFlight = 0;
 	}
