--- a/src/gateway/routed-call.ts
+++ b/src/gateway/routed-call.ts
@@ -6,7 +6,7 @@
 import type {Call} from './call.js';
 import {STOPPING_RETRY_AFTER_MILLIS} from './gateway-constants.js';
 import type {GatewayContext} from './gateway-context.js';
-import {describePrompt} from './prompt-cost.js';
+import {describePrompt} from './describe-prompt.js';
 import {createFingerprint} from './request-fingerprint.js';
 import {createNotRunRefusal, type Refusal} from './refusal.js';
 import type {ServiceFlow} from './service-flows.js';
