--- a/src/map-switch/switch-map.ts
+++ b/src/map-switch/switch-map.ts
@@ -154,7 +154,7 @@
 	= | Readonly<{
 		tag: 'held';
 		step: number;
-		/** Monotonic time at which the pass was expected to begin. */
+		/** Monotonic time at which the pass was expected to begin; infinite in an idle group, which makes no passes. */
 		dueMillis: number;
 	}>
 	| Readonly<{tag: 'not_held'; mayHold: boolean}>;
@@ -184,7 +184,7 @@
 			epoch, timeoutMillis: HOLD_TIMEOUT_MILLIS, pollMillis: ARM_POLL_INTERVAL_MILLIS, isDone: ({heldStep}) => heldStep === step,
 		});
 		if (effect === 'done') {
-			return {tag: 'held', step, dueMillis: nowMillis + ((step - begun) * (passMillis ?? 0))};
+			return {tag: 'held', step, dueMillis: nowMillis + ((step - begun) * (passMillis ?? Infinity))};
 		}
 
 		if (effect === 'late') {
