--- a/src/decisions/caller-routing/entry-weights.ts
+++ b/src/decisions/caller-routing/entry-weights.ts
@@ -25,8 +25,8 @@
 
 /**
  * Computes the weight of each entry: the smaller of its processor time and bandwidth, each relative to the median of the entries.
- * An entry without a known capacity weighs as much as the median entry. Undefined if the known capacities differ by no more
- * than a quarter; the entries then count as equal.
+ * An entry without a known capacity gets the weight of the median entry. The result is undefined if the known capacities differ by
+ * no more than a quarter; the entries then count as equal.
  */
 export function weighEntries(capacities: readonly Capacity[]): readonly number[] | undefined {
 	const cpuRatios = compareToMedian(capacities.map(({cpuCores}) => cpuCores));
--- a/src/decisions/flow/flow-constants.ts
+++ b/src/decisions/flow/flow-constants.ts
@@ -34,7 +34,7 @@
 export const MAX_RETRY_AFTER_MILLIS = 2500;
 /** Time constant with which the arrival rate of a priority decays, in milliseconds; shorter than the peaks of 3 s that it must follow. */
 export const ARRIVAL_RATE_TIME_CONSTANT_MILLIS = 1500;
-/** Largest share of the permits of a service, beyond the first, that is reserved; in the replayed peaks a half cost the least urgent requests more than the others gained. */
+/** Largest share of the permits of a service, beyond the first, that is reserved; a larger reserve costs the least urgent requests more than the others gain in a peak. */
 export const MAX_RESERVED_SHARE = 0.25;
 /** Time without a permit after which the next request of a priority goes ahead of all others, in milliseconds; about the time that a permit is held. */
 export const STARVATION_BOUND_MILLIS = 1500;
--- a/src/decisions/flow/group-refusals.ts
+++ b/src/decisions/flow/group-refusals.ts
@@ -1,13 +1,14 @@
 /**
- * Handles the loss of one engine of a rank group where a service has several groups: all engines of the group stall and refuse,
- * naming the faulty one. One such refusal counts for the whole group, so that a process need not learn it from each engine.
+ * Handles the loss of one engine of a rank group: all engines of the group stall and refuse, naming the faulty one. One such refusal counts for
+ * the whole group, so that a process need not learn it from each engine. Where the service has other groups, requests go there; where it has
+ * none, they wait, while single ones try whether the group accepts requests again.
  */
 import {GROUP_PROBE_INTERVAL_MILLIS, GROUP_REFUSAL_TTL_MILLIS, MAX_OUTAGE_WAITED_FOR_MILLIS} from './flow-constants.js';
 
 /** A group in one epoch; a group that has formed again is a different one. */
 export type GroupEpoch = Readonly<{name: string; epoch: number}>;
 
-/** Refusals of a group in one epoch: the first and the last one, and the last request that was sent to try it. */
+/** Refusals of a group in one epoch: times of the first and the last one, and of the last request that was sent to try the group. */
 type Refusal = Readonly<{epoch: number; sinceMillis: number; atMillis: number; triedAtMillis: number}>;
 
 /** Groups that have refused recently. */
--- a/src/decisions/placement/popularity-change.ts
+++ b/src/decisions/placement/popularity-change.ts
@@ -21,7 +21,7 @@
 
 /** Comparison of samples of the choices of experts. */
 export type PopularityChange = Readonly<{
-	/** Records how often each expert of each layer was chosen since the last sample; true if the popularity has changed. */
+	/** Compares the counts since the last sample, by layer and expert, with the samples before; returns whether the popularity has changed. */
 	observe: (counts: readonly number[]) => boolean;
 }>;
 
--- a/src/gateway/caller-reply.ts
+++ b/src/gateway/caller-reply.ts
@@ -28,7 +28,7 @@
 	let resumers: ReadonlyArray<() => void> = [];
 	res.sendDate = false;
 
-	/** Writes until the connection takes no more. A write is done only when all its bytes have left, so it must not be large. */
+	/** Writes until the connection takes no more. A write completes only when all its bytes have left, so small ones show the progress of the caller. */
 	function flush(): void {
 		while (unwritten[0] && !res.writableNeedDrain && !res.destroyed) {
 			const [first] = unwritten;
--- a/src/map-switch/map-switch-constants.ts
+++ b/src/map-switch/map-switch-constants.ts
@@ -4,8 +4,8 @@
 export const PROPOSALS_PER_BLOCK = 16;
 /** Proposals left in a block below which the next one is allocated; enough for an outage of the store of a few shifts. */
 export const MIN_SPARE_PROPOSALS = 10;
-/** Number of remainders by which the passes of successive proposers differ. */
-export const PROPOSER_TURNS = 2;
+/** Divisor of the remainders by which the passes of successive proposers differ. */
+export const STEP_REMAINDERS = 2;
 /** Least passes from the last one begun to the one at which a switch takes effect. */
 export const MIN_LEAD_STEPS = 2;
 /** Most passes of that lead; a later switch gains less before popularity shifts again. */
--- a/src/map-switch/switch-timing.ts
+++ b/src/map-switch/switch-timing.ts
@@ -10,7 +10,7 @@
 /** Moving mean and mean deviation of durations, in milliseconds. */
 export type DurationEstimate = Readonly<{
 	note: (millis: number) => void;
-	/** Duration that is rarely exceeded; undefined before the first one. */
+	/** Mean plus this many mean deviations; undefined before the first duration. */
 	read: (deviations: number) => number | undefined;
 }>;
 
@@ -30,7 +30,7 @@
 
 /** What the orders and switches of one group have taken lately. */
 export type SwitchTiming = Readonly<{
-	/** Records the time from an order that had to be sent only once to its answer, in milliseconds. */
+	/** Records the time from an order to its answer, in milliseconds; orders without an answer are not recorded. */
 	noteAnswer: (millis: number) => void;
 	/** Records the time from the order to hold a group to its release, in milliseconds. */
 	noteSwitch: (millis: number) => void;
@@ -45,7 +45,7 @@
 
 /** Orders that follow one another between hold and release: hold, arm all, arm the anchor, arm the planner's rank, release. */
 const SUCCESSIVE_ORDERS = 5;
-/** Of these, the ones that a single rank gets, which are sent again less often than those for all ranks. */
+/** Of these, the number that is expected to be sent again as often as the orders to all ranks; most go to a single rank. */
 const REPEATED_ORDERS = 2;
 
 /** Creates the timing of a group whose orders have not been measured. */
--- a/src/map-switch/version-row.ts
+++ b/src/map-switch/version-row.ts
@@ -6,7 +6,7 @@
 import type {Log} from '../observability/log.js';
 import type {Row, TableStore} from '../ports/table-store.js';
 import {
-	MIN_SPARE_PROPOSALS, PROPOSALS_PER_BLOCK, PROPOSER_TURNS, VERSIONS_PER_PROPOSAL,
+	MIN_SPARE_PROPOSALS, PROPOSALS_PER_BLOCK, STEP_REMAINDERS, VERSIONS_PER_PROPOSAL,
 } from './map-switch-constants.js';
 import type {SwitchDeps} from './switch-map.js';
 
@@ -16,17 +16,17 @@
 const rowSchema = z.object({
 	owner: z.string(),
 	/** Remainder of the passes that the owner uses; the next owner uses another one. */
-	turn: z.number().int().nonnegative(),
+	stepRemainder: z.number().int().nonnegative(),
 });
 
 type VersionSource = Pick<SwitchDeps, 'takeVersion' | 'chooseStep'>;
 
-/** Versions of one write of the row, which are unique because the row version is. */
-type Block = Readonly<{firstVersion: number; turn: number}>;
+/** Versions that one write of the row allocates, and the remainder of the passes that go with them. */
+type Block = Readonly<{firstVersion: number; stepRemainder: number}>;
 
 /**
- * Creates the version source of one proposer. A block of versions derives from the row version of its write, which is unique. Passes are told
- * apart by their remainder: a proposer uses another one than the proposer before it, and each of its passes once.
+ * Creates the version source of one proposer. The versions of a block follow from the row version of its write, which is unique. Successive
+ * proposers choose passes with different remainders, and a proposer chooses each pass once, so no two proposals name the same pass.
  */
 export function createVersionSource(table: TableStore, log: Log, group: string, owner: string): VersionSource {
 	let row: Row | undefined;
@@ -52,13 +52,13 @@
 	}
 
 	/** Remainder of the passes of this proposer: its own, if it wrote the row, or else the one after that of the last owner. */
-	function chooseTurn(): number {
+	function chooseRemainder(): number {
 		const parsed = rowSchema.safeParse(row?.value);
 		if (!parsed.success) {
 			return 0;
 		}
 
-		return isOwn(row) ? parsed.data.turn : (parsed.data.turn + 1) % PROPOSER_TURNS;
+		return isOwn(row) ? parsed.data.stepRemainder : (parsed.data.stepRemainder + 1) % STEP_REMAINDERS;
 	}
 
 	/** Writes the row for a further block; without an answer of the store, the current block stays in use. */
@@ -67,10 +67,10 @@
 			return;
 		}
 
-		const turn = chooseTurn();
+		const stepRemainder = chooseRemainder();
 		const written = await table.transact({
 			conditions: [{table: MAP_VERSION_TABLE, key: group, version: row?.version ?? 0}],
-			writes: [{table: MAP_VERSION_TABLE, key: group, value: {owner, turn}}],
+			writes: [{table: MAP_VERSION_TABLE, key: group, value: {owner, stepRemainder}}],
 		});
 		row = written.ok ? written.value[0] : undefined;
 		if (!written.ok) {
@@ -78,7 +78,7 @@
 			// If another proposer has written the row, its passes may have the remainder of this one. A write of this one may take effect late.
 			block = written.error.tag === 'conflict' && !isOwn(written.error.rows[0]) ? undefined : block;
 		} else if (row) {
-			block = {firstVersion: row.version * PROPOSALS_PER_BLOCK * VERSIONS_PER_PROPOSAL, turn};
+			block = {firstVersion: row.version * PROPOSALS_PER_BLOCK * VERSIONS_PER_PROPOSAL, stepRemainder};
 			used = 0;
 		}
 	}
@@ -114,7 +114,7 @@
 			}
 
 			const firstStep = lastStep.epoch === epoch ? Math.max(earliestStep, lastStep.step + 1) : earliestStep;
-			const step = firstStep + ((((block.turn - firstStep) % PROPOSER_TURNS) + PROPOSER_TURNS) % PROPOSER_TURNS);
+			const step = firstStep + ((((block.stepRemainder - firstStep) % STEP_REMAINDERS) + STEP_REMAINDERS) % STEP_REMAINDERS);
 			lastStep = {epoch, step};
 			return step;
 		},
--- a/src/slow-ranks/__tests__/slow-ranks.test.ts
+++ b/src/slow-ranks/__tests__/slow-ranks.test.ts
@@ -49,7 +49,7 @@
 	assert.deepEqual(chooseSlowRanks([3, 3, 1], []), [], 'a small group keeps all ranks');
 });
 
-/** Publisher whose writes arrive at a list, unless the store is away. */
+/** A publisher and a list, connected by a fake store that can be unavailable. */
 function createPair() {
 	const clock = createManualClock();
 	const list = createSlowRankList({clock, log: silentLog});
--- a/src/slow-ranks/slow-rank-list.ts
+++ b/src/slow-ranks/slow-rank-list.ts
@@ -11,17 +11,19 @@
 export type SlowRankList = Readonly<{
 	/** Whether this rank is slow; false for a backend server without a group. */
 	isSlow: (group: RankGroupMembership | undefined) => boolean;
-	/** Calls `listener` after each change, until the teardown is called. */
-	registerListener: (listener: Teardown) => Teardown;
+	/** Calls `listener` whenever rows have been read, until the teardown is called. */
+	registerListener: (listener: () => void) => Teardown;
+	/** Takes the rows of the table over. */
 	listener: TableListener;
 }>;
 
+/** A row with the monotonic time at which it was read. */
 type Known = SlowRanks & Readonly<{atMillis: number}>;
 
 /** Creates an empty list. */
 export function createSlowRankList({clock, log}: Readonly<{clock: Clock; log: Log}>): SlowRankList {
 	const byGroup = new Map<string, Known>();
-	const listeners = new Set<Teardown>();
+	const listeners = new Set<() => void>();
 
 	function applyRow({key, text}: FeedRow): void {
 		const row = text === undefined ? undefined : parseSlowRanks(text);
