Never join what the caller has got with an answer that does not continue it

Callers saw: after the first events of a stream, the body of an error of the next backend server (400,000 bytes of a 500, 404 or 302), and an orderly end; a stream completed by a 200 of another type or without one; plain answers of two backend servers in one body, complete, after the first had broken off beyond 256 KiB.

Cause: whether bytes had gone out was not asked before an attempt was repeated or its answer was forwarded. The class is "an answer is written behind another one". Places: the buffering sink above its limit; the delivery of a small 2xx; the retry of a plain answer, of a stream that was forwarded as a plain body and of one without ids; the move from a slow rank.

Change: the progress of an answer says whether another attempt can continue it (nothing forwarded, or events up to one with an id). Only an event stream whose first event has the next id, or which is over, continues a stream; comments are passed on. Else the connection is broken off.

--- a/src/gateway/__tests__/next-step.test.ts
+++ b/src/gateway/__tests__/next-step.test.ts
@@ -8,7 +8,7 @@
 
 function head(status: number): FramedHead {
 	return {
-		status, attemptId: 'a', isNotRun: false, isSigned: true, isEncoded: false, contentLength: 0, isEndedByConnection: false, load: undefined, faultyServer: undefined,
+		status, attemptId: 'a', isNotRun: false, isSigned: true, isEncoded: false, isEventStream: undefined, contentLength: 0, isEndedByConnection: false, load: undefined, faultyServer: undefined,
 		isLeaving: false, retryAfterMillis: undefined, requestsPerSecond: undefined, forwardedHeaders: [],
 	};
 }
--- a/src/gateway/answer-sink.ts
+++ b/src/gateway/answer-sink.ts
@@ -14,6 +14,8 @@
 	lastEventId: number | undefined;
 	/** Monotonic time of the last event; undefined before the first. */
 	lastEventAtMillis: number | undefined;
+	/** Whether another attempt can continue what was forwarded so far: nothing, or events up to one with an id. */
+	canContinue: boolean;
 };
 
 /** Dependencies of a sink, taken from its call. */
@@ -38,7 +40,7 @@
 
 /** What became of an answer whose framing is complete. */
 export type SinkResult
-	/** All of it was forwarded. */
+	/** All of it was forwarded; nothing, if it is the end of a stream that has begun. */
 	= | Readonly<{tag: 'forwarded'}>
 	/** It is still to be delivered. */
 		| Readonly<{tag: 'buffered'; body: Uint8Array}>
@@ -48,23 +50,32 @@
 /** Forwards only complete events, so that another attempt can resume after the last one. */
 function createEventSink(head: FramedHead, {reply, clock, progress, onEvent}: SinkDeps): AnswerSink {
 	const splitter: EventSplitter = createEventSplitter();
-	let hasForwarded = false;
+	const isContinuation = reply.areHeadersSent();
+	/** Whether this answer is known to begin where the former one broke off. */
+	let isInSequence = !isContinuation;
 
 	function forward(bytes: Uint8Array): void {
 		if (!reply.areHeadersSent()) {
 			reply.writeHead(head.status, head.forwardedHeaders, head.isEndedByConnection);
 		}
 
-		hasForwarded = true;
 		reply.write(bytes);
 	}
 
-	function forwardEvent({id, bytes}: StreamEvent): boolean {
+	function forwardEvent({id, isComment, bytes}: StreamEvent): boolean {
 		const {lastEventId, lastEventAtMillis} = progress;
-		if (id !== undefined && lastEventId !== undefined && id !== lastEventId + 1) {
+		if (isComment) {
+			forward(bytes);
+			return true;
+		}
+
+		if (id === undefined ? !isInSequence : lastEventId !== undefined && id !== lastEventId + 1) {
 			return false;
 		}
 
+		isInSequence = true;
+		progress.canContinue = id !== undefined;
+
 		const nowMillis = clock.monotonicMillis();
 		onEvent(lastEventAtMillis === undefined ? undefined : nowMillis - lastEventAtMillis);
 		progress.lastEventId = id ?? lastEventId;
@@ -87,13 +98,14 @@
 				return {tag: 'truncated'};
 			}
 
-			return hasForwarded ? {tag: 'forwarded'} : {tag: 'buffered', body: new Uint8Array(0)};
+			return reply.areHeadersSent() ? {tag: 'forwarded'} : {tag: 'buffered', body: new Uint8Array(0)};
 		},
 	};
 }
 
-/** Buffers an answer until it is complete, unless it exceeds the buffer limit. */
-function createBufferingSink(head: FramedHead, {reply}: SinkDeps): AnswerSink {
+/** Buffers an answer until it is complete; forwards one that exceeds the buffer limit, unless another one has begun. */
+function createBufferingSink(head: FramedHead, {reply, progress}: SinkDeps): AnswerSink {
+	const hasOtherBegun = reply.areHeadersSent();
 	let buffered: Uint8Array[] = [];
 	let size = 0;
 	let isForwarding = (head.contentLength ?? 0) > MAX_BUFFERED_ANSWER_BYTES;
@@ -109,6 +121,7 @@
 		}
 
 		buffered = [];
+		progress.canContinue = false;
 	}
 
 	return {
@@ -121,6 +134,10 @@
 			}
 
 			isForwarding ||= size > MAX_BUFFERED_ANSWER_BYTES;
+			if (isForwarding && hasOtherBegun) {
+				return `status ${head.status} with a body that does not continue the answer`;
+			}
+
 			if (isForwarding) {
 				forwardBuffered();
 			}
@@ -138,8 +155,13 @@
 	};
 }
 
+/** Whether the answer is consumed event by event. One without a type may be an event stream, but does not continue another one. */
+function isConsumedByEvent({status, isEventStream}: FramedHead, {isStreaming, reply}: SinkDeps): boolean {
+	return isStreaming && status >= 200 && status < 300 && (isEventStream ?? !reply.areHeadersSent());
+}
+
 /** Creates the sink for an answer with these headers. */
 export function createAnswerSink(head: FramedHead, deps: SinkDeps): AnswerSink {
-	const isEventStream = deps.isStreaming && head.status >= 200 && head.status < 300;
+	const isEventStream = isConsumedByEvent(head, deps);
 	return isEventStream ? createEventSink(head, deps) : createBufferingSink(head, deps);
 }
--- a/src/gateway/call-progress.ts
+++ b/src/gateway/call-progress.ts
@@ -23,7 +23,7 @@
 export function createCallProgress(call: Call): CallProgress {
 	return {
 		triedServers: new Set(),
-		answer: {lastEventId: readLastEventId(call), lastEventAtMillis: undefined},
+		answer: {lastEventId: readLastEventId(call), lastEventAtMillis: undefined, canContinue: true},
 		attempts: 0,
 		mayHaveRun: false,
 		lastNotRunCause: 'no_backend_server',
--- a/src/gateway/event-splitter.ts
+++ b/src/gateway/event-splitter.ts
@@ -5,6 +5,8 @@
 export type StreamEvent = Readonly<{
 	/** Event id; undefined if it is missing or not an integer. */
 	id: number | undefined;
+	/** Whether it has only comment lines, which callers ignore. */
+	isComment: boolean;
 	bytes: Uint8Array;
 }>;
 
@@ -20,9 +22,13 @@
 export const CARRIAGE_RETURN = 0x0D;
 const ID_LINE = /^id:\s*(?<id>\d+)\s*$/mv;
 
-function readEventId(bytes: Uint8Array): number | undefined {
-	const id = ID_LINE.exec(Buffer.from(bytes).toString('latin1'))?.groups?.id;
-	return id === undefined ? undefined : Number(id);
+/** Matches an event of which each line is empty or a comment. */
+const COMMENT_LINES = /^(?:(?::.*)?\r?\n)*$/v;
+
+function readEvent(bytes: Uint8Array): StreamEvent {
+	const text = Buffer.from(bytes).toString('latin1');
+	const id = ID_LINE.exec(text)?.groups?.id;
+	return {id: id === undefined ? undefined : Number(id), isComment: id === undefined && COMMENT_LINES.test(text), bytes};
 }
 
 /** Offset just after the first blank line at or after `from`; -1 if there is none. */
@@ -47,7 +53,7 @@
 			const events: StreamEvent[] = [];
 			for (let end = findEventEnd(unsplit, 0); end !== -1; end = findEventEnd(unsplit, 0)) {
 				const bytes = unsplit.subarray(0, end);
-				events.push({id: readEventId(bytes), bytes});
+				events.push(readEvent(bytes));
 				unsplit = unsplit.subarray(end);
 			}
 
--- a/src/gateway/finish-call.ts
+++ b/src/gateway/finish-call.ts
@@ -102,21 +102,17 @@
 	}
 }
 
-/** Delivers a complete answer. If a stream has already begun, only a successful answer can be delivered, as its continuation. */
+/** Delivers a complete answer, unless another one has begun: its body would be read as a part of that one. */
 function deliverAnswer(ctx: GatewayContext, routed: RoutedCall, progress: CallProgress, {head, body}: Extract<AttemptOutcome, {tag: 'answered'}>): void {
 	const {reply} = routed.call;
-	const isContinuation = reply.areHeadersSent() && head.status >= 200 && head.status < 300;
-	if (reply.areHeadersSent() && !isContinuation) {
+	if (reply.areHeadersSent()) {
 		recordCall(ctx, routed, progress, 'unknown');
 		refuseCall(ctx, routed.call, {tag: 'unknown', reason: 'lost'}, {route: routed.route.name, attempts: progress.attempts, status: head.status});
 		return;
 	}
 
 	recordCall(ctx, routed, progress, 'answered');
-	if (!isContinuation) {
-		reply.writeHead(head.status, head.forwardedHeaders, head.isEndedByConnection);
-	}
-
+	reply.writeHead(head.status, head.forwardedHeaders, head.isEndedByConnection);
 	reply.write(body);
 	reply.end();
 }
--- a/src/gateway/send-to-backend-server.ts
+++ b/src/gateway/send-to-backend-server.ts
@@ -38,10 +38,10 @@
  * Whether a call at a slow rank is continued elsewhere. A call that may be sent once more is, as far as the retry budget allows: it would
  * delay the streams of the whole group until its end.
  */
-function mayMove({slowRanks, readServers}: GatewayContext, {route, service, flow}: RoutedCall, {attempts, triedServers}: CallProgress): boolean {
+function mayMove({slowRanks, readServers}: GatewayContext, {route, service, flow}: RoutedCall, {answer, attempts, triedServers}: CallProgress): boolean {
 	const hasOther = [...readServers().values()].some(server =>
 		server.service === service && server.state === 'ready' && !slowRanks.isSlow(server.group) && !triedServers.has(server.id));
-	return route.retryRule !== 'at_most_once' && attempts + 1 < route.maxAttempts && hasOther && flow.retryBudget.tryTake();
+	return route.retryRule !== 'at_most_once' && answer.canContinue && attempts + 1 < route.maxAttempts && hasOther && flow.retryBudget.tryTake();
 }
 
 /** Backend server of an attempt and the time left for it. */
--- a/src/gateway/serve-call.ts
+++ b/src/gateway/serve-call.ts
@@ -240,9 +240,9 @@
 	/* eslint-enable no-await-in-loop */
 }
 
-/** Whether the route's limit and the retry budget allow another attempt. An attempt that was not sent counts for neither. */
+/** Whether another attempt can continue what the caller has got, and the route's limit and the retry budget allow it. An attempt that was not sent counts for neither. */
 function mayRetry(ctx: GatewayContext, {call, route, flow}: RoutedCall, progress: CallProgress, outcome: AttemptOutcome): boolean {
-	if (call.disconnectSignal.aborted) {
+	if (call.disconnectSignal.aborted || !progress.answer.canContinue) {
 		return false;
 	}
 
--- a/src/ports/call-codec.ts
+++ b/src/ports/call-codec.ts
@@ -48,6 +48,8 @@
 	isSigned: boolean;
 	/** Whether the body has a content encoding; no backend server uses one. */
 	isEncoded: boolean;
+	/** Whether the body is a stream of events; undefined when the headers state no type. */
+	isEventStream: boolean | undefined;
 	/** Body length in bytes; undefined when the framing marks the end of the body. */
 	contentLength: number | undefined;
 	load: ReportedLoad | undefined;
