Read no backend server from an entry whose numbers or address cannot be used

Callers saw: gateways that end again and again, each with its requests, after another writer left an entry with the address 10.0.0.1:99999.

Cause: the address was checked by its characters only. `new Client` threw in `send`; the exception left a promise unresolved whose timer then used a variable before its initialization, which ended the process. The class is "a value is checked for its type, not for its range".

Readers looked at: address (connections, probe of a crash, datagrams between entries: an error each, no exception); slots (sums of limits, permits that are lent: 2^53 tickets were listed one by one); size and rank of a group (the agent lists one place for each rank); time left cold (a timer of more than 24 days fires at once); start time. Weights, directory and the entries' own rows read none of these. Deep nesting was survived before and is.

--- a/src/adapters/__tests__/udp-socket.test.ts
+++ b/src/adapters/__tests__/udp-socket.test.ts
@@ -33,6 +33,13 @@
 	assert.equal(second.error.address, `127.0.0.1:${one.port}`);
 });
 
+void test('sending to an address with a port out of range does not throw', async () => {
+	const socket = await open();
+	for (const address of ['127.0.0.1:99999', '127.0.0.1:0', '...:80', 'nobody']) {
+		socket.send(address, Buffer.from('x'));
+	}
+});
+
 void test('sending after the shutdown, or to nobody, is a lost datagram', async () => {
 	const other = createLifeCycle();
 	const socket = await openUdpSocket('127.0.0.1:0', other, silentLog);
--- a/src/adapters/udp-socket.ts
+++ b/src/adapters/udp-socket.ts
@@ -3,7 +3,7 @@
 import {describeError} from '../core/describe-error.js';
 import type {LifeCycle} from '../core/life-cycle.js';
 import type {ListenError} from '../core/listen-error.js';
-import {parseHostPort} from '../core/host-port.js';
+import {isSocketAddress, parseHostPort} from '../core/host-port.js';
 import {fail, succeed, type Result} from '../core/result.js';
 import type {Log} from '../observability/log.js';
 import type {DatagramSocket} from '../ports/datagram-socket.js';
@@ -43,6 +43,11 @@
 				return;
 			}
 
+			if (!isSocketAddress(to)) {
+				noteFailure(`not an address: ${to}`);
+				return;
+			}
+
 			const target = parseHostPort(to);
 			socket.send(bytes, target.port, target.host, err => {
 				if (err) {
--- a/src/gateway/backend-connections.ts
+++ b/src/gateway/backend-connections.ts
@@ -3,6 +3,7 @@
 import {buildConnector, Client, type Dispatcher} from 'undici';
 import type {Clock} from '../core/clock.js';
 import {describeError} from '../core/describe-error.js';
+import {isSocketAddress} from '../core/host-port.js';
 import type {LifeCycle} from '../core/life-cycle.js';
 import type {RawHeaders} from '../ports/call-codec.js';
 import {isEndedByConnection} from './answer-framing.js';
@@ -53,6 +54,7 @@
 
 /** Connections to all backend servers. */
 export type BackendConnections = Readonly<{
+	/** Never throws; an address that is none ends the exchange with an error. */
 	send: (address: string, req: BackendRequest, listener: ExchangeListener) => Exchange;
 	/** Closes the idle connections to an address. */
 	closeIdleConnections: (address: string) => void;
@@ -78,6 +80,14 @@
 	return Array.isArray(headers) ? headers.map(item => item instanceof Uint8Array ? Buffer.from(item).toString('latin1') : String(item)) : [];
 }
 
+/** An exchange that has failed before anything was sent; its end is reported once the caller has got it. */
+function failUnsent(error: string, {onEnd}: ExchangeListener): Exchange {
+	queueMicrotask(() => {
+		onEnd(error);
+	});
+	return {abort: () => undefined, pause: () => undefined, resume: () => undefined};
+}
+
 /** Creates the connections of a process. */
 export function createBackendConnections({clock, lifeCycle}: Readonly<{clock: Clock; lifeCycle: LifeCycle}>): BackendConnections {
 	const idle = new Map<string, IdleConnection[]>();
@@ -180,6 +190,10 @@
 
 	return {
 		async isListening(address) {
+			if (!isSocketAddress(address)) {
+				return false;
+			}
+
 			const {hostname, port} = new URL(`http://${address}`);
 			return new Promise(resolve => {
 				connectProbe({hostname, port, protocol: 'http:'}, (error, socket) => {
@@ -189,6 +203,10 @@
 			});
 		},
 		send(address, req, listener) {
+			if (!isSocketAddress(address)) {
+				return failUnsent(`not an address: ${address}`, listener);
+			}
+
 			const connection = takeConnection(address, req.allowsLongIdleConnection);
 			const {client, socket} = connection;
 			let controller: Dispatcher.DispatchController | undefined;
--- a/src/membership/permit-exchange.ts
+++ b/src/membership/permit-exchange.ts
@@ -5,6 +5,7 @@
 	createPermitLoans, type BorrowedPermit, type LoanId, type PermitLoans,
 } from '../decisions/flow/permit-loans.js';
 import type {RandomSource} from '../decisions/random.js';
+import {sum} from '../decisions/sum.js';
 import type {Log} from '../observability/log.js';
 import type {MemberDatagram, SparePermits} from '../wire/generated/membership.js';
 
@@ -80,15 +81,17 @@
 		const spares = readSpares(service);
 		const members = listMembers();
 		const sinceMillis = clock.monotonicMillis() - SPARE_TTL_MILLIS;
-		const tickets = [...spares].flatMap(([id, {count, atMillis}]) =>
-			atMillis > sinceMillis && members.has(id) ? Array.from({length: count}, () => id) : []);
-		const lender = tickets[Math.floor(random() * tickets.length)];
-		const spare = lender === undefined ? undefined : spares.get(lender);
-		if (lender !== undefined && spare) {
-			spares.set(lender, {...spare, count: spare.count - 1});
+		const lenders = [...spares].filter(([id, {count, atMillis}]) => count > 0 && atMillis > sinceMillis && members.has(id));
+		let ticket = random() * sum(lenders.map(([, {count}]) => count));
+		for (const [id, spare] of lenders) {
+			ticket -= spare.count;
+			if (ticket < 0) {
+				spares.set(id, {...spare, count: spare.count - 1});
+				return id;
+			}
 		}
 
-		return lender;
+		return undefined;
 	}
 
 	function sendReturn(service: string, address: string, sequence: number): void {
