--- a/src/map-switch/map-switch-constants.ts
+++ b/src/map-switch/map-switch-constants.ts
@@ -55,3 +55,5 @@
 export const FAILURE_PAUSE_MILLIS = 200;
 /** Interval between readings while a released switch waits for its pass, in milliseconds; half a pass of a loaded group. */
 export const PENDING_SWITCH_POLL_INTERVAL_MILLIS = 50;
+/** Interval between checks whether timers fire late, in milliseconds. */
+export const TIMER_CHECK_INTERVAL_MILLIS = 10;
--- a/src/map-switch/switch-map.ts
+++ b/src/map-switch/switch-map.ts
@@ -1,13 +1,14 @@
 /** Switches all ranks of a group to a new expert map at the same forward pass. */
 import type {Clock} from '../core/clock.js';
 import {invariant} from '../core/invariant.js';
+import {sum} from '../decisions/sum.js';
 import type {Log} from '../observability/log.js';
 import type {
 	GroupExperts, OrderOutcome, RankEngine, RankOrder, RankState,
 } from '../ports/rank-engine.js';
 import {getAnchorRank, PLANNER_RANK, type GroupRanks} from './group-ranks.js';
 import {
-	ARM_POLL_INTERVAL_MILLIS, ARM_TIMEOUT_MILLIS, HOLD_TIMEOUT_MILLIS, EXTRA_LEAD_STEPS_PER_MISS, ORDER_POLL_INTERVAL_MILLIS, MAX_HOLD_ATTEMPTS, PREPARE_SLACK_MILLIS, RELEASE_TIMEOUT_MILLIS,
+	ARM_POLL_INTERVAL_MILLIS, ARM_TIMEOUT_MILLIS, HOLD_TIMEOUT_MILLIS, EXTRA_LEAD_STEPS_PER_MISS, ORDER_POLL_INTERVAL_MILLIS, MAX_HOLD_ATTEMPTS, PREPARE_SLACK_MILLIS, RELEASE_TIMEOUT_MILLIS, TIMER_CHECK_INTERVAL_MILLIS,
 } from './map-switch-constants.js';
 import type {SwitchTiming} from './switch-timing.js';
 
@@ -133,9 +134,50 @@
 	/* eslint-enable no-await-in-loop */
 }
 
+/** Measures until the returned function is called by how much timers of this process fire late at most, in milliseconds: its processor is busy then. */
+function measureTimerDelay(clock: Clock): () => number {
+	const ended = new AbortController();
+	let longestMillis = 0;
+	const measure = async () => {
+		/* eslint-disable no-await-in-loop -- Sleeps are sequential. */
+		for (let dueMillis = clock.monotonicMillis(); !ended.signal.aborted;) {
+			dueMillis = clock.monotonicMillis() + TIMER_CHECK_INTERVAL_MILLIS;
+			await clock.sleep(TIMER_CHECK_INTERVAL_MILLIS, ended.signal);
+			longestMillis = Math.max(longestMillis, clock.monotonicMillis() - dueMillis);
+		}
+		/* eslint-enable no-await-in-loop */
+	};
+
+	void measure();
+	return () => {
+		ended.abort();
+		return Math.round(longestMillis);
+	};
+}
+
 /** Executes an order at several ranks concurrently and returns the worst effect, and the most sends to one of them. */
 async function executeOrderAtAll(deps: SwitchDeps, ranks: GroupRanks, order: RankOrder, expected: ExpectedEffect): Promise<OrderEnd> {
-	const ends = await Promise.all(ranks.map(async engine => executeOrder(deps, engine, order, expected)));
+	const {clock, log, timing} = deps;
+	const startedAtMillis = clock.monotonicMillis();
+	const endMeasurement = measureTimerDelay(clock);
+	const doneAtMillis: number[] = [];
+	const ends = await Promise.all(ranks.map(async engine => {
+		const end = await executeOrder(deps, engine, order, expected);
+		doneAtMillis.push(...(end.effect === 'done' ? [clock.monotonicMillis() - startedAtMillis] : []));
+		return end;
+	}));
+	log.debug('map orders', {
+		order: order.tag,
+		version: 'version' in order ? order.version : undefined,
+		ranks: ranks.length,
+		done: doneAtMillis.length,
+		sends: sum(ends.map(({sends}) => sends)),
+		tookMillis: Math.round(clock.monotonicMillis() - startedAtMillis),
+		medianMillis: Math.round(doneAtMillis[Math.floor(doneAtMillis.length / 2)] ?? 0),
+		lastMillis: Math.round(doneAtMillis.at(-1) ?? 0),
+		answerTimeoutMillis: Math.round(timing.readAnswerTimeoutMillis()),
+		timerDelayMillis: endMeasurement(),
+	});
 	return {
 		effect: (['refused', 'late'] as const).find(worst => ends.some(({effect}) => effect === worst)) ?? 'done',
 		sends: Math.max(0, ...ends.map(({sends}) => sends)),
--- a/src/observability/line-schemas.ts
+++ b/src/observability/line-schemas.ts
@@ -155,6 +155,23 @@
 		skewBefore: z.number(),
 		skewAfter: z.number(),
 	}),
+	'map orders': z.strictObject({
+		order: z.enum(['prepare', 'arm', 'disarm', 'hold', 'go']),
+		version: version.optional(),
+		ranks: count,
+		/** Ranks that have executed it. */
+		done: count,
+		/** How often it was sent to any of them. */
+		sends: count,
+		tookMillis: millis,
+		/** Time until half of the ranks, and the last one, had executed it. */
+		medianMillis: millis,
+		lastMillis: millis,
+		/** Time after which an order without an answer is sent again. */
+		answerTimeoutMillis: millis,
+		/** By how much timers of the planner fired late at most: its processor was busy. */
+		timerDelayMillis: millis,
+	}),
 	'map switch steps': z.strictObject({
 		version, step: count, prepareMillis: millis, armMillis: millis, heldMillis: millis, leftOut: count.optional(),
 	}),
