Send an order again only while no rank of the group answers

Cause: each of the 70 orders to arm had a time-out of its own, 12 to 100 ms from the moment it was sent, at a planner with 0.405 cores. Its processor needs longer than that for the round. So each order was given up, the rank read back through its agent, and the order sent again, which kept the processor busy for longer; answers that came later were dropped, and never entered the estimate. The class is "a time-out is shorter than the process's own queue, and its expiry adds work".

Ruled out: orders lost or one slow rank (81 sends for 70 ranks, the median itself is late); the store (the same without `platform_slow`).

Change: a round of orders counts as unanswered only while no rank answers, in time in which this process could have seen an answer; answers count whenever they come; 16 orders are awaited at a time. Arming is given 3 s, as taking a switch back needs more rounds than finishing it. The lead follows from how long this group took to answer the order to prepare. While a released switch waits for its pass, only the engine beside the planner is read, not all 72.

--- a/src/map-switch/map-switch-constants.ts
+++ b/src/map-switch/map-switch-constants.ts
@@ -18,9 +18,9 @@
 export const TIMING_WEIGHT = 0.25;
 /** Deviations above the mean for which time is allowed. */
 export const TIMING_DEVIATIONS = 2;
-/** Deviations above the mean after which an order counts as unanswered; as for retransmissions in TCP. */
+/** Deviations above the mean after which missing answers count as lost; as for retransmissions in TCP. */
 export const ANSWER_TIMEOUT_DEVIATIONS = 4;
-/** Least and most time until an unanswered order is sent again, in milliseconds. */
+/** Least and most time without any answer until unanswered orders are sent again, in milliseconds. */
 export const MIN_ANSWER_TIMEOUT_MILLIS = 12;
 export const MAX_ANSWER_TIMEOUT_MILLIS = 100;
 /** Interval between reads of a rank while an order takes effect, in milliseconds. */
@@ -29,15 +29,17 @@
 export const ARM_POLL_INTERVAL_MILLIS = 5;
 /** Time allowed for copying beyond the calculated copy time, in milliseconds. */
 export const PREPARE_SLACK_MILLIS = 1200;
-/** Timeout for arming all ranks, in milliseconds; allows for a few unanswered orders. The group may be blocked meanwhile. */
-export const ARM_TIMEOUT_MILLIS = 500;
-/** Timeout for a release to take effect, in milliseconds; allows for a few unanswered orders. */
-export const RELEASE_TIMEOUT_MILLIS = 500;
+/** Timeout for arming all ranks, in milliseconds. The group may be held meanwhile, but taking the switch back needs more rounds of orders than finishing it. */
+export const ARM_TIMEOUT_MILLIS = 3000;
+/** Timeout for a release to take effect, in milliseconds. */
+export const RELEASE_TIMEOUT_MILLIS = 3000;
 /** Timeout for a hold to take effect, in milliseconds. */
-export const HOLD_TIMEOUT_MILLIS = 300;
+export const HOLD_TIMEOUT_MILLIS = 1000;
 /** Interval between recovery steps of an unfinished switch, in milliseconds. */
 export const RECOVERY_POLL_INTERVAL_MILLIS = 20;
-/** Time after which a rank counts as unreachable in a recovery, in milliseconds; the group may be held meanwhile. */
+/** Timeout for a round of orders of a recovery, in milliseconds; the state is read again after it. */
+export const RECOVERY_ORDER_TIMEOUT_MILLIS = 600;
+/** Time without an answer of any rank after which those that have not answered count as unreachable in a recovery, in milliseconds; the group may be held meanwhile. */
 export const RECOVERY_READ_TIMEOUT_MILLIS = 150;
 /** Interval between load readings of a group, in milliseconds; a few passes. */
 export const OBSERVE_INTERVAL_MILLIS = 250;
@@ -55,5 +57,7 @@
 export const FAILURE_PAUSE_MILLIS = 200;
 /** Interval between readings while a released switch waits for its pass, in milliseconds; half a pass of a loaded group. */
 export const PENDING_SWITCH_POLL_INTERVAL_MILLIS = 50;
-/** Interval between checks whether timers fire late, in milliseconds. */
-export const TIMER_CHECK_INTERVAL_MILLIS = 10;
+/** Interval at which a round of orders looks whether answers are missing, in milliseconds. */
+export const QUIET_TICK_MILLIS = 5;
+/** Most orders of a round that are awaited at the same time; several times what a proposer sends in a round trip. */
+export const MAX_AWAITED_ORDERS = 16;
--- a/src/map-switch/switch-timing.ts
+++ b/src/map-switch/switch-timing.ts
@@ -30,23 +30,21 @@
 
 /** What the orders and switches of one group have taken lately. */
 export type SwitchTiming = Readonly<{
-	/** Records the time from an order to its answer, in milliseconds; orders without an answer are not recorded. */
+	/** Records the longest time without an answer in a round of orders that all ranks have answered, in milliseconds. */
 	noteAnswer: (millis: number) => void;
 	/** Records the time from the order to hold a group to its release, in milliseconds. */
 	noteSwitch: (millis: number) => void;
-	/** Time after which an order without an answer is sent again, in milliseconds. */
+	/** Time without an answer after which unanswered orders are sent again, in milliseconds. */
 	readAnswerTimeoutMillis: () => number;
 	/**
-	 * Passes from the last one begun to the one at which the switch takes effect. `sends` is how often the orders of this switch had to be
-	 * sent so far until every rank had one: while orders are not answered, holding and arming take as many.
+	 * Passes from the last one begun to the one at which the switch takes effect. `answeredMillis` is the time that this switch needed until all
+	 * ranks had answered the order to prepare, also by being sent it again: arming them takes as long.
 	 */
-	chooseLeadSteps: (passMillis: number | undefined, sends: number) => number;
+	chooseLeadSteps: (passMillis: number | undefined, answeredMillis: number) => number;
 }>;
 
-/** Orders that follow one another between hold and release: hold, arm all, arm the anchor, arm the planner's rank, release. */
-const SUCCESSIVE_ORDERS = 5;
-/** Of these, the number that is expected to be sent again as often as the orders to all ranks; most go to a single rank. */
-const REPEATED_ORDERS = 2;
+/** Orders to single ranks between hold and release: hold, arm the anchor, arm the planner's rank, release. */
+const SINGLE_ORDERS = 4;
 
 /** Creates the timing of a group whose orders have not been measured. */
 export function createSwitchTiming(): SwitchTiming {
@@ -61,15 +59,15 @@
 		noteAnswer: answers.note,
 		noteSwitch: switches.note,
 		readAnswerTimeoutMillis,
-		chooseLeadSteps(passMillis, sends) {
+		chooseLeadSteps(passMillis, answeredMillis) {
 			if (passMillis === undefined) {
 				return MIN_LEAD_STEPS;
 			}
 
-			const usualMillis = switches.read(TIMING_DEVIATIONS) ?? SUCCESSIVE_ORDERS * (answers.read(TIMING_DEVIATIONS) ?? 0);
-			const repeatedMillis = sends > 1 ? ((answers.read(0) ?? 0) * SUCCESSIVE_ORDERS) + ((sends - 1) * REPEATED_ORDERS * readAnswerTimeoutMillis()) : 0;
+			const usualMillis = switches.read(TIMING_DEVIATIONS) ?? 0;
+			const expectedMillis = answeredMillis + (SINGLE_ORDERS * (answers.read(0) ?? 0));
 			// The pass after the last one begun may begin at once.
-			const steps = 1 + Math.ceil(Math.max(usualMillis, repeatedMillis) / passMillis);
+			const steps = 1 + Math.ceil(Math.max(usualMillis, expectedMillis) / passMillis);
 			return Math.min(MAX_LEAD_STEPS, Math.max(MIN_LEAD_STEPS, steps));
 		},
 	};
--- a/src/rank-agent/group-planner.ts
+++ b/src/rank-agent/group-planner.ts
@@ -64,6 +64,8 @@
 	const timing = createSwitchTiming();
 	let activeMap: ActiveMap | undefined;
 	let isOpen = false;
+	/** Whether a switch of a large group has been released and its pass may not have begun. */
+	let isPending = false;
 	/** State of a large group as last read, which is used until it is due again. */
 	let known: Readonly<{state: GroupState; untilMillis: number}> | undefined;
 
@@ -87,7 +89,8 @@
 			skewAfter: moves.skewAfter,
 		});
 		activeMap = outcome.tag === 'switched' ? {epoch, experts: moves.experts} : undefined;
-		known = undefined;
+		isPending = outcome.tag === 'switched';
+		known = isPending ? known : undefined;
 		return outcome.tag === 'not_begun' ? OBSERVE_INTERVAL_MILLIS : 0;
 	}
 
@@ -112,6 +115,12 @@
 		return state;
 	}
 
+	/** Whether the engine beside this process still waits for the pass of a released switch; looking there costs no call to another instance. */
+	async function looksPending(ranks: GroupRanks): Promise<boolean> {
+		const state = await ranks[PLANNER_RANK]?.readState();
+		return state?.ok === true && state.value.group.epoch === activeMap?.epoch && state.value.armed !== undefined;
+	}
+
 	/** Updates whether the group is open from the engine beside this process, which costs no call to another instance. */
 	async function lookIfOpen(ranks: GroupRanks): Promise<void> {
 		const state = await ranks[PLANNER_RANK]?.readState();
@@ -121,6 +130,11 @@
 	/** Reads the group and acts on its state; resolves to the time until the next reading. */
 	async function observeAndAct(ranks: GroupRanks, layout: ExpertLayout): Promise<number> {
 		const startedAtMillis = clock.monotonicMillis();
+		isPending &&= await looksPending(ranks);
+		if (isPending) {
+			return PENDING_SWITCH_POLL_INTERVAL_MILLIS;
+		}
+
 		const state = await observe(ranks, layout);
 		if (!isGroupState(state)) {
 			isOpen = false;
