Leave a running planner to finish its switch, and take back that of a stopped one faster

Cause: the agent beside the anchor fenced a switch off after 350 ms, whether or not the planner ran. Where it had stopped, it read all ranks over 71 connections that it opened only then, gave up the reading after 150 ms from the first call, read all again without the planner's rank, read the experts of all, and sent each rank the whole map, 0.8 MB over a link of 8 Mbit/s.

Change: the agent asks the planner's while its rank waits, and leaves it to finish for up to 4 s while it answers. It opens its connections early, reads once (the others' states serve if only the planner's rank is missing), counts ranks as unreachable while no other answers, knows the map in force from the orders that it was sent, and goes through the agents, which need only the difference; it bypasses them when that fails. The orders of a recovery are sent again like those of a switch. An agent answers the order to prepare once the experts are copied.

--- a/src/map-switch/__tests__/large-group.test.ts
+++ b/src/map-switch/__tests__/large-group.test.ts
@@ -2,6 +2,8 @@
 import {test} from 'node:test';
 import {silentLog} from '../../observability/log.js';
 import type {GroupExperts} from '../../ports/rank-engine.js';
+import {getAnchorRank, PLANNER_RANK} from '../group-ranks.js';
+import {recoverSwitch} from '../recover-switch.js';
 import {switchMap, type SwitchOutcome} from '../switch-map.js';
 import {createSwitchTiming, type SwitchTiming} from '../switch-timing.js';
 import {createBusyPlanner} from './busy-planner.js';
@@ -60,3 +62,31 @@
 	assert.ok(planner.countSends() <= RANKS * 4, `${planner.countSends()} orders`);
 	assert.equal(planner.isMixed(), false);
 });
+
+/** Longest time that taking a switch back may take once its planner is known to have stopped, in milliseconds: a stream pauses for as long. */
+const MAX_RECOVERY_MILLIS = 1000;
+
+for (const isPlannerAway of [true, false]) {
+	const name = `a half armed group whose planner's rank is ${isPlannerAway ? 'away' : 'reachable'} is released within ${MAX_RECOVERY_MILLIS} ms`;
+	void test(`${name}, while a fifth of the orders is lost`, async () => {
+		const group = createBusyPlanner({
+			ranks: RANKS,
+			callMillis: 0.5,
+			passMillis: PASS_MILLIS,
+			isSilent: rank => isPlannerAway && rank === PLANNER_RANK,
+			isLost: (rank, count, order) => order.tag !== 'hold' && order.tag !== 'arm' && count > 2 && (rank + count) % 5 === 0,
+		});
+		group.arm(2, 20, rank => rank > RANKS / 2, getAnchorRank(RANKS));
+		await group.runUntil(group.clock.sleep(PASS_MILLIS * 21), PASS_MILLIS * 22);
+		assert.ok(group.isHeld());
+		const startedAtMillis = group.clock.monotonicMillis();
+		const isEnded = await group.runUntil(recoverSwitch({
+			ranks: group.ranks, clock: group.clock, log: silentLog, readExperts: async () => experts,
+		}, new AbortController().signal), MAX_RECOVERY_MILLIS * 5);
+		assert.equal(isEnded, true);
+		assert.equal(group.isHeld(), false);
+		assert.equal(group.isMixed(), false);
+		const tookMillis = group.clock.monotonicMillis() - startedAtMillis;
+		assert.ok(tookMillis <= MAX_RECOVERY_MILLIS, `${tookMillis} ms`);
+	});
+}
--- a/src/map-switch/__tests__/map-switch.test.ts
+++ b/src/map-switch/__tests__/map-switch.test.ts
@@ -214,7 +214,7 @@
 		const {ranks} = group.openAccess();
 		void planner.run(stop.signal);
 		void watchForStalledSwitch({
-			clock: group.clock, log: silentLog, engine: ranks[1]!, readRanks: () => ranks,
+			clock: group.clock, log: silentLog, engine: ranks[1]!, readRanks: () => ranks, readMap: () => undefined, askPlanner: async () => false,
 		}, stop.signal);
 		/* eslint-disable no-await-in-loop -- One run after the other. */
 		await runTicks(group, Math.floor(random() * RUN_TICKS / 2));
@@ -260,7 +260,7 @@
 		const ranks = openAccessWithoutPlannerRank(group, () => isAway);
 		void planner.run(stop.signal);
 		void watchForStalledSwitch({
-			clock: group.clock, log: silentLog, engine: ranks[1]!, readRanks: () => ranks,
+			clock: group.clock, log: silentLog, engine: ranks[1]!, readRanks: () => ranks, readMap: () => undefined, askPlanner: async () => !isAway,
 		}, stop.signal);
 		/* eslint-disable no-await-in-loop -- One run after the other. */
 		while (group.readHeldStep() === undefined || random() < 0.8) {
@@ -364,7 +364,7 @@
 	const isAway = () => order !== undefined;
 	const reachable = openAccessWithoutPlannerRank(group, isAway);
 	void watchForStalledSwitch({
-		clock: group.clock, log: silentLog, engine: reachable[1]!, readRanks: () => reachable,
+		clock: group.clock, log: silentLog, engine: reachable[1]!, readRanks: () => reachable, readMap: () => undefined, askPlanner: async () => !isAway(),
 	}, stop.signal);
 	const experts = createExperts(1);
 	void switchMap({
--- a/src/map-switch/group-ranks.ts
+++ b/src/map-switch/group-ranks.ts
@@ -1,6 +1,6 @@
 import {succeed, type Result} from '../core/result.js';
 import type {
-	OrderOutcome, RankEngine, RankLoad, RankOrder, RankReadError, RankState,
+	RankEngine, RankLoad, RankReadError, RankState,
 } from '../ports/rank-engine.js';
 
 /** Access to all ranks of a group, ordered by rank. */
@@ -51,10 +51,17 @@
 	return {epoch: states[0]?.group.epoch ?? 0, size, ranks: states};
 }
 
-/** Reads all ranks concurrently, or all but the planner's. */
-export async function readGroupState(ranks: GroupRanks, withPlanner = true): Promise<GroupState | GroupStateError> {
+/** Reads all ranks concurrently. */
+export async function readGroupState(ranks: GroupRanks): Promise<GroupState | GroupStateError> {
+	return joinStates(ranks.length, await Promise.all(ranks.map(async (engine, rank) => [rank, await engine.readState()] as const)));
+}
+
+/** Reads all ranks concurrently; if only the planner's cannot be read, or is not to be read, the state is that of the others. */
+export async function readGroupStateOfReachable(ranks: GroupRanks, withPlanner: boolean): Promise<GroupState | GroupStateError> {
 	const asked = [...ranks.entries()].filter(([rank]) => withPlanner || rank !== PLANNER_RANK);
-	return joinStates(ranks.length, await Promise.all(asked.map(async ([rank, engine]) => [rank, await engine.readState()] as const)));
+	const readings = await Promise.all(asked.map(async ([rank, engine]) => [rank, await engine.readState()] as const));
+	const isPlannerAway = readings.some(([rank, reading]) => rank === PLANNER_RANK && !reading.ok);
+	return joinStates(ranks.length, isPlannerAway ? readings.filter(([rank]) => rank !== PLANNER_RANK) : readings);
 }
 
 /** States of all ranks, and the counts of those that were asked for them; empty for the others. */
@@ -79,14 +86,6 @@
 	return 'epoch' in reading;
 }
 
-/** Sends an order to the named ranks concurrently; the outcomes are in the order of `named`. */
-export async function sendOrder(ranks: GroupRanks, named: readonly number[], order: RankOrder, epoch: number): Promise<readonly OrderOutcome[]> {
-	return Promise.all(named.map(async rank => {
-		const outcome = await ranks[rank]?.order(order, epoch);
-		return outcome ?? {tag: 'refused' as const, detail: 'no such rank'};
-	}));
-}
-
 /** Known ranks whose state satisfies a condition. */
 export function filterRanks({ranks}: GroupState, condition: (state: RankState) => boolean): readonly number[] {
 	return ranks.filter(state => condition(state)).map(({group}) => group.rank);
--- a/src/map-switch/recover-switch.ts
+++ b/src/map-switch/recover-switch.ts
@@ -16,19 +16,27 @@
 	GroupExperts, RankEngine, RankOrder, RankState,
 } from '../ports/rank-engine.js';
 import {
-	getAnchorRank, isGroupState, hasAllRanks, filterRanks, sendOrder, PLANNER_RANK, readGroupState, readHeldStep, type GroupRanks, type GroupState, type GroupStateError,
+	getAnchorRank, isGroupState, hasAllRanks, filterRanks, readGroupStateOfReachable, readHeldStep, type GroupRanks, type GroupState, type GroupStateError,
 } from './group-ranks.js';
-import {RECOVERY_POLL_INTERVAL_MILLIS, RECOVERY_READ_TIMEOUT_MILLIS, VERSIONS_PER_PROPOSAL} from './map-switch-constants.js';
+import {
+	ARM_POLL_INTERVAL_MILLIS, RECOVERY_ORDER_TIMEOUT_MILLIS, RECOVERY_POLL_INTERVAL_MILLIS, RECOVERY_READ_TIMEOUT_MILLIS, VERSIONS_PER_PROPOSAL,
+} from './map-switch-constants.js';
+import {executeOrderRound, type ExpectedEffect} from './order-round.js';
+import {createQuietTimer} from './quiet-timer.js';
+import {createSwitchTiming, type SwitchTiming} from './switch-timing.js';
 
 /** Dependencies of the recovery of a switch. */
 export type RecoveryDeps = Readonly<{
 	ranks: GroupRanks;
 	clock: Clock;
 	log: Log;
-	/** Active experts of all ranks; undefined if they cannot be read. Without `withPlanner` the planner's rank is not read. */
-	readExperts: (withPlanner: boolean) => Promise<GroupExperts | undefined>;
+	/** Experts of all ranks in the map in force, which has this version; undefined if they cannot be read. Without `withPlanner` the planner's rank is not read. */
+	readExperts: (withPlanner: boolean, mapVersion: number) => Promise<GroupExperts | undefined>;
 }>;
 
+/** Dependencies of the steps of one recovery, and what its orders have taken. */
+type RecoveryState = RecoveryDeps & Readonly<{timing: SwitchTiming}>;
+
 /** Version that fences off a proposal; its content is always the active map. */
 export function getFenceVersion(version: number): number {
 	return version + 1;
@@ -69,27 +77,36 @@
 	return armed === undefined && preparedVersion !== undefined && preparedVersion > version;
 }
 
-async function release({ranks}: RecoveryDeps, {size, epoch}: GroupState, heldStep: number): Promise<void> {
-	await sendOrder(ranks, [getAnchorRank(size)], {tag: 'go', step: heldStep}, epoch);
+/** Sends an order to the named ranks; its effect shows when the state is read again. */
+async function execute({ranks, clock, log, timing}: RecoveryState, named: readonly number[], order: RankOrder, expected: Pick<ExpectedEffect, 'epoch' | 'isDone'>): Promise<void> {
+	const chosen = named.map(rank => ranks[rank]).filter(rank => rank !== undefined);
+	if (chosen.length > 0) {
+		await executeOrderRound({clock, log, timing}, chosen, order, {
+			...expected, timeoutMillis: RECOVERY_ORDER_TIMEOUT_MILLIS, pollMillis: ARM_POLL_INTERVAL_MILLIS, outlastsRefusal: true,
+		});
+	}
+}
+
+async function release(deps: RecoveryState, {size, epoch}: GroupState, heldStep: number): Promise<void> {
+	await execute(deps, [getAnchorRank(size)], {tag: 'go', step: heldStep}, {epoch, isDone: state => state.heldStep !== heldStep});
 }
 
 /** Fences the version off at one rank that is not armed; returns whether that rank shows it, so that nothing more needs to be read first. */
-async function fenceWitness({ranks, log}: RecoveryDeps, state: GroupState, fence: Extract<RankOrder, {tag: 'prepare'}>): Promise<boolean> {
+async function fenceWitness(deps: RecoveryState, state: GroupState, fence: Extract<RankOrder, {tag: 'prepare'}>): Promise<boolean> {
 	const {epoch} = state;
 	const [witness] = filterRanks(state, rank => rank.armed === undefined);
 	if (witness === undefined) {
 		return false;
 	}
 
-	log.info('fencing a map switch off', {version: fence.version, epoch, witness});
-	await sendOrder(ranks, [witness], fence, epoch);
-	const shown = await ranks[witness]?.readState();
+	deps.log.info('fencing a map switch off', {version: fence.version, epoch, witness});
+	await execute(deps, [witness], fence, {epoch, isDone: ({preparedVersion}) => preparedVersion === fence.version});
+	const shown = await deps.ranks[witness]?.readState();
 	return shown?.ok === true && shown.value.group.epoch === epoch && shown.value.armed === undefined && shown.value.preparedVersion === fence.version;
 }
 
 /** Performs one step of the rollback to the active map; its effect shows when the state is read again. */
-async function rollBackOneStep(deps: RecoveryDeps, state: GroupState, version: number, experts: GroupExperts | undefined): Promise<void> {
-	const {ranks, log} = deps;
+async function rollBackOneStep(deps: RecoveryState, state: GroupState, version: number, experts: GroupExperts | undefined): Promise<void> {
 	const {epoch} = state;
 	if (!experts) {
 		return;
@@ -102,15 +119,20 @@
 		return;
 	}
 
-	await Promise.all(state.ranks.map(async ({armed, group}) =>
-		armed && sendOrder(ranks, [group.rank], {tag: 'disarm', version: armed.version}, epoch)));
+	const armedVersions = new Set(state.ranks.flatMap(({armed}) => armed ? [armed.version] : []));
+	await Promise.all([...armedVersions].map(async armedVersion => execute(
+		deps,
+		filterRanks(state, ({armed}) => armed?.version === armedVersion),
+		{tag: 'disarm', version: armedVersion},
+		{epoch, isDone: ({armed}) => armed?.version !== armedVersion},
+	)));
 	const prepared = filterRanks(state, ({armed, preparedVersion}) =>
 		armed === undefined && preparedVersion !== undefined && isProposalVersion(preparedVersion));
-	await sendOrder(ranks, prepared, fence, epoch);
+	await execute(deps, prepared, fence, {epoch, isDone: ({preparedVersion}) => preparedVersion === fence.version});
 	const heldStep = readHeldStep(state);
 	const isAnyArmed = state.ranks.some(({armed}) => armed !== undefined);
 	if (!isAnyArmed && prepared.length === 0 && heldStep !== undefined) {
-		log.info('map switch abandoned', {
+		deps.log.info('map switch abandoned', {
 			version, epoch, heldStep, isPlannerAway: !hasAllRanks(state),
 		});
 		await release(deps, state, heldStep);
@@ -119,30 +141,38 @@
 
 /** Reads the group without waiting for a rank that cannot be reached: the group may be held until the switch is ended. */
 async function readReachableState({ranks, clock}: RecoveryDeps, withPlanner: boolean): Promise<GroupState | GroupStateError> {
-	const answered = new AbortController();
+	const ended = new AbortController();
+	const quiet = createQuietTimer(clock);
+	const givenUp = quiet.register(ended.signal, quietMillis => {
+		if (quietMillis >= RECOVERY_READ_TIMEOUT_MILLIS) {
+			ended.abort();
+		}
+	});
 	const withTimeout = ranks.map((rank, i): RankEngine => ({
 		...rank,
 		async readState() {
-			const timeout = clock.sleep(RECOVERY_READ_TIMEOUT_MILLIS, answered.signal).then(() => fail({tag: 'unavailable' as const, detail: `rank ${i} does not answer`}));
-			return Promise.race([rank.readState(), timeout]);
+			const reading = rank.readState().finally(quiet.restart);
+			return Promise.race([reading, givenUp.then(() => fail({tag: 'unavailable' as const, detail: `rank ${i} does not answer`}))]);
 		},
 	}));
-	const state = await readGroupState(withTimeout, withPlanner);
-	answered.abort();
+	const state = await readGroupStateOfReachable(withTimeout, withPlanner);
+	ended.abort();
 	return state;
 }
 
 /** Brings the group to a state that needs no recovery; returns false if the group cannot be read. */
 export async function recoverSwitch(deps: RecoveryDeps, signal: AbortSignal): Promise<boolean> {
 	/* eslint-disable no-await-in-loop -- Each step depends on the effect of the previous one. */
+	const steps: RecoveryState = {...deps, timing: createSwitchTiming()};
 	let withPlanner = true;
 	let active: Readonly<{key: string; experts: GroupExperts}> | undefined;
 
 	/** Active experts, which are read once for each map in force. */
 	async function readExperts(state: GroupState): Promise<GroupExperts | undefined> {
-		const key = `${state.epoch} ${state.ranks[0]?.mapVersion} ${hasAllRanks(state)}`;
+		const mapVersion = state.ranks[0]?.mapVersion ?? 0;
+		const key = `${state.epoch} ${mapVersion} ${hasAllRanks(state)}`;
 		if (active?.key !== key) {
-			const experts = await deps.readExperts(hasAllRanks(state));
+			const experts = await deps.readExperts(hasAllRanks(state), mapVersion);
 			active = experts && {key, experts};
 		}
 
@@ -152,14 +182,11 @@
 	while (!signal.aborted) {
 		const state = await readReachableState(deps, withPlanner);
 		if (!isGroupState(state)) {
-			if (!withPlanner || state.tag !== 'unavailable' || state.rank !== PLANNER_RANK) {
-				return false;
-			}
-
-			withPlanner = false;
-			continue;
+			return false;
 		}
 
+		withPlanner = hasAllRanks(state);
+
 		if (!hasUnfinishedSwitch(state)) {
 			return true;
 		}
@@ -168,18 +195,18 @@
 		const heldStep = readHeldStep(state);
 		if (heldStep !== undefined && version !== undefined && areAllArmed(state, version, heldStep)) {
 			deps.log.info('map switch completed', {version, epoch: state.epoch, heldStep});
-			await release(deps, state, heldStep);
+			await release(steps, state, heldStep);
 		} else if (version !== undefined) {
 			if (!hasAllRanks(state) && filterRanks(state, ({armed}) => armed === undefined).length === 0) {
 				// The planner's rank may or may not be armed, which only that rank itself can report.
 				return false;
 			}
 
-			await rollBackOneStep(deps, state, version, await readExperts(state));
+			await rollBackOneStep(steps, state, version, await readExperts(state));
 		} else if (heldStep !== undefined) {
 			// No rank has prepared a proposal, so none can be armed. The planner's rank has none that the others did not get.
 			deps.log.info('releasing a hold without a proposal', {epoch: state.epoch, heldStep});
-			await release(deps, state, heldStep);
+			await release(steps, state, heldStep);
 		}
 
 		await deps.clock.sleep(RECOVERY_POLL_INTERVAL_MILLIS, signal);
--- a/src/observability/line-schemas.ts
+++ b/src/observability/line-schemas.ts
@@ -180,7 +180,7 @@
 	'map switch completed': z.strictObject(mapSwitchFields),
 	'releasing a hold without a proposal': z.strictObject(mapSwitchFields),
 	'looked for a switch left behind': z.strictObject({
-		epoch: version, step: count, armedVersion: version.optional(), isReadable: z.boolean(),
+		epoch: version, step: count, armedVersion: version.optional(), isReadable: z.boolean(), isDirect: z.boolean(), tookMillis: millis,
 	}),
 	'map order': z.strictObject({
 		order: z.string(), version: version.optional(), step: count.optional(), epoch: version, outcome: z.string(), detail: z.string(),
--- a/src/rank-agent/__tests__/remote-rank.test.ts
+++ b/src/rank-agent/__tests__/remote-rank.test.ts
@@ -42,7 +42,9 @@
 };
 
 const access = createLinkAccess('token', undefined);
-const server = await openLinkServer(access, systemClock, '127.0.0.1:0', [createRankService({engine, access, log: silentLog})]);
+const server = await openLinkServer(access, systemClock, '127.0.0.1:0', [createRankService({
+	engine, access, clock: systemClock, log: silentLog,
+})]);
 assert.ok(server.ok);
 const {address} = server.value;
 const remote = openRemoteRank(address, access, systemClock);
@@ -59,7 +61,9 @@
 	const plain = {
 		...STATE, heldStep: undefined, armed: undefined, preparedVersion: undefined, hasWork: false,
 	};
-	const serverOfPlainRank = await openLinkServer(access, systemClock, '127.0.0.1:0', [createRankService({engine: {...engine, readState: async () => succeed(plain)}, access, log: silentLog})]);
+	const serverOfPlainRank = await openLinkServer(access, systemClock, '127.0.0.1:0', [createRankService({
+		engine: {...engine, readState: async () => succeed(plain)}, access, clock: systemClock, log: silentLog,
+	})]);
 	assert.ok(serverOfPlainRank.ok);
 	const other = openRemoteRank(serverOfPlainRank.value.address, access, systemClock);
 	assert.deepEqual(await other.readState(), succeed(plain));
--- a/src/rank-agent/map-change.ts
+++ b/src/rank-agent/map-change.ts
@@ -58,6 +58,10 @@
 /** The maps that an agent knows. */
 export type MapMemory = Readonly<{
 	remember: (map: GroupExperts) => void;
+	/** Records that a version has this map. */
+	rememberVersion: (version: number, map: GroupExperts) => void;
+	/** The map of a version; undefined if it is not known. */
+	readVersion: (version: number) => GroupExperts | undefined;
 	/** The map that a change results in; undefined if its base is not known. */
 	resolve: (change: MapChange) => GroupExperts | undefined;
 }>;
@@ -65,6 +69,7 @@
 /** Creates a memory that knows only the first map of a group. */
 export function createMapMemory(): MapMemory {
 	const maps = new Map<string, GroupExperts>();
+	const mapsByVersion = new Map<number, GroupExperts>();
 
 	function remember(map: GroupExperts): void {
 		const digest = digestMap(map);
@@ -87,6 +92,14 @@
 
 	return {
 		remember,
+		rememberVersion(version, map) {
+			mapsByVersion.delete(version);
+			mapsByVersion.set(version, map);
+			for (const oldest of [...mapsByVersion.keys()].slice(0, -REMEMBERED_MAPS)) {
+				mapsByVersion.delete(oldest);
+			}
+		},
+		readVersion: version => mapsByVersion.get(version),
 		resolve(change) {
 			const base = findBase(change);
 			if (!base) {
--- a/src/rank-agent/rank-service.ts
+++ b/src/rank-agent/rank-service.ts
@@ -2,20 +2,29 @@
 import {status, type sendUnaryData, type ServerUnaryCall} from '@grpc/grpc-js';
 import type {LinkAccess} from '../access/link-access.js';
 import type {LinkService} from '../agent/link-server.js';
+import type {Clock} from '../core/clock.js';
 import type {Log} from '../observability/log.js';
 import type {RankEngine} from '../ports/rank-engine.js';
 import {
 	RankAgentService, type OrderOutcome, type RankOrder, type RankReading, type ReadRank,
 } from '../wire/generated/rank.js';
-import {createMapMemory} from './map-change.js';
+import {createMapMemory, type MapMemory} from './map-change.js';
+import {PREPARE_POLL_INTERVAL_MILLIS, PREPARE_WAIT_MILLIS} from './rank-agent-constants.js';
 import {fromOrderMessage, toReading, UNKNOWN_MAP} from './rank-messages.js';
 
 /** Dependencies of the service. */
-export type RankServiceDeps = Readonly<{engine: RankEngine; access: LinkAccess; log: Log}>;
-
-export function createRankService({engine, access, log}: RankServiceDeps): LinkService {
-	const maps = createMapMemory();
+export type RankServiceDeps = Readonly<{
+	engine: RankEngine;
+	access: LinkAccess;
+	clock: Clock;
+	log: Log;
+	/** The maps that the agent has been sent. */
+	maps?: MapMemory;
+}>;
 
+export function createRankService({
+	engine, access, clock, log, maps = createMapMemory(),
+}: RankServiceDeps): LinkService {
 	async function read({withCounts, withExperts}: ReadRank): Promise<RankReading | undefined> {
 		if (withCounts) {
 			const load = await engine.readLoad();
@@ -27,6 +36,23 @@
 		return state.ok && experts?.ok !== false ? toReading(state.value, [], experts?.value ?? []) : undefined;
 	}
 
+	/** Waits until the experts of a version have been copied, so that the planner need not look at each rank. */
+	async function waitForCopy(version: number): Promise<boolean> {
+		const untilMillis = clock.monotonicMillis() + PREPARE_WAIT_MILLIS;
+		/* eslint-disable no-await-in-loop -- Reads are sequential. */
+		while (clock.monotonicMillis() < untilMillis) {
+			const state = await engine.readState();
+			if (state.ok && state.value.preparedVersion === version) {
+				return true;
+			}
+
+			await clock.sleep(PREPARE_POLL_INTERVAL_MILLIS);
+		}
+		/* eslint-enable no-await-in-loop */
+
+		return false;
+	}
+
 	async function executeOrder(message: RankOrder): Promise<OrderOutcome> {
 		const order = fromOrderMessage(message, maps);
 		if (order === undefined) {
@@ -37,7 +63,13 @@
 			return {outcome: UNKNOWN_MAP, detail: 'the base of the change is not known'};
 		}
 
-		const {tag, detail} = await engine.order(order, message.epoch);
+		if (order.tag === 'prepare') {
+			maps.rememberVersion(order.version, order.experts);
+		}
+
+		const answered = await engine.order(order, message.epoch);
+		const isCopied = order.tag === 'prepare' && (answered.tag === 'accepted' || answered.tag === 'unknown') && await waitForCopy(order.version);
+		const {tag, detail} = isCopied ? {tag: 'done' as const, detail: ''} : answered;
 		log.info('map order', {
 			order: order.tag, version: 'version' in order ? order.version : undefined, step: 'step' in order ? order.step : undefined, epoch: message.epoch, outcome: tag, detail,
 		});
--- a/src/rank-agent/start-rank-agent.ts
+++ b/src/rank-agent/start-rank-agent.ts
@@ -20,7 +20,7 @@
 import {findNewestConfiguration, type ReadConfiguration} from '../routing/newest-configuration.js';
 import type {ExpertLayout, RoutingConfiguration} from '../routing/routing-configuration.js';
 import {createSlowRankPublisher} from '../slow-ranks/slow-rank-publisher.js';
-import {createChangeDescriber} from './map-change.js';
+import {createChangeDescriber, createMapMemory} from './map-change.js';
 import {planGroup} from './group-planner.js';
 import {RANK_FEED_LONG_POLL_MILLIS} from './rank-agent-constants.js';
 import {createRankWithDirectHolds} from './rank-with-direct-holds.js';
@@ -65,7 +65,10 @@
 /** Starts an agent; the life cycle stops it. */
 export async function startRankAgent(deps: RankAgentDeps): Promise<Result<RankAgent, ListenError>> {
 	const {clock, log, lifeCycle, access, engine} = deps;
-	const server = await openLinkServer(access, clock, deps.listen, [createRankService({engine, access, log})]);
+	const maps = createMapMemory();
+	const server = await openLinkServer(access, clock, deps.listen, [createRankService({
+		engine, access, clock, log, maps,
+	})]);
 	if (!server.ok) {
 		return server;
 	}
@@ -90,15 +93,21 @@
 	 * instance freezes while such an order is in flight, it must be the planner's, because recovery can do without that rank only.
 	 */
 	function openRank(server: BackendServer): RankEngine {
-		const {address} = server;
-		if (address === deps.engineAddress) {
-			return engine;
-		}
+		return server.address === deps.engineAddress ? engine : createRankWithDirectHolds(openAgent(server), openDirectRank(server));
+	}
 
+	function openAgent({address}: BackendServer): RemoteRank {
 		const agentAddress = `${parseHostPort(address).host}:${port}`;
 		const remote = remoteRanks.get(agentAddress) ?? openRemoteRank(agentAddress, access, clock, describeMapChange);
 		remoteRanks.set(agentAddress, remote);
-		return createRankWithDirectHolds(remote, openDirectRank(server));
+		return remote;
+	}
+
+	/** Whether the planner's agent answers. */
+	async function askPlanner(): Promise<boolean> {
+		const planner = lastGroup?.[PLANNER_RANK];
+		const state = planner && await openAgent(planner).readState();
+		return state?.ok === true;
 	}
 
 	/** Opens access to a rank bypassing its agent, which may have stopped. */
@@ -166,7 +175,7 @@
 				await (rank === PLANNER_RANK
 					? planOwnGroup(name)
 					: watchForStalledSwitch({
-						clock, log, engine, readRanks: () => readRanks(openDirectRank),
+						clock, log, engine, readRanks: isDirect => readRanks(isDirect ? openDirectRank : openRank), readMap: maps.readVersion, askPlanner,
 					}, stopping.signal));
 				return;
 			}
