--- a/src/map-switch/order-round.ts
+++ b/src/map-switch/order-round.ts
@@ -138,11 +138,11 @@
 		sendNext();
 	}
 
-	/** Sends first orders while few are awaited, so that answers are read between them. */
+	/** Sends first orders while few are awaited, so that answers are read between them; at once if the ranks need time for them. */
 	function sendNext(): void {
 		const awaited = runs.filter(({isAwaited}) => isAwaited).length;
 		const unsent = ended.signal.aborted ? [] : runs.filter(({sends}) => sends === 0);
-		for (const run of unsent.slice(0, Math.max(0, MAX_AWAITED_ORDERS - awaited))) {
+		for (const run of unsent.slice(0, minMillis > 0 ? unsent.length : Math.max(0, MAX_AWAITED_ORDERS - awaited))) {
 			run.isAwaited = true;
 			void send(run);
 		}
--- a/src/map-switch/switch-map.ts
+++ b/src/map-switch/switch-map.ts
@@ -1,6 +1,7 @@
 /** Switches all ranks of a group to a new expert map at the same forward pass. */
 import type {Clock} from '../core/clock.js';
 import {invariant} from '../core/invariant.js';
+import {sum} from '../decisions/sum.js';
 import type {Log} from '../observability/log.js';
 import type {GroupExperts, RankEngine, RankOrder} from '../ports/rank-engine.js';
 import {getAnchorRank, PLANNER_RANK, type GroupRanks} from './group-ranks.js';
@@ -131,6 +132,15 @@
 	return 'done';
 }
 
+/** Ranks in the order of the experts that they have to copy, those with most first, so that all have copied them as early as possible. */
+function sortByCopies(ranks: GroupRanks, {experts, base}: SwitchPlan): GroupRanks {
+	const countCopies = (rank: number) => sum(experts.map((layer, i) => (layer[rank] ?? []).filter(expert => base[i]?.[rank]?.includes(expert) !== true).length));
+	return [...ranks.entries()]
+		.map(([rank, engine]) => ({engine, copies: countCopies(rank)}))
+		.toSorted((left, right) => right.copies - left.copies)
+		.map(({engine}) => engine);
+}
+
 /** Runs a switch until it completes or a step fails. */
 export async function switchMap(deps: SwitchDeps, plan: SwitchPlan): Promise<SwitchOutcome> {
 	const {clock, log, ranks, timing} = deps;
@@ -145,7 +155,7 @@
 
 	const [before, prepared] = await Promise.all([
 		readStep(deps, anchor),
-		executeOrderRound(deps, ranks, {
+		executeOrderRound(deps, sortByCopies(ranks, plan), {
 			tag: 'prepare', version, experts, base,
 		}, {
 			epoch, timeoutMillis: copyMillis + PREPARE_SLACK_MILLIS, minMillis: copyMillis, pollMillis: ORDER_POLL_INTERVAL_MILLIS, isDone: ({preparedVersion}) => preparedVersion === version,
