Compute the time of each rank once for each change that is looked for

Half of it went into sorting the ranks, with a root of the potential in each comparison, and a tenth into copies of all slots after each change.

Evidence: 16 plans of 72 ranks, 12 layers and 144 experts, by the same random loads: the same plans, 20 to 35 ms instead of 33 to 56 once warm.

--- a/src/decisions/placement/find-change.ts
+++ b/src/decisions/placement/find-change.ts
@@ -26,24 +26,18 @@
 	isProgress: boolean;
 }>;
 
-/** Finds the rank with the largest time. */
-export function findHottestRank(layout: LayerLayout): number {
-	let hottest = 0;
-	for (let rank = 1; rank < layout.ranks; rank++) {
-		if (layout.relativeTime(rank) > layout.relativeTime(hottest)) {
-			hottest = rank;
-		}
-	}
-
-	return hottest;
-}
-
-/** Lists the ranks with the shortest times, which may receive load. */
-function listTargetRanks(layout: LayerLayout, hottest: number, count: number): readonly number[] {
-	return Array.from({length: layout.ranks}, (_, rank) => rank)
-		.filter(rank => rank !== hottest)
-		.toSorted((left, right) => layout.relativeTime(left) - layout.relativeTime(right))
-		.slice(0, count);
+/** Ranks by their times: the one with the largest, and those with the shortest, which may receive load. */
+function orderRanks({ranks, relativeTime}: LayerLayout, targets: number): Readonly<{hottest: number; targetRanks: readonly number[]}> {
+	// Each time is computed once, as sorting reads it many times.
+	const times = Float64Array.from({length: ranks}, (_, rank) => relativeTime(rank));
+	const hottest = times.indexOf(Math.max(...times));
+	return {
+		hottest,
+		targetRanks: [...times.keys()]
+			.filter(rank => rank !== hottest)
+			.toSorted((left, right) => (times[left] ?? 0) - (times[right] ?? 0))
+			.slice(0, targets),
+	};
 }
 
 /**
@@ -51,8 +45,7 @@
  * free or redundant slot of another rank, moves it there, or swaps it.
  */
 export function findChange(layout: LayerLayout, rules: ChangeRules): FoundChange | undefined {
-	const hottest = findHottestRank(layout);
-	const targetRanks = listTargetRanks(layout, hottest, rules.targetRanks ?? DEFAULT_TARGET_RANKS);
+	const {hottest, targetRanks} = orderRanks(layout, rules.targetRanks ?? DEFAULT_TARGET_RANKS);
 	const potentialBefore = layout.potential();
 	const rootBefore = potentialBefore ** (1 / layout.exponent);
 	let best: SlotChange | undefined;
--- a/src/decisions/placement/plan-layer.ts
+++ b/src/decisions/placement/plan-layer.ts
@@ -21,16 +21,21 @@
 	return after.filter((expert, slot) => expert !== EMPTY_SLOT && expert !== before[slot]).length;
 }
 
-/** Counts the slots of a rank that hold a copy they did not hold originally. */
-function countRankWeightLoads({slotsPerRank, expertAt}: LayerLayout, original: readonly number[], rank: number): number {
+/** Counts the slots, of a part of a layout, that hold a copy they did not hold originally. */
+function countChangedSlots({expertAt}: LayerLayout, original: readonly number[], from = 0, end = original.length): number {
 	let weightLoads = 0;
-	for (let slot = rank * slotsPerRank; slot < (rank + 1) * slotsPerRank; slot++) {
+	for (let slot = from; slot < end; slot++) {
 		weightLoads += Number(expertAt(slot) !== EMPTY_SLOT && expertAt(slot) !== original[slot]);
 	}
 
 	return weightLoads;
 }
 
+/** The same for the slots of a rank. */
+function countRankWeightLoads(layout: LayerLayout, original: readonly number[], rank: number): number {
+	return countChangedSlots(layout, original, rank * layout.slotsPerRank, (rank + 1) * layout.slotsPerRank);
+}
+
 /** Locks recently changed slots, starting with the first change that makes the layout worse. */
 function createSlotLocks() {
 	const lockedUntil = new Map<number, number>();
@@ -91,15 +96,14 @@
 		layout.applyChange(found.change);
 		locks.note(found.change, found.isProgress);
 		changesSinceBest++;
-		const slots = layout.copySlots();
-		const weightLoads = countWeightLoads(original, slots);
+		const weightLoads = countChangedSlots(layout, original);
 		const skewAfter = layout.skew();
 		const netReduction = skewBefore - skewAfter - (weightLoads * options.skewCostPerWeightLoad);
 		if (netReduction > bestNetReduction && weightLoads <= options.maxWeightLoads && skewBefore - skewAfter >= options.minSkewReduction) {
 			bestNetReduction = netReduction;
 			changesSinceBest = 0;
 			bestPlan = {
-				map: {slotsPerRank: layout.slotsPerRank, slots}, weightLoads, skewBefore, skewAfter,
+				map: {slotsPerRank: layout.slotsPerRank, slots: layout.copySlots()}, weightLoads, skewBefore, skewAfter,
 			};
 		}
 	}
