Sample a large group during switches, and plan for a change as soon as it is sampled

Cause: samples were taken between switches only. The states of all 72 ranks were read again before each plan.

Change: the sampled ranks are read every 100 ms, also during a switch. One that finds a change while experts are copied ends the switch before the group is held. A plan for a changed load is made with the first sufficient sample, while the last switch still waits for its pass, and without reading all ranks again; for an unchanged one every third sample. Line `map plan`.

Evidence: group-planner.test.ts, a copy that takes a second: no sample before, some now.

--- a/src/map-switch/__tests__/large-group.test.ts
+++ b/src/map-switch/__tests__/large-group.test.ts
@@ -90,3 +90,14 @@
 		assert.ok(tookMillis <= MAX_RECOVERY_MILLIS, `${tookMillis} ms`);
 	});
 }
+
+void test('a switch for a load that changed while the experts were copied does not hold the group', async () => {
+	const planner = createBusyPlanner({ranks: RANKS, callMillis: 0.5, passMillis: PASS_MILLIS});
+	const outcome = await planner.runUntil(switchMap({
+		ranks: planner.ranks, clock: planner.clock, log: silentLog, timing: createSwitchTiming(), takeVersion: async () => 2, chooseStep: (_epoch, earliestStep) => earliestStep,
+	}, {
+		epoch: 1, experts, base: experts, copyMillis: 12, isOutdated: () => true,
+	}), 5000);
+	assert.equal(outcome?.tag, 'not_begun');
+	assert.equal(planner.isHeld(), false);
+});
--- a/src/map-switch/map-switch-constants.ts
+++ b/src/map-switch/map-switch-constants.ts
@@ -49,6 +49,10 @@
 export const MAX_COUNTS_PER_SECOND = 100_000;
 /** Interval between readings of the sampled ranks of a large group, in milliseconds; one or two passes of a loaded group. */
 export const SAMPLE_INTERVAL_MILLIS = 100;
+/** Interval between looks whether a new sample has been taken, in milliseconds. */
+export const SAMPLE_POLL_INTERVAL_MILLIS = 20;
+/** Longest time by which the reading of the states of all ranks is put off in favour of a switch, in milliseconds. */
+export const MAX_STATE_DELAY_MILLIS = 1000;
 /** Interval between readings of the states of all ranks of a large group, in milliseconds; each takes a call to every agent. */
 export const STATE_INTERVAL_MILLIS = 500;
 /** Interval between looks whether a group has opened and its ranks are known, in milliseconds; one pass of a loaded group. */
--- a/src/map-switch/switch-map.ts
+++ b/src/map-switch/switch-map.ts
@@ -45,6 +45,8 @@
 	base: GroupExperts;
 	/** Time that the slowest rank needs for copying experts, in milliseconds. */
 	copyMillis: number;
+	/** Whether the load for which the experts were placed has changed since; asked before the group is held. */
+	isOutdated?: () => boolean;
 }>;
 
 /** Pass that a rank had begun at some time. */
@@ -165,6 +167,10 @@
 		return {tag: 'not_begun', reason: `prepare ${prepared.effect}`};
 	}
 
+	if (plan.isOutdated?.() === true) {
+		return {tag: 'not_begun', reason: 'load changed'};
+	}
+
 	const preparedAtMillis = clock.monotonicMillis();
 	const held = await holdAnchor(deps, anchor, {epoch, before, answeredMillis: prepared.answeredMillis});
 	if (held.tag === 'not_held') {
--- a/src/observability/line-schemas.ts
+++ b/src/observability/line-schemas.ts
@@ -155,6 +155,11 @@
 		skewBefore: z.number(),
 		skewAfter: z.number(),
 	}),
+	'map plan': z.strictObject({
+		samples: count,
+		planMillis: millis,
+		copies: count,
+	}),
 	'map orders': z.strictObject({
 		order: z.enum(['prepare', 'arm', 'disarm', 'hold', 'go']),
 		version: version.optional(),
--- a/src/rank-agent/__tests__/group-planner.test.ts
+++ b/src/rank-agent/__tests__/group-planner.test.ts
@@ -133,3 +133,52 @@
 	assert.ok(asked > 0);
 	assert.ok(asked / seconds <= 4, `${asked} times in ${seconds} s`);
 });
+
+/** Time for which the experts are certainly copied, in milliseconds; the planner waits longer for an order that is not answered. */
+const COPY_MILLIS = 1000;
+
+void test('a large group is sampled while its experts are copied, so that a change of popularity is not taken for one load with the load before', async () => {
+	const layers = 25;
+	const experts = 256;
+	const large: ExpertLayout = {
+		layers, experts, slotsPerRank: 80, maxLoadsPerRank: 2, copyMillis: 4,
+	};
+	const initial: GroupExperts = Array.from({length: layers}, () => Array.from({length: RANKS}, (_, rank) =>
+		Array.from({length: experts / RANKS}, (__, turn) => rank + (turn * RANKS))));
+	const group = createFakeRankGroup(RANKS, initial, createSeededRandom(4));
+	const shares = Array.from({length: layers * experts}, (_, i) => i % experts === 0 ? 50 : 1);
+	const stop = new AbortController();
+	let copyingSinceMillis: number | undefined;
+	let readings = 0;
+	const ranks = addCounts(group.openAccess().ranks, shares, () => false).map((rank): RankEngine => ({
+		...rank,
+		async readLoad() {
+			const isCopying = copyingSinceMillis !== undefined && group.clock.monotonicMillis() - copyingSinceMillis < COPY_MILLIS;
+			readings += Number(isCopying);
+			if (isCopying) {
+				stop.abort();
+			}
+
+			return rank.readLoad();
+		},
+		async order(order, epoch) {
+			copyingSinceMillis ??= order.tag === 'prepare' ? group.clock.monotonicMillis() : undefined;
+			return order.tag === 'prepare'
+				? new Promise<never>(() => {
+					// The order is never answered.
+				})
+				: rank.order(order, epoch);
+		},
+	}));
+	startPlanner({
+		group, ranks, layout: large, versions: {takeVersion: async () => 2, chooseStep: (_epoch, earliestStep) => earliestStep},
+	}, stop.signal);
+	for (let i = 0; i < TICKS && !stop.signal.aborted; i++) {
+		// eslint-disable-next-line no-await-in-loop -- Ticks are sequential.
+		await group.tick();
+	}
+
+	stop.abort();
+	assert.ok(copyingSinceMillis !== undefined, 'a switch has begun');
+	assert.ok(readings > 0, 'no reading while the experts were copied');
+});
--- a/src/rank-agent/group-planner.ts
+++ b/src/rank-agent/group-planner.ts
@@ -6,8 +6,8 @@
 	isGroupState, PLANNER_RANK, type GroupRanks, type GroupState, type GroupStateError,
 } from '../map-switch/group-ranks.js';
 import {
-	FIRST_OBSERVE_INTERVAL_MILLIS, FAILURE_PAUSE_MILLIS, MAX_COUNTS_PER_SECOND, OBSERVE_INTERVAL_MILLIS,
-	PENDING_SWITCH_POLL_INTERVAL_MILLIS, SAMPLE_INTERVAL_MILLIS, START_PAUSE_MILLIS, STATE_INTERVAL_MILLIS,
+	FIRST_OBSERVE_INTERVAL_MILLIS, FAILURE_PAUSE_MILLIS, MAX_COUNTS_PER_SECOND, MAX_STATE_DELAY_MILLIS, OBSERVE_INTERVAL_MILLIS,
+	PENDING_SWITCH_POLL_INTERVAL_MILLIS, SAMPLE_INTERVAL_MILLIS, SAMPLE_POLL_INTERVAL_MILLIS, START_PAUSE_MILLIS, STATE_INTERVAL_MILLIS,
 } from '../map-switch/map-switch-constants.js';
 import {switchMap, type SwitchDeps} from '../map-switch/switch-map.js';
 import {createSwitchTiming} from '../map-switch/switch-timing.js';
@@ -38,14 +38,17 @@
 /** The same in a large group, where a scenario is the load of several ranks. */
 const MIN_SAMPLED_SCENARIOS = 2;
 
+/** New samples of a large group after which a map is planned for the same popularity. */
+const SAMPLES_PER_PLAN = 3;
+
 /** Active map in an epoch. */
 type ActiveMap = Readonly<{epoch: number; experts: GroupExperts}>;
 
-function planMapMoves({layout, scenarios}: Observation, state: GroupState, experts: GroupExperts): MovesPlan | undefined {
-	if (scenarios.countSamples() < (isLargeGroup(state.size, layout) ? MIN_SAMPLED_SCENARIOS : MIN_SCENARIOS)) {
-		return undefined;
-	}
+function hasEnoughSamples({layout, scenarios}: Observation, {size}: GroupState): boolean {
+	return scenarios.countSamples() >= (isLargeGroup(size, layout) ? MIN_SAMPLED_SCENARIOS : MIN_SCENARIOS);
+}
 
+function planMapMoves({layout, scenarios}: Observation, state: GroupState, experts: GroupExperts): MovesPlan | undefined {
 	const maxCopiesPerRank = Math.max(1, Math.floor(MAX_COPY_MILLIS / Math.max(1, layout.copyMillis)));
 	return planMoves({
 		experts,
@@ -66,15 +69,22 @@
 	let isOpen = false;
 	/** Whether a switch of a large group has been released and its pass may not have begun. */
 	let isPending = false;
+	/** Samples of a large group so far, those for which a map was planned last, and changes of popularity in them. */
+	let samples = 0;
+	let plannedSamples = 0;
+	let changes = 0;
+	/** Whether the popularity has changed since the last plan. */
+	let hasChanged = false;
 	/** State of a large group as last read, which is used until it is due again. */
 	let known: Readonly<{state: GroupState; untilMillis: number}> | undefined;
 
 	/** Switches to the planned map; resolves to the time until the next reading. */
 	async function applyMoves(ranks: GroupRanks, {epoch, experts: base}: ActiveMap, moves: MovesPlan, copyMillis: number): Promise<number> {
+		const changesBefore = changes;
 		const outcome = await switchMap({
 			ranks, clock, log, timing, ...deps.versions,
 		}, {
-			epoch, experts: moves.experts, base, copyMillis: moves.maxRankCopies * copyMillis,
+			epoch, experts: moves.experts, base, copyMillis: moves.maxRankCopies * copyMillis, isOutdated: () => changes !== changesBefore,
 		});
 		log.info('map switch', {
 			outcome: outcome.tag,
@@ -88,10 +98,12 @@
 			skewBefore: moves.skewBefore,
 			skewAfter: moves.skewAfter,
 		});
-		activeMap = outcome.tag === 'switched' ? {epoch, experts: moves.experts} : undefined;
+		const isDecided = outcome.tag !== 'unfinished';
+		activeMap = isDecided ? {epoch, experts: outcome.tag === 'switched' ? moves.experts : base} : undefined;
 		isPending = outcome.tag === 'switched';
-		known = isPending ? known : undefined;
-		return outcome.tag === 'not_begun' ? OBSERVE_INTERVAL_MILLIS : 0;
+		// All ranks have answered the orders of a switch, so their states need not be read at once.
+		known = isDecided && known ? {...known, untilMillis: isPending ? clock.monotonicMillis() + STATE_INTERVAL_MILLIS : known.untilMillis} : undefined;
+		return outcome.tag === 'not_begun' && changes === changesBefore ? OBSERVE_INTERVAL_MILLIS : 0;
 	}
 
 	async function readActiveExperts(ranks: GroupRanks, {epoch}: GroupState): Promise<GroupExperts | undefined> {
@@ -106,7 +118,9 @@
 	/** Reads the state of the group, or returns the last one of a large group while it is recent. */
 	async function observe(ranks: GroupRanks, layout: ExpertLayout): Promise<GroupState | GroupStateError> {
 		const nowMillis = clock.monotonicMillis();
-		if (known && nowMillis < known.untilMillis) {
+		// The calls to all ranks would delay a map for a load that has just changed.
+		const extraMillis = hasChanged ? MAX_STATE_DELAY_MILLIS : 0;
+		if (known && nowMillis < known.untilMillis + extraMillis) {
 			return known.state;
 		}
 
@@ -121,17 +135,58 @@
 		return state?.ok === true && state.value.group.epoch === activeMap?.epoch && state.value.armed !== undefined;
 	}
 
+	/** Waits until a released switch has taken effect, because armed ranks prepare no other map. */
+	async function waitForPass(ranks: GroupRanks): Promise<void> {
+		/* eslint-disable no-await-in-loop -- Polls sequentially. */
+		while (isPending && !signal.aborted) {
+			isPending = await looksPending(ranks);
+			await clock.sleep(isPending ? SAMPLE_POLL_INTERVAL_MILLIS : 0, signal);
+		}
+		/* eslint-enable no-await-in-loop */
+	}
+
 	/** Updates whether the group is open from the engine beside this process, which costs no call to another instance. */
 	async function lookIfOpen(ranks: GroupRanks): Promise<void> {
 		const state = await ranks[PLANNER_RANK]?.readState();
 		isOpen = state?.ok === true && state.value.group.isOpen;
 	}
 
+	/** Plans moves for the load observed so far and switches to them; resolves to the time until the next reading. */
+	async function planAndApply(ranks: GroupRanks, layout: ExpertLayout, state: GroupState, active: ActiveMap): Promise<number> {
+		const isLarge = isLargeGroup(ranks.length, layout);
+		const observation = observer.read();
+		const isEnough = observation !== undefined && hasEnoughSamples(observation, state);
+		if (isLarge && (!isEnough || samples - plannedSamples < (hasChanged ? 1 : SAMPLES_PER_PLAN))) {
+			return SAMPLE_POLL_INTERVAL_MILLIS;
+		}
+
+		plannedSamples = samples;
+		hasChanged = false;
+		const startedAtMillis = clock.monotonicMillis();
+		const moves = isEnough ? planMapMoves(observation, state, active.experts) : undefined;
+		log.debug('map plan', {
+			samples: observation?.scenarios.countSamples() ?? 0,
+			planMillis: Math.round(clock.monotonicMillis() - startedAtMillis),
+			copies: moves?.copies ?? 0,
+		});
+		if (moves) {
+			await waitForPass(ranks);
+			return applyMoves(ranks, active, moves, layout.copyMillis);
+		}
+
+		if (isLarge) {
+			return SAMPLE_POLL_INTERVAL_MILLIS;
+		}
+
+		const numbers = layout.layers * layout.experts * ranks.length;
+		const intervalMillis = state.ranks.every(({mapVersion}) => mapVersion === 0) ? FIRST_OBSERVE_INTERVAL_MILLIS : OBSERVE_INTERVAL_MILLIS;
+		return Math.max(intervalMillis, numbers * MILLIS_PER_SECOND / MAX_COUNTS_PER_SECOND);
+	}
+
 	/** Reads the group and acts on its state; resolves to the time until the next reading. */
 	async function observeAndAct(ranks: GroupRanks, layout: ExpertLayout): Promise<number> {
-		const startedAtMillis = clock.monotonicMillis();
 		isPending &&= await looksPending(ranks);
-		if (isPending) {
+		if (isPending && !(hasChanged && known)) {
 			return PENDING_SWITCH_POLL_INTERVAL_MILLIS;
 		}
 
@@ -158,25 +213,30 @@
 		}
 
 		const experts = await readActiveExperts(ranks, state);
-		const isLarge = isLargeGroup(ranks.length, layout);
-		if (isLarge && await observer.sample(ranks, layout)) {
-			log.info('expert popularity changed', {epoch: state.epoch});
-			return SAMPLE_INTERVAL_MILLIS;
-		}
+		return experts ? planAndApply(ranks, layout, state, {epoch: state.epoch, experts}) : OBSERVE_INTERVAL_MILLIS;
+	}
 
-		const observation = observer.read();
-		const moves = experts && observation && planMapMoves(observation, state, experts);
-		if (moves) {
-			return applyMoves(ranks, {epoch: state.epoch, experts}, moves, layout.copyMillis);
-		}
+	/** Reads the sampled ranks of a large group at regular intervals, also during a switch: a sample over a longer time shows the load before a change and after it as one. */
+	async function sampleRegularly(): Promise<void> {
+		/* eslint-disable no-await-in-loop -- Samples are sequential. */
+		while (!signal.aborted) {
+			const startedAtMillis = clock.monotonicMillis();
+			const ranks = deps.readRanks();
+			const layout = deps.readLayout();
+			const observation = observer.read();
+			if (ranks && layout && observation && isOpen && isLargeGroup(ranks.length, layout)) {
+				if (await observer.sample(ranks, layout)) {
+					changes++;
+					hasChanged = true;
+					log.info('expert popularity changed', {epoch: observation.epoch});
+				} else {
+					samples++;
+				}
+			}
 
-		if (isLarge) {
-			return Math.max(0, SAMPLE_INTERVAL_MILLIS + startedAtMillis - clock.monotonicMillis());
+			await clock.sleep(Math.max(SAMPLE_POLL_INTERVAL_MILLIS, SAMPLE_INTERVAL_MILLIS + startedAtMillis - clock.monotonicMillis()), signal);
 		}
-
-		const numbers = layout.layers * layout.experts * ranks.length;
-		const intervalMillis = state.ranks.every(({mapVersion}) => mapVersion === 0) ? FIRST_OBSERVE_INTERVAL_MILLIS : OBSERVE_INTERVAL_MILLIS;
-		return Math.max(intervalMillis, numbers * MILLIS_PER_SECOND / MAX_COUNTS_PER_SECOND);
+		/* eslint-enable no-await-in-loop */
 	}
 
 	/** Looks often whether a broken group has opened: until its first switch, its load is spread by a map that knows nothing of it. */
@@ -188,6 +248,7 @@
 		return isOpen ? observeAndAct(ranks, layout) : START_PAUSE_MILLIS;
 	}
 
+	void sampleRegularly();
 	/* eslint-disable no-await-in-loop -- Steps run sequentially. */
 	while (!signal.aborted) {
 		const ranks = deps.readRanks();
