Fence a rank off in the same step in which it is disarmed

One reading of all ranks less while a group is held; a rank that is still armed refuses the fence, and the next reading shows it. The walks over faults in map-switch.test.ts pass.

--- a/src/map-switch/recover-switch.ts
+++ b/src/map-switch/recover-switch.ts
@@ -126,12 +126,12 @@
 		{tag: 'disarm', version: armedVersion},
 		{epoch, isDone: ({armed}) => armed?.version !== armedVersion},
 	)));
-	const prepared = filterRanks(state, ({armed, preparedVersion}) =>
-		armed === undefined && preparedVersion !== undefined && isProposalVersion(preparedVersion));
-	await execute(deps, prepared, fence, {epoch, isDone: ({preparedVersion}) => preparedVersion === fence.version});
+	// A rank that is still armed refuses to be fenced off.
+	const unfenced = filterRanks(state, ({armed, preparedVersion}) =>
+		armed !== undefined || (preparedVersion !== undefined && isProposalVersion(preparedVersion)));
+	await execute(deps, unfenced, fence, {epoch, isDone: ({preparedVersion}) => preparedVersion === fence.version});
 	const heldStep = readHeldStep(state);
-	const isAnyArmed = state.ranks.some(({armed}) => armed !== undefined);
-	if (!isAnyArmed && prepared.length === 0 && heldStep !== undefined) {
+	if (unfenced.length === 0 && heldStep !== undefined) {
 		deps.log.info('map switch abandoned', {
 			version, epoch, heldStep, isPlannerAway: !hasAllRanks(state),
 		});
