Send an unanswered order to prepare again beside the engine

The agent, to which its engine answers within some milliseconds, sends the order again itself after 40 ms.

Evidence: remote-rank.test.ts, two orders lost: done after the third.

--- a/src/rank-agent/__tests__/remote-rank.test.ts
+++ b/src/rank-agent/__tests__/remote-rank.test.ts
@@ -145,3 +145,35 @@
 		{tag: 'prepare', version: 10, experts: next}, {tag: 'prepare', version: 12, experts: last},
 	], 'the engine gets whole maps, each once');
 });
+
+void test('an order to prepare that the engine leaves unanswered is sent again by the agent beside it, and answered once the experts are copied', async () => {
+	let sends = 0;
+	let prepared: number | undefined;
+	const forgetful: RankEngine = {
+		...engine,
+		readState: async () => succeed({...STATE, preparedVersion: prepared}),
+		async order() {
+			sends++;
+			if (sends < 3) {
+				return new Promise<never>(() => {
+					// No answer.
+				});
+			}
+
+			setTimeout(() => {
+				prepared = 8;
+			}, 20);
+			return {tag: 'accepted', detail: ''};
+		},
+	};
+	const serverOfRank = await openLinkServer(access, systemClock, '127.0.0.1:0', [createRankService({
+		engine: forgetful, access, clock: systemClock, log: silentLog,
+	})]);
+	assert.ok(serverOfRank.ok);
+	const rank = openRemoteRank(serverOfRank.value.address, access, systemClock);
+	const {tag} = await rank.order({tag: 'prepare', version: 8, experts: [[[0]]]}, 3);
+	rank.close();
+	await serverOfRank.value.close();
+	assert.equal(tag, 'done');
+	assert.equal(sends, 3);
+});
--- a/src/rank-agent/rank-agent-constants.ts
+++ b/src/rank-agent/rank-agent-constants.ts
@@ -4,6 +4,8 @@
 export const RANK_ORDER_TIMEOUT_MILLIS = 700;
 /** Time for which an agent waits until its engine has copied the experts of a map, in milliseconds; the planner sends the order again before. */
 export const PREPARE_WAIT_MILLIS = 500;
+/** Time after which an agent sends an order to prepare to its engine again, in milliseconds; it is answered within a few beside it. */
+export const PREPARE_ANSWER_TIMEOUT_MILLIS = 40;
 /** Interval between reads of the engine meanwhile, in milliseconds; they cost nothing beside it. */
 export const PREPARE_POLL_INTERVAL_MILLIS = 5;
 /** Timeout for an order with a whole map, in milliseconds; in a group of 64 ranks the planner's link is busy with them for a second. */
--- a/src/rank-agent/rank-service.ts
+++ b/src/rank-agent/rank-service.ts
@@ -4,14 +4,18 @@
 import type {LinkService} from '../agent/link-server.js';
 import type {Clock} from '../core/clock.js';
 import type {Log} from '../observability/log.js';
-import type {RankEngine} from '../ports/rank-engine.js';
+import type {OrderOutcome as RankOrderOutcome, RankEngine, RankOrder as EngineOrder} from '../ports/rank-engine.js';
 import {
 	RankAgentService, type OrderOutcome, type RankOrder, type RankReading, type ReadRank,
 } from '../wire/generated/rank.js';
 import {createMapMemory, type MapMemory} from './map-change.js';
-import {PREPARE_POLL_INTERVAL_MILLIS, PREPARE_WAIT_MILLIS} from './rank-agent-constants.js';
+import {PREPARE_ANSWER_TIMEOUT_MILLIS, PREPARE_POLL_INTERVAL_MILLIS, PREPARE_WAIT_MILLIS} from './rank-agent-constants.js';
 import {fromOrderMessage, toReading, UNKNOWN_MAP} from './rank-messages.js';
 
+const NO_ANSWER: RankOrderOutcome = {tag: 'unknown', detail: 'no answer'};
+
+type PrepareOrder = Extract<EngineOrder, {tag: 'prepare'}>;
+
 /** Dependencies of the service. */
 export type RankServiceDeps = Readonly<{
 	engine: RankEngine;
@@ -36,21 +40,35 @@
 		return state.ok && experts?.ok !== false ? toReading(state.value, [], experts?.value ?? []) : undefined;
 	}
 
-	/** Waits until the experts of a version have been copied, so that the planner need not look at each rank. */
-	async function waitForCopy(version: number): Promise<boolean> {
+	/**
+	 * Prepares a version: sends the order again while the engine beside this agent does not answer, and waits until the experts have been copied, so
+	 * that the planner need not look at each rank.
+	 */
+	async function prepare(order: PrepareOrder, epoch: number): Promise<RankOrderOutcome> {
+		maps.rememberVersion(order.version, order.experts);
 		const untilMillis = clock.monotonicMillis() + PREPARE_WAIT_MILLIS;
-		/* eslint-disable no-await-in-loop -- Reads are sequential. */
+		let outcome = NO_ANSWER;
+		/* eslint-disable no-await-in-loop -- Orders and reads are sequential. */
+		for (let sends = 1; outcome.tag === 'unknown' && clock.monotonicMillis() < untilMillis; sends++) {
+			const timeout = clock.sleep(PREPARE_ANSWER_TIMEOUT_MILLIS).then(() => NO_ANSWER);
+			outcome = await Promise.race([engine.order(order, epoch), timeout]);
+			if (outcome.tag === 'done' || (outcome.tag === 'refused' && sends === 1)) {
+				return outcome;
+			}
+		}
+
+		// An order that was sent again may have been refused because the engine executes the former one.
 		while (clock.monotonicMillis() < untilMillis) {
 			const state = await engine.readState();
-			if (state.ok && state.value.preparedVersion === version) {
-				return true;
+			if (state.ok && state.value.preparedVersion === order.version) {
+				return {tag: 'done', detail: ''};
 			}
 
 			await clock.sleep(PREPARE_POLL_INTERVAL_MILLIS);
 		}
 		/* eslint-enable no-await-in-loop */
 
-		return false;
+		return outcome;
 	}
 
 	async function executeOrder(message: RankOrder): Promise<OrderOutcome> {
@@ -63,13 +81,7 @@
 			return {outcome: UNKNOWN_MAP, detail: 'the base of the change is not known'};
 		}
 
-		if (order.tag === 'prepare') {
-			maps.rememberVersion(order.version, order.experts);
-		}
-
-		const answered = await engine.order(order, message.epoch);
-		const isCopied = order.tag === 'prepare' && (answered.tag === 'accepted' || answered.tag === 'unknown') && await waitForCopy(order.version);
-		const {tag, detail} = isCopied ? {tag: 'done' as const, detail: ''} : answered;
+		const {tag, detail} = await (order.tag === 'prepare' ? prepare(order, message.epoch) : engine.order(order, message.epoch));
 		log.info('map order', {
 			order: order.tag, version: 'version' in order ? order.version : undefined, step: 'step' in order ? order.step : undefined, epoch: message.epoch, outcome: tag, detail,
 		});
