Release a hold that is executed after its release

An order to hold that was not answered at first may be executed in that time; the planner, which runs, would have left the group standing until the agent beside the anchor acts after 4 s.

Change: the anchor is read as well, and the group if it is held again.

--- a/src/rank-agent/__tests__/group-planner.test.ts
+++ b/src/rank-agent/__tests__/group-planner.test.ts
@@ -182,3 +182,46 @@
 	assert.ok(copyingSinceMillis !== undefined, 'a switch has begun');
 	assert.ok(readings > 0, 'no reading while the experts were copied');
 });
+
+void test('a hold that is executed again after its release, before its pass, does not stop the group', async () => {
+	const group = createFakeRankGroup(RANKS, first, createSeededRandom(4));
+	const {ranks: access} = group.openAccess();
+	let heldStep: number | undefined;
+	const repeated: number[] = [];
+	const ranks = addCounts(access, [50, 1, 1, 1, 1, 1, 1, 1], () => false).map((rank): RankEngine => ({
+		...rank,
+		async order(order, epoch) {
+			const outcome = await rank.order(order, epoch);
+			heldStep = order.tag === 'hold' && outcome.tag !== 'refused' ? order.step : heldStep;
+			if (order.tag === 'go' && order.step === heldStep && repeated.length === 0) {
+				const late = await rank.order({tag: 'hold', step: heldStep}, epoch);
+				repeated.push(...(late.tag === 'refused' ? [] : [heldStep]));
+			}
+
+			return outcome;
+		},
+	}));
+	const stop = new AbortController();
+	let version = 0;
+	const versions = {
+		async takeVersion() {
+			version += 2;
+			return version;
+		},
+		chooseStep: (_epoch: number, earliestStep: number) => earliestStep + 100,
+	};
+	startPlanner({
+		group, ranks, layout: LAYOUT, versions,
+	}, stop.signal);
+	let heldTicks = 0;
+	for (let i = 0; i < TICKS && (repeated.length === 0 || group.readHeldStep() !== undefined); i++) {
+		// eslint-disable-next-line no-await-in-loop -- Ticks are sequential.
+		await group.tick();
+		heldTicks += Number(repeated.length > 0);
+	}
+
+	stop.abort();
+	assert.equal(repeated.length, 1, 'the hold was executed again');
+	assert.equal(group.readHeldStep(), undefined, `held for ${heldTicks} ticks`);
+	assert.deepEqual(group.readMixedPasses(), []);
+});
--- a/src/rank-agent/group-planner.ts
+++ b/src/rank-agent/group-planner.ts
@@ -3,7 +3,7 @@
 import {planMoves, type MovesPlan} from '../decisions/placement/plan-moves.js';
 import {recoverSwitch, hasUnfinishedSwitch} from '../map-switch/recover-switch.js';
 import {
-	isGroupState, PLANNER_RANK, type GroupRanks, type GroupState, type GroupStateError,
+	getAnchorRank, isGroupState, PLANNER_RANK, type GroupRanks, type GroupState, type GroupStateError,
 } from '../map-switch/group-ranks.js';
 import {
 	FIRST_OBSERVE_INTERVAL_MILLIS, FAILURE_PAUSE_MILLIS, MAX_COUNTS_PER_SECOND, MAX_STATE_DELAY_MILLIS, OBSERVE_INTERVAL_MILLIS,
@@ -41,6 +41,9 @@
 /** New samples of a large group after which a map is planned for the same popularity. */
 const SAMPLES_PER_PLAN = 3;
 
+/** What a released switch of a group does. */
+type PassWait = 'waiting' | 'over' | 'held_again';
+
 /** Active map in an epoch. */
 type ActiveMap = Readonly<{epoch: number; experts: GroupExperts}>;
 
@@ -129,20 +132,35 @@
 		return state;
 	}
 
-	/** Whether the engine beside this process still waits for the pass of a released switch; looking there costs no call to another instance. */
-	async function looksPending(ranks: GroupRanks): Promise<boolean> {
-		const state = await ranks[PLANNER_RANK]?.readState();
-		return state?.ok === true && state.value.group.epoch === activeMap?.epoch && state.value.armed !== undefined;
+	/**
+	 * Looks whether the engine beside this process still waits for the pass of a released switch. An order to hold that was not answered may be
+	 * executed after the release; then the states of all ranks are read next, and the hold is released again.
+	 */
+	async function lookForPass(ranks: GroupRanks): Promise<PassWait> {
+		const [state, anchor] = await Promise.all([ranks[PLANNER_RANK]?.readState(), ranks[getAnchorRank(ranks.length)]?.readState()]);
+		if (anchor?.ok === true && anchor.value.heldStep !== undefined) {
+			known = undefined;
+			return 'held_again';
+		}
+
+		return state?.ok === true && state.value.group.epoch === activeMap?.epoch && state.value.armed !== undefined ? 'waiting' : 'over';
 	}
 
-	/** Waits until a released switch has taken effect, because armed ranks prepare no other map. */
-	async function waitForPass(ranks: GroupRanks): Promise<void> {
+	/** Waits until a released switch has taken effect, because armed ranks prepare no other map; false if it does not. */
+	async function waitForPass(ranks: GroupRanks): Promise<boolean> {
 		/* eslint-disable no-await-in-loop -- Polls sequentially. */
 		while (isPending && !signal.aborted) {
-			isPending = await looksPending(ranks);
+			const wait = await lookForPass(ranks);
+			isPending = wait === 'waiting';
+			if (wait === 'held_again') {
+				return false;
+			}
+
 			await clock.sleep(isPending ? SAMPLE_POLL_INTERVAL_MILLIS : 0, signal);
 		}
 		/* eslint-enable no-await-in-loop */
+
+		return true;
 	}
 
 	/** Updates whether the group is open from the engine beside this process, which costs no call to another instance. */
@@ -170,8 +188,7 @@
 			copies: moves?.copies ?? 0,
 		});
 		if (moves) {
-			await waitForPass(ranks);
-			return applyMoves(ranks, active, moves, layout.copyMillis);
+			return await waitForPass(ranks) ? applyMoves(ranks, active, moves, layout.copyMillis) : 0;
 		}
 
 		if (isLarge) {
@@ -185,7 +202,7 @@
 
 	/** Reads the group and acts on its state; resolves to the time until the next reading. */
 	async function observeAndAct(ranks: GroupRanks, layout: ExpertLayout): Promise<number> {
-		isPending &&= await looksPending(ranks);
+		isPending &&= await lookForPass(ranks) === 'waiting';
 		if (isPending && !(hasChanged && known)) {
 			return PENDING_SWITCH_POLL_INTERVAL_MILLIS;
 		}
