--- a/src/map-switch/map-switch-constants.ts
+++ b/src/map-switch/map-switch-constants.ts
@@ -45,10 +45,8 @@
 export const OBSERVE_INTERVAL_MILLIS = 250;
 /** The same until the first switch of a group, whose first map knows nothing of its load. */
 export const FIRST_OBSERVE_INTERVAL_MILLIS = 100;
-/** Maximum counts that all ranks of a small group report per second. */
+/** Maximum counts that all ranks report per second; at two to three bytes each, a third of the slowest link beside an engine. */
 export const MAX_COUNTS_PER_SECOND = 100_000;
-/** Maximum counts of sampled ranks per second; at a byte or two each, as changes, half of the slowest link beside an engine. */
-export const MAX_SAMPLED_COUNTS_PER_SECOND = 200_000;
 /** Interval between readings of the sampled ranks of a large group, in milliseconds; one or two passes of a loaded group. */
 export const SAMPLE_INTERVAL_MILLIS = 100;
 /** Interval between looks whether a new sample has been taken, in milliseconds. */
--- a/src/rank-agent/__tests__/observe-group.test.ts
+++ b/src/rank-agent/__tests__/observe-group.test.ts
@@ -3,7 +3,7 @@
 import {succeed} from '../../core/result.js';
 import type {RankEngine, RankState} from '../../ports/rank-engine.js';
 import type {ExpertLayout} from '../../routing/routing-configuration.js';
-import {MAX_SAMPLED_COUNTS_PER_SECOND, SAMPLE_INTERVAL_MILLIS} from '../../map-switch/map-switch-constants.js';
+import {MAX_COUNTS_PER_SECOND, SAMPLE_INTERVAL_MILLIS} from '../../map-switch/map-switch-constants.js';
 import {countSampledRanks, createGroupObserver} from '../observe-group.js';
 
 const LARGE: ExpertLayout = {
@@ -48,7 +48,7 @@
 	await observer.sample(ranks, LARGE);
 	assert.deepEqual(readings.slice(first.length), first);
 	assert.equal(first.length, countSampledRanks(RANKS, LARGE));
-	assert.ok(first.length * LARGE.layers * LARGE.experts <= MAX_SAMPLED_COUNTS_PER_SECOND * SAMPLE_INTERVAL_MILLIS / 1000);
+	assert.ok(first.length * LARGE.layers * LARGE.experts <= MAX_COUNTS_PER_SECOND * SAMPLE_INTERVAL_MILLIS / 1000);
 	const gaps = first.slice(1).map((rank, i) => rank - (first[i] ?? 0));
 	assert.ok(Math.max(...gaps) - Math.min(...gaps) <= 1, 'the sample is spread evenly');
 	assert.ok((observer.read()?.scenarios.countSamples() ?? 0) > 0, 'the second sample shows a load');
--- a/src/rank-agent/observe-group.ts
+++ b/src/rank-agent/observe-group.ts
@@ -7,9 +7,7 @@
 import {
 	isGroupState, readGroupLoad, type GroupRanks, type GroupState, type GroupStateError,
 } from '../map-switch/group-ranks.js';
-import {
-	MAX_COUNTS_PER_SECOND, MAX_SAMPLED_COUNTS_PER_SECOND, OBSERVE_INTERVAL_MILLIS, SAMPLE_INTERVAL_MILLIS,
-} from '../map-switch/map-switch-constants.js';
+import {MAX_COUNTS_PER_SECOND, OBSERVE_INTERVAL_MILLIS, SAMPLE_INTERVAL_MILLIS} from '../map-switch/map-switch-constants.js';
 import type {ExpertLayout} from '../routing/routing-configuration.js';
 
 /** Observed load. It is kept across epochs of the group, because the requests of callers do not change with them. */
@@ -44,7 +42,7 @@
 
 /** Number of ranks whose counts are read at once: all of a small group, otherwise as many as the rate of counts allows. */
 export function countSampledRanks(size: number, layout: ExpertLayout): number {
-	const numbersPerSample = MAX_SAMPLED_COUNTS_PER_SECOND * SAMPLE_INTERVAL_MILLIS / MILLIS_PER_SECOND;
+	const numbersPerSample = MAX_COUNTS_PER_SECOND * SAMPLE_INTERVAL_MILLIS / MILLIS_PER_SECOND;
 	return isLargeGroup(size, layout) ? Math.min(size, Math.max(1, Math.floor(numbersPerSample / (layout.layers * layout.experts)))) : size;
 }
 
--- a/src/rank-agent/rank-messages.ts
+++ b/src/rank-agent/rank-messages.ts
@@ -6,7 +6,6 @@
 import type {
 	MapChange, Prepare, RankOrder as OrderMessage, RankReading,
 } from '../wire/generated/rank.js';
-import type {CountMessage} from './count-changes.js';
 import type {MapMemory} from './map-change.js';
 
 /** Outcome of an order that changes a map which the agent does not know; the order was not given to the engine. */
@@ -16,7 +15,7 @@
 const NO_STEP = -1;
 
 /** Converts a state to its message, with counts and experts if they were requested. */
-export function toReading(state: RankState, {counts, number, since}: CountMessage, experts: RankExperts): RankReading {
+export function toReading(state: RankState, counts: readonly number[], experts: RankExperts): RankReading {
 	const {group} = state;
 	return {
 		group: group.name,
@@ -33,8 +32,6 @@
 		pace: state.slowFactor,
 		hasWork: state.hasWork,
 		counts: [...counts],
-		countsNumber: number,
-		countsSince: since,
 		experts: experts.map(layer => ({experts: [...layer]})),
 	};
 }
--- a/src/rank-agent/rank-service.ts
+++ b/src/rank-agent/rank-service.ts
@@ -8,12 +8,10 @@
 import {
 	RankAgentService, type OrderOutcome, type RankOrder, type RankReading, type ReadRank,
 } from '../wire/generated/rank.js';
-import {createCountSender, type CountMessage} from './count-changes.js';
 import {createMapMemory, type MapMemory} from './map-change.js';
 import {PREPARE_ANSWER_TIMEOUT_MILLIS, PREPARE_POLL_INTERVAL_MILLIS, PREPARE_WAIT_MILLIS} from './rank-agent-constants.js';
 import {fromOrderMessage, toReading, UNKNOWN_MAP} from './rank-messages.js';
 
-const NO_COUNTS: CountMessage = {counts: [], number: 0, since: 0};
 const NO_ANSWER: RankOrderOutcome = {tag: 'unknown', detail: 'no answer'};
 
 type PrepareOrder = Extract<EngineOrder, {tag: 'prepare'}>;
@@ -31,17 +29,15 @@
 export function createRankService({
 	engine, access, clock, log, maps = createMapMemory(),
 }: RankServiceDeps): LinkService {
-	const sender = createCountSender(clock.now().getTime());
-
-	async function read({withCounts, withExperts, countsSince}: ReadRank): Promise<RankReading | undefined> {
+	async function read({withCounts, withExperts}: ReadRank): Promise<RankReading | undefined> {
 		if (withCounts) {
 			const load = await engine.readLoad();
-			return load.ok ? toReading(load.value.state, sender.describe(load.value.counts, countsSince), []) : undefined;
+			return load.ok ? toReading(load.value.state, load.value.counts, []) : undefined;
 		}
 
 		const state = await engine.readState();
 		const experts = withExperts ? await engine.readExperts() : undefined;
-		return state.ok && experts?.ok !== false ? toReading(state.value, NO_COUNTS, experts?.value ?? []) : undefined;
+		return state.ok && experts?.ok !== false ? toReading(state.value, [], experts?.value ?? []) : undefined;
 	}
 
 	/**
--- a/src/rank-agent/remote-rank.ts
+++ b/src/rank-agent/remote-rank.ts
@@ -6,7 +6,6 @@
 import {fail, succeed, type Result} from '../core/result.js';
 import type {OrderOutcome, RankEngine, RankReadError} from '../ports/rank-engine.js';
 import {RankAgentClient, type RankOrder as OrderMessage, type RankReading} from '../wire/generated/rank.js';
-import {createCountReceiver} from './count-changes.js';
 import {createChangeDescriber} from './map-change.js';
 import {
 	fromOutcome, fromReading, toOrderMessage, UNKNOWN_MAP,
@@ -25,7 +24,6 @@
  */
 export function openRemoteRank(address: string, access: LinkAccess, clock: Clock, describeMapChange = createChangeDescriber()): RemoteRank {
 	let client: RankAgentClient | undefined;
-	const receiver = createCountReceiver();
 
 	function getClient(): RankAgentClient {
 		client ??= new RankAgentClient(address, access.channel, PEER_CHANNEL_OPTIONS);
@@ -47,7 +45,7 @@
 	async function read(withCounts: boolean, withExperts: boolean): Promise<Result<RankReading, RankReadError>> {
 		const used = getClient();
 		return new Promise(resolve => {
-			used.read({withCounts, withExperts, countsSince: withCounts ? receiver.readNumber() : 0}, access.createMetadata(), {deadline: createDeadline(RANK_CALL_TIMEOUT_MILLIS)}, (err, reading) => {
+			used.read({withCounts, withExperts}, access.createMetadata(), {deadline: createDeadline(RANK_CALL_TIMEOUT_MILLIS)}, (err, reading) => {
 				if (err) {
 					discardClient(used);
 					resolve(fail({tag: 'unavailable', detail: err.details}));
@@ -81,13 +79,7 @@
 		},
 		async readLoad() {
 			const reading = await read(true, false);
-			if (!reading.ok) {
-				return reading;
-			}
-
-			const {counts, countsNumber, countsSince} = reading.value;
-			const whole = receiver.receive({counts, number: countsNumber, since: countsSince});
-			return whole ? succeed({state: fromReading(reading.value), counts: whole}) : fail({tag: 'unavailable', detail: 'changes of counts that another reading has replaced'});
+			return reading.ok ? succeed({state: fromReading(reading.value), counts: reading.value.counts}) : reading;
 		},
 		async readExperts() {
 			const reading = await read(false, true);
