Measure a change of popularity from the plan on, and pause between repeated orders to prepare

A change that is noticed while a plan waits for the pass of the last switch makes the plan outdated too. An engine that refuses connections is not asked without a pause. Found by reading the changes; comments and one test renamed.

--- a/src/rank-agent/__tests__/watch-for-stalled-switch.test.ts
+++ b/src/rank-agent/__tests__/watch-for-stalled-switch.test.ts
@@ -59,7 +59,7 @@
 	return looks;
 }
 
-void test('a switch that takes long is not fenced off under the hands of a planner that runs', async () => {
+void test('a switch that takes long is not fenced off while its planner runs', async () => {
 	const looks = await watch(async () => true, MAX_PLANNER_SWITCH_MILLIS * 1.5);
 	assert.ok((looks[0]?.atMillis ?? 0) >= MAX_PLANNER_SWITCH_MILLIS, `looked after ${looks[0]?.atMillis} ms`);
 });
--- a/src/rank-agent/group-planner.ts
+++ b/src/rank-agent/group-planner.ts
@@ -41,6 +41,9 @@
 /** New samples of a large group after which a map is planned for the same popularity. */
 const SAMPLES_PER_PLAN = 3;
 
+/** Time for copying an expert, in milliseconds, and the changes of popularity that had been noticed when the moves were planned. */
+type MovesTerms = Readonly<{copyMillis: number; plannedChanges: number}>;
+
 /** What a released switch of a group does. */
 type PassWait = 'waiting' | 'over' | 'held_again';
 
@@ -81,13 +84,12 @@
 	/** State of a large group as last read, which is used until it is due again. */
 	let known: Readonly<{state: GroupState; untilMillis: number}> | undefined;
 
-	/** Switches to the planned map; resolves to the time until the next reading. */
-	async function applyMoves(ranks: GroupRanks, {epoch, experts: base}: ActiveMap, moves: MovesPlan, copyMillis: number): Promise<number> {
-		const changesBefore = changes;
+	/** Switches to the planned map, unless the popularity changes meanwhile; resolves to the time until the next reading. */
+	async function applyMoves(ranks: GroupRanks, {epoch, experts: base}: ActiveMap, moves: MovesPlan, {copyMillis, plannedChanges}: MovesTerms): Promise<number> {
 		const outcome = await switchMap({
 			ranks, clock, log, timing, ...deps.versions,
 		}, {
-			epoch, experts: moves.experts, base, copyMillis: moves.maxRankCopies * copyMillis, isOutdated: () => changes !== changesBefore,
+			epoch, experts: moves.experts, base, copyMillis: moves.maxRankCopies * copyMillis, isOutdated: () => changes !== plannedChanges,
 		});
 		log.info('map switch', {
 			outcome: outcome.tag,
@@ -106,7 +108,7 @@
 		isPending = outcome.tag === 'switched';
 		// All ranks have answered the orders of a switch, so their states need not be read at once.
 		known = isDecided && known ? {...known, untilMillis: isPending ? clock.monotonicMillis() + STATE_INTERVAL_MILLIS : known.untilMillis} : undefined;
-		return outcome.tag === 'not_begun' && changes === changesBefore ? OBSERVE_INTERVAL_MILLIS : 0;
+		return outcome.tag === 'not_begun' && changes === plannedChanges ? OBSERVE_INTERVAL_MILLIS : 0;
 	}
 
 	async function readActiveExperts(ranks: GroupRanks, {epoch}: GroupState): Promise<GroupExperts | undefined> {
@@ -180,6 +182,7 @@
 
 		plannedSamples = samples;
 		hasChanged = false;
+		const plannedChanges = changes;
 		const startedAtMillis = clock.monotonicMillis();
 		const moves = isEnough ? planMapMoves(observation, state, active.experts) : undefined;
 		log.debug('map plan', {
@@ -188,7 +191,7 @@
 			copies: moves?.copies ?? 0,
 		});
 		if (moves) {
-			return await waitForPass(ranks) ? applyMoves(ranks, active, moves, layout.copyMillis) : 0;
+			return await waitForPass(ranks) ? applyMoves(ranks, active, moves, {copyMillis: layout.copyMillis, plannedChanges}) : 0;
 		}
 
 		if (isLarge) {
--- a/src/rank-agent/rank-service.ts
+++ b/src/rank-agent/rank-service.ts
@@ -55,6 +55,8 @@
 			if (outcome.tag === 'done' || (outcome.tag === 'refused' && sends === 1)) {
 				return outcome;
 			}
+
+			await clock.sleep(PREPARE_POLL_INTERVAL_MILLIS);
 		}
 
 		// An order that was sent again may have been refused because the engine executes the former one.
--- a/src/rank-agent/watch-for-stalled-switch.ts
+++ b/src/rank-agent/watch-for-stalled-switch.ts
@@ -1,6 +1,6 @@
 /**
  * Recovers a switch whose planner has stopped, as when its instance froze; the group would stay blocked until the planner resumes. A planner that
- * runs is left to finish its switch, even if that takes long in a large group: a rank that is fenced off under its hands makes it fail.
+ * runs is left to finish its switch, even if that takes long in a large group: fencing a rank off meanwhile would make the switch fail.
  */
 import type {Clock} from '../core/clock.js';
 import {recoverSwitch} from '../map-switch/recover-switch.js';
