Leave the time for copying experts out of the lead of a switch, and observe small groups while one waits

The agents answer the order to prepare once the experts are copied, and the lead followed from the time of that answer: with experts that take 400 ms to copy, a small group switched 11 passes later than it could.

A small group is also read as before while a released switch waits for its pass: these readings are its samples.

Evidence: large-group.test.ts, 11 passes ahead before, at most 3 now.

--- a/src/map-switch/__tests__/busy-planner.ts
+++ b/src/map-switch/__tests__/busy-planner.ts
@@ -18,6 +18,8 @@
 	isLost?: (rank: number, count: number, order: RankOrder) => boolean;
 	/** Ranks that answer nothing. */
 	isSilent?: (rank: number) => boolean;
+	/** Time for copying experts, after which an order to prepare is answered. */
+	copyMillis?: number;
 }>;
 
 type Rank = {
@@ -30,7 +32,7 @@
 const NETWORK_MILLIS = 2;
 
 /** Creates the group; its passes begin as the simulated time advances. */
-export function createBusyPlanner({ranks: size, callMillis, passMillis, isLost = () => false, isSilent = () => false}: BusyPlannerOptions) {
+export function createBusyPlanner({ranks: size, callMillis, passMillis, isLost = () => false, isSilent = () => false, copyMillis = 0}: BusyPlannerOptions) {
 	const time = createManualClock();
 	const ranks: Rank[] = Array.from({length: size}, () => ({
 		mapVersion: 0, preparedVersion: undefined, armed: undefined, heldStep: undefined,
@@ -165,7 +167,13 @@
 					count++;
 					sends++;
 					const own = count;
-					return call(index, () => isLost(index, own, order) ? undefined : {tag: execute(rank, order), detail: ''});
+					const answered = await call<OrderOutcome>(index, () => isLost(index, own, order) ? undefined : {tag: execute(rank, order), detail: ''});
+					if (order.tag !== 'prepare' || copyMillis === 0) {
+						return answered;
+					}
+
+					await time.sleep(copyMillis);
+					return {tag: 'done', detail: ''};
 				},
 			};
 		}),
@@ -192,6 +200,7 @@
 				rank.heldStep = index === anchor ? armedStep : undefined;
 			}
 		},
+		readStep: () => step,
 		readHeldMillis: () => heldMillis,
 		countSends: () => sends,
 		isMixed: () => isMixed,
--- a/src/map-switch/__tests__/large-group.test.ts
+++ b/src/map-switch/__tests__/large-group.test.ts
@@ -101,3 +101,19 @@
 	assert.equal(outcome?.tag, 'not_begun');
 	assert.equal(planner.isHeld(), false);
 });
+
+void test('a long time for copying experts does not put the pass off at which a small group switches', async () => {
+	const ranks = 12;
+	const copyMillis = 400;
+	const small: GroupExperts = [Array.from({length: ranks}, (_, rank) => [rank])];
+	const planner = createBusyPlanner({
+		ranks, callMillis: 0.3, passMillis: 35, copyMillis,
+	});
+	const outcome = await planner.runUntil(switchMap({
+		ranks: planner.ranks, clock: planner.clock, log: silentLog, timing: createSwitchTiming(), takeVersion: async () => 2, chooseStep: (_epoch, earliestStep) => earliestStep,
+	}, {
+		epoch: 1, experts: small, base: small, copyMillis,
+	}), 5000);
+	assert.ok(outcome?.tag === 'switched', JSON.stringify(outcome));
+	assert.ok(outcome.step - planner.readStep() <= 3, `${outcome.step - planner.readStep()} passes ahead`);
+});
--- a/src/map-switch/switch-map.ts
+++ b/src/map-switch/switch-map.ts
@@ -70,7 +70,7 @@
 type HoldTerms = Readonly<{
 	epoch: number;
 	before: StepReading | undefined;
-	/** Time until all ranks had answered the order to prepare, in milliseconds. */
+	/** Time until all ranks had answered the order to prepare, without the time for copying, in milliseconds. */
 	answeredMillis: number;
 }>;
 
@@ -172,7 +172,7 @@
 	}
 
 	const preparedAtMillis = clock.monotonicMillis();
-	const held = await holdAnchor(deps, anchor, {epoch, before, answeredMillis: prepared.answeredMillis});
+	const held = await holdAnchor(deps, anchor, {epoch, before, answeredMillis: Math.max(0, prepared.answeredMillis - copyMillis)});
 	if (held.tag === 'not_held') {
 		return held.mayHold ? {tag: 'unfinished', version, reason: 'hold not confirmed'} : {tag: 'not_begun', reason: 'no hold'};
 	}
--- a/src/map-switch/switch-timing.ts
+++ b/src/map-switch/switch-timing.ts
@@ -38,7 +38,7 @@
 	readAnswerTimeoutMillis: () => number;
 	/**
 	 * Passes from the last one begun to the one at which the switch takes effect. `answeredMillis` is the time that this switch needed until all
-	 * ranks had answered the order to prepare, also by being sent it again: arming them takes as long.
+	 * ranks had answered the order to prepare, also by being sent it again, without the time for copying: arming them takes as long.
 	 */
 	chooseLeadSteps: (passMillis: number | undefined, answeredMillis: number) => number;
 }>;
--- a/src/rank-agent/group-planner.ts
+++ b/src/rank-agent/group-planner.ts
@@ -105,7 +105,7 @@
 		});
 		const isDecided = outcome.tag !== 'unfinished';
 		activeMap = isDecided ? {epoch, experts: outcome.tag === 'switched' ? moves.experts : base} : undefined;
-		isPending = outcome.tag === 'switched';
+		isPending = outcome.tag === 'switched' && known !== undefined;
 		// All ranks have answered the orders of a switch, so their states need not be read at once.
 		known = isDecided && known ? {...known, untilMillis: isPending ? clock.monotonicMillis() + STATE_INTERVAL_MILLIS : known.untilMillis} : undefined;
 		return outcome.tag === 'not_begun' && changes === plannedChanges ? OBSERVE_INTERVAL_MILLIS : 0;
