--- a/src/map-switch/__tests__/busy-planner.ts
+++ b/src/map-switch/__tests__/busy-planner.ts
@@ -1,8 +1,7 @@
 /** A large rank group in simulated time, whose planner shares one slow processor among all its calls; timers fire between two of them. */
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {match} from 'ts-pattern';
-import type {Clock} from '../../core/clock.js';
-import {createManualClock} from '../../core/manual-clock.js';
+import {createManualClock, type ManualClock} from '../../core/manual-clock.js';
 import {fail, succeed} from '../../core/result.js';
 import type {
 	OrderOutcome, RankEngine, RankOrder, RankState,
@@ -33,7 +32,7 @@
 
 /** Creates the group; its passes begin as the simulated time advances. */
 export function createBusyPlanner({ranks: size, callMillis, passMillis, isLost = () => false, isSilent = () => false, copyMillis = 0}: BusyPlannerOptions) {
-	const time = createManualClock();
+	const time: ManualClock = createManualClock();
 	const ranks: Rank[] = Array.from({length: size}, () => ({
 		mapVersion: 0, preparedVersion: undefined, armed: undefined, heldStep: undefined,
 	}));
@@ -156,7 +155,7 @@
 	}
 
 	return {
-		clock: time as Clock,
+		clock: time,
 		ranks: ranks.map((rank, index): RankEngine => {
 			let count = 0;
 			return {
@@ -204,7 +203,6 @@
 		readHeldMillis: () => heldMillis,
 		countSends: () => sends,
 		isMixed: () => isMixed,
-		readMapVersions: () => ranks.map(({mapVersion}) => mapVersion),
 		isHeld: () => ranks.some(({heldStep}) => heldStep !== undefined),
 	};
 }
--- a/src/map-switch/order-round.ts
+++ b/src/map-switch/order-round.ts
@@ -56,7 +56,7 @@
 	readAtMillis: number | undefined;
 };
 
-/** Creates the worst effect of several. */
+/** Worst effect at any of the ranks. */
 function findWorst(runs: readonly RankRun[]): OrderEffect {
 	return (['refused', 'late'] as const).find(worst => runs.some(({effect}) => effect === worst)) ?? 'done';
 }
@@ -162,7 +162,7 @@
 		}
 	}
 
-	/** Reads the ranks that have not answered, and sends the order again to those that do not show its effect. */
+	/** Reads a rank that has not answered, and sends it the order again unless it shows the effect. */
 	async function retry(run: RankRun): Promise<void> {
 		await look(run);
 		if (run.effect === undefined && !run.isAccepted) {
@@ -170,7 +170,7 @@
 		}
 	}
 
-	const runTicker = quiet.register(ended.signal, quietMillis => {
+	const untilEnded = quiet.register(ended.signal, quietMillis => {
 		const nowMillis = clock.monotonicMillis();
 		const open = runs.filter(({effect}) => effect === undefined);
 		if (readElapsedMillis() >= timeoutMillis) {
@@ -196,7 +196,7 @@
 		}
 	});
 	sendNext();
-	await runTicker;
+	await untilEnded;
 	if (answeredMillis !== undefined) {
 		timing.noteAnswer(longestGapMillis);
 	}
