Let the repeated hold on a large group test the look at the anchor

The order to go was answered as begun in the large case, so the round itself looked for its effect, found the group held again and repeated the order. The release is answered as executed now, in both cases.

Evidence: without the look at the anchor the large group is held for all of 1,446 ticks and the test fails; with it both pass.

--- a/src/rank-agent/__tests__/group-planner.test.ts
+++ b/src/rank-agent/__tests__/group-planner.test.ts
@@ -211,6 +211,8 @@
 				if (order.tag === 'go' && order.step === heldStep && repeated.length === 0) {
 					const late = await rank.order({tag: 'hold', step: heldStep}, epoch);
 					repeated.push(...(late.tag === 'refused' ? [] : [heldStep]));
+					// The release counts as executed, so the planner doesn't look for its effect.
+					return {tag: 'done', detail: ''};
 				}
 
 				return outcome;
