Review, case 5: an engine whose entry is gone gets work on and on

review/5/run.sh: a beat and the removal of an entry come in one answer of the feed, in this order. The list applies removals first, and the beat puts the engine back.

--- a/review/lib/deployment.js
+++ b/review/lib/deployment.js
@@ -123,12 +123,17 @@
 export async function startDeployment({gateways: count = 6, engines: plans, routes, record}) {
 	const dir = mkdtempSync(path.join(tmpdir(), 'review-'));
 	const network = await findNetwork();
-	const store = await startStore(`${network}.2.1`);
+	const store = await startStore(`${network}.2.1`, {givesLastChanges: process.env.FEED === 'last'});
 	const ended = new AbortController();
 	const engines = [];
 	let seq = 0;
 
+	const gone = new Set();
 	function beat({id, address}, {service, slots, zone}) {
+		if (gone.has(id)) {
+			return;
+		}
+
 		seq++;
 		store.put('servers', id, {
 			Service: service, Address: address, Zone: zone, Version: 'v1', Slots: slots, State: 'ready', Seq: seq, ColdLeftMs: 0, born: startedAt,
@@ -259,6 +264,18 @@
 
 	record(`ready: ${count} gateways, ${engines.length} engines`);
 	return {
-		store, engines, gateways, resolve, isReady, close,
+		store,
+		engines,
+		gateways,
+		resolve,
+		isReady,
+		close,
+		/** Removes the entry of an engine that never reports that it drains, this long after its last beat. It goes on serving. */
+		async removeEntry(id, afterBeatMillis) {
+			beat(engines.find(engine => engine.id === id), {...plans.find(plan => plan.id === id), slots: 6, zone: ZONES[0]});
+			gone.add(id);
+			await sleep(afterBeatMillis);
+			store.remove('servers', id);
+		},
 	};
 }
--- a/review/lib/store.js
+++ b/review/lib/store.js
@@ -7,8 +7,11 @@
 const TX_MILLIS = 4;
 const PAGE_ROWS = 500;
 
-/** Starts an empty store on a free port of this loopback address. */
-export async function startStore(host) {
+/**
+ * Starts an empty store on a free port of this loopback address. Its feed gives each change, in order; with `givesLastChanges` only the last one of
+ * each row.
+ */
+export async function startStore(host, {givesLastChanges = false} = {}) {
 	const rows = new Map();
 	const history = [];
 	const startedAtMillis = performance.now();
@@ -53,7 +56,11 @@
 	async function serveFeed(query, res) {
 		const after = Number(query.get('AfterRev'));
 		const dueMillis = performance.now() + Number(query.get('WaitMs') ?? 0);
-		const read = () => history.filter(row => row.Table === query.get('Table') && row.Ver > after);
+		const read = () => {
+			const changes = history.filter(row => row.Table === query.get('Table') && row.Ver > after);
+			return givesLastChanges ? changes.filter(row => !changes.some(({Key, Ver}) => Key === row.Key && Ver > row.Ver)) : changes;
+		};
+
 		while (read().length === 0 && performance.now() < dueMillis && !res.destroyed) {
 			const ended = new AbortController();
 			waiters.push(() => {
@@ -107,6 +114,9 @@
 		put(table, key, value) {
 			apply([{Table: table, Key: key, Value: Buffer.from(JSON.stringify(value)).toString('base64')}], []);
 		},
+		remove(table, key) {
+			apply([], [{Table: table, Key: key}]);
+		},
 		close() {
 			server.close();
 			server.closeAllConnections();
