--- a/review/lib/run-case.js
+++ b/review/lib/run-case.js
@@ -32,7 +32,7 @@
 		record(breaches.length === 0 ? 'the rule held' : 'the rule was broken');
 		process.exitCode = breaches.length === 0 ? 0 : 1;
 	} catch (error) {
-		record(`could not run: ${error.stack}`);
+		record(`could not run: ${error.message}`);
 		process.exitCode = 2;
 	}
 
