Scan each byte of an unfinished event or line once

Cause: the event splitter joined each piece to all that was unsplit and scanned it again.

Events of one piece are written to the caller at once.

--- a/src/adapters/__tests__/split-lines.test.ts
+++ b/src/adapters/__tests__/split-lines.test.ts
@@ -30,3 +30,21 @@
 
 	assert.deepEqual(lines, ['one', 'two']);
 });
+
+void test('a long line in small chunks takes no time that grows with the square of its length', async () => {
+	async function * chunks(): AsyncGenerator<Uint8Array, void> {
+		for (let i = 0; i < 130_000; i++) {
+			yield Buffer.from('12345678');
+		}
+
+		yield Buffer.from('\n');
+	}
+
+	const startedAtMillis = performance.now();
+	for await (const line of splitLines(chunks())) {
+		assert.equal(line.length, 1_040_000);
+	}
+
+	const tookMillis = performance.now() - startedAtMillis;
+	assert.ok(tookMillis < 2000, `took ${tookMillis} ms`);
+});
--- a/src/adapters/http-client.ts
+++ b/src/adapters/http-client.ts
@@ -1,5 +1,5 @@
-import {Buffer} from 'node:buffer';
 import {request, type Dispatcher} from 'undici';
+import {createByteCollector} from '../core/byte-collector.js';
 import type {LifeCycle} from '../core/life-cycle.js';
 import {fail, succeed, type Result} from '../core/result.js';
 import {createConnectionPool} from './connection-pool.js';
@@ -48,12 +48,12 @@
 
 /** Reads a body to its end; rejects if it is larger than any reply. */
 export async function readFully(body: AsyncIterable<Uint8Array>): Promise<Uint8Array> {
-	const chunks: Uint8Array[] = [];
+	const bytes = createByteCollector();
 	for await (const chunk of limitBody(body, MAX_REPLY_BYTES)) {
-		chunks.push(chunk);
+		bytes.append(chunk);
 	}
 
-	return Buffer.concat(chunks);
+	return bytes.take();
 }
 
 /** Yields the chunks of a body; calls `onTimeout`, which replaces the connections, when the server stops sending before the end. */
--- a/src/dispatch/answer-collectors.ts
+++ b/src/dispatch/answer-collectors.ts
@@ -1,9 +1,9 @@
 /** Collects the chunks of an answer: buffers them until the answer is complete, or forwards them as they arrive. */
-import {Buffer} from 'node:buffer';
 import {createHash} from 'node:crypto';
 import {
 	countBytes, countTokens, decodeTokens, type CountUnits,
 } from '../answer/payload-units.js';
+import {createByteCollector} from '../core/byte-collector.js';
 
 /** Collects the chunks of an answer across all attempts of its request. */
 export type AnswerCollector = Readonly<{
@@ -21,19 +21,19 @@
 
 /** Buffers the answer of a plain service; a new attempt starts again at offset 0. */
 export function createBodyCollector(): AnswerCollector {
-	let chunks: readonly Uint8Array[] = [];
+	let bytes = createByteCollector();
 	return {
 		countUnits: countBytes,
 		isStreaming: false,
 		beginAttempt() {
-			chunks = [];
+			bytes = createByteCollector();
 			return 0;
 		},
 		addChunk(_offset, payload) {
-			chunks = [...chunks, payload];
+			bytes.append(payload);
 		},
 		hasForwardedChunks: () => false,
-		body: () => Buffer.concat(chunks),
+		body: () => bytes.peek(),
 	};
 }
 
--- a/src/gateway/__tests__/event-splitter.test.ts
+++ b/src/gateway/__tests__/event-splitter.test.ts
@@ -11,8 +11,9 @@
 		const splitter = createEventSplitter();
 		const bounds = [0, ...cuts.toSorted((left, right) => left - right), STREAM.length];
 		const events = bounds.slice(1).flatMap((end, i) => splitter.push(Buffer.from(STREAM.slice(bounds[i], end))));
+		const rest = splitter.takeRest();
 		assert.deepEqual(events.map(({id}) => id), [1, 2, undefined, 3]);
-		assert.equal(Buffer.from(splitter.rest()).toString(), 'id: 4\ndata: cut');
-		assert.equal(Buffer.concat([...events.map(({bytes}) => bytes), splitter.rest()]).toString(), STREAM);
+		assert.equal(Buffer.from(rest).toString(), 'id: 4\ndata: cut');
+		assert.equal(Buffer.concat([...events.map(({bytes}) => bytes), rest]).toString(), STREAM);
 	}));
 });
--- a/src/gateway/answer-sink.ts
+++ b/src/gateway/answer-sink.ts
@@ -1,5 +1,5 @@
 /** Consumes the answer of an attempt: buffers it until it is complete, or forwards it as it arrives. */
-import {Buffer} from 'node:buffer';
+import {createByteCollector} from '../core/byte-collector.js';
 import type {Clock} from '../core/clock.js';
 import type {FramedHead} from './answer-framing.js';
 import type {CallReply} from './call.js';
@@ -62,10 +62,10 @@
 		reply.write(bytes);
 	}
 
-	function forwardEvent({id, isComment, bytes}: StreamEvent): boolean {
+	/** Notes an event that is to be forwarded; false if it does not continue the answer. */
+	function acceptEvent({id, isComment}: StreamEvent): boolean {
 		const {lastEventId, lastEventAtMillis} = progress;
 		if (isComment) {
-			forward(bytes);
 			return true;
 		}
 
@@ -80,21 +80,34 @@
 		onEvent(lastEventAtMillis === undefined ? undefined : nowMillis - lastEventAtMillis);
 		progress.lastEventId = id ?? lastEventId;
 		progress.lastEventAtMillis = nowMillis;
-		forward(bytes);
 		return true;
 	}
 
 	return {
 		isEventStream: true,
 		push(bytes) {
-			if (!splitter.push(bytes).every(event => forwardEvent(event))) {
+			const events = splitter.push(bytes);
+			const accepted = createByteCollector();
+			const isContinued = events.every(event => {
+				const isAccepted = acceptEvent(event);
+				if (isAccepted) {
+					accepted.append(event.bytes);
+				}
+
+				return isAccepted;
+			});
+			if (accepted.size() > 0) {
+				forward(accepted.take());
+			}
+
+			if (!isContinued) {
 				return 'event ids are not consecutive';
 			}
 
-			return splitter.rest().length > MAX_UNFINISHED_BYTES ? `event of more than ${MAX_UNFINISHED_BYTES} bytes` : undefined;
+			return splitter.countUnfinishedBytes() > MAX_UNFINISHED_BYTES ? `event of more than ${MAX_UNFINISHED_BYTES} bytes` : undefined;
 		},
 		finish() {
-			if (splitter.rest().some(byte => byte !== LINE_FEED && byte !== CARRIAGE_RETURN)) {
+			if (splitter.takeRest().some(byte => byte !== LINE_FEED && byte !== CARRIAGE_RETURN)) {
 				return {tag: 'truncated'};
 			}
 
@@ -106,7 +119,7 @@
 /** Buffers an answer until it is complete; forwards one that exceeds the buffer limit, unless another one has begun. */
 function createBufferingSink(head: FramedHead, {reply, progress}: SinkDeps): AnswerSink {
 	const hasOtherBegun = reply.areHeadersSent();
-	let buffered: Uint8Array[] = [];
+	const buffered = createByteCollector();
 	let size = 0;
 	let isForwarding = (head.contentLength ?? 0) > MAX_BUFFERED_ANSWER_BYTES;
 	const isErrorOfUnknownLength = head.status >= 300 && head.contentLength === undefined;
@@ -116,18 +129,17 @@
 			reply.writeHead(head.status, head.forwardedHeaders, head.isEndedByConnection);
 		}
 
-		for (const chunk of buffered) {
-			reply.write(chunk);
+		if (buffered.size() > 0) {
+			reply.write(buffered.take());
 		}
 
-		buffered = [];
 		progress.canContinue = false;
 	}
 
 	return {
 		isEventStream: false,
 		push(bytes) {
-			buffered.push(bytes);
+			buffered.append(bytes);
 			size += bytes.length;
 			if (isErrorOfUnknownLength && size > MAX_UNFINISHED_BYTES) {
 				return `error of more than ${MAX_UNFINISHED_BYTES} bytes`;
@@ -150,7 +162,7 @@
 				return {tag: 'forwarded'};
 			}
 
-			return {tag: 'buffered', body: Buffer.concat(buffered)};
+			return {tag: 'buffered', body: buffered.take()};
 		},
 	};
 }
--- a/src/gateway/caller-listener.ts
+++ b/src/gateway/caller-listener.ts
@@ -1,6 +1,6 @@
 /** HTTP listener for callers: reads complete requests, passes them to a handler and writes the answers. */
-import {Buffer} from 'node:buffer';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import {createByteCollector} from '../core/byte-collector.js';
 import type {Clock} from '../core/clock.js';
 import {describeError} from '../core/describe-error.js';
 import type {EarlyListener} from '../core/early-listener.js';
@@ -68,13 +68,13 @@
 	const replyBuffers = createReplyBuffers({clock, maxBytes: maxBufferedBytes});
 
 	async function readBody(req: IncomingMessage): Promise<Result<Uint8Array, BodyError>> {
-		const chunks: Uint8Array[] = [];
+		const body = createByteCollector();
 		let size = 0;
 		try {
 			for await (const chunk of req as AsyncIterable<Uint8Array>) {
 				size += chunk.length;
 				bufferedBytes += chunk.length;
-				chunks.push(chunk);
+				body.append(chunk);
 				if (size > limits.maxBodyBytes) {
 					return fail('too_large');
 				}
@@ -90,7 +90,7 @@
 			bufferedBytes -= size;
 		}
 
-		return succeed(chunks.length === 1 && chunks[0] ? chunks[0] : Buffer.concat(chunks));
+		return succeed(body.take());
 	}
 
 	function answerUnreadRequest(res: ServerResponse, error: BodyError): void {
--- a/src/gateway/event-splitter.ts
+++ b/src/gateway/event-splitter.ts
@@ -1,5 +1,6 @@
 /** Splits a stream of server-sent events into complete events. */
 import {Buffer} from 'node:buffer';
+import {createByteCollector} from '../core/byte-collector.js';
 
 /** One complete event, including the blank line that terminates it. */
 export type StreamEvent = Readonly<{
@@ -14,8 +15,10 @@
 export type EventSplitter = Readonly<{
 	/** Returns the events that are complete after this chunk. */
 	push: (piece: Uint8Array) => readonly StreamEvent[];
-	/** Returns the bytes after the last complete event. */
-	rest: () => Uint8Array;
+	/** Number of bytes after the last complete event. */
+	countUnfinishedBytes: () => number;
+	/** Returns the bytes after the last complete event; nothing may be pushed afterwards. */
+	takeRest: () => Uint8Array;
 }>;
 
 export const LINE_FEED = 0x0A;
@@ -31,34 +34,54 @@
 	return {id: id === undefined ? undefined : Number(id), isComment: id === undefined && COMMENT_LINES.test(text), bytes};
 }
 
-/** Offset just after the first blank line at or after `from`; -1 if there is none. */
-function findEventEnd(bytes: Uint8Array, from: number): number {
-	for (let feed = bytes.indexOf(LINE_FEED, from); feed !== -1; feed = bytes.indexOf(LINE_FEED, feed + 1)) {
-		const next = bytes[feed + 1] === CARRIAGE_RETURN ? feed + 2 : feed + 1;
-		if (bytes[next] === LINE_FEED) {
-			return next + 1;
-		}
-	}
+/** What the bytes scanned so far may be the beginning of. */
+type ScanState = 'in_line' | 'after_line_feed' | 'after_carriage_return';
 
-	return -1;
+/** State behind a byte that follows a line feed and does not end a blank line. */
+function scanLineStart(byte: number | undefined, state: ScanState): ScanState {
+	return byte === CARRIAGE_RETURN && state === 'after_line_feed' ? 'after_carriage_return' : 'in_line';
 }
 
-/** Creates a splitter for a new stream. */
+/** Creates a splitter for a new stream. Each byte is scanned once. */
 export function createEventSplitter(): EventSplitter {
-	let unsplit: Uint8Array = new Uint8Array(0);
+	const unfinished = createByteCollector();
+	let state: ScanState = 'in_line';
+
+	/** Offset behind the next blank line at or after `from`; -1 if the event does not end in this piece. */
+	function findEventEnd(piece: Uint8Array, from: number): number {
+		for (let i = from; i < piece.length; i++) {
+			if (state === 'in_line') {
+				i = piece.indexOf(LINE_FEED, i);
+				if (i === -1) {
+					return -1;
+				}
+
+				state = 'after_line_feed';
+			} else if (piece[i] === LINE_FEED) {
+				state = 'in_line';
+				return i + 1;
+			} else {
+				state = scanLineStart(piece[i], state);
+			}
+		}
+
+		return -1;
+	}
 
 	return {
 		push(piece) {
-			unsplit = unsplit.length === 0 ? piece : Buffer.concat([unsplit, piece]);
 			const events: StreamEvent[] = [];
-			for (let end = findEventEnd(unsplit, 0); end !== -1; end = findEventEnd(unsplit, 0)) {
-				const bytes = unsplit.subarray(0, end);
-				events.push(readEvent(bytes));
-				unsplit = unsplit.subarray(end);
+			let start = 0;
+			for (let end = findEventEnd(piece, 0); end !== -1; end = findEventEnd(piece, start)) {
+				unfinished.append(piece.subarray(start, end));
+				events.push(readEvent(unfinished.take()));
+				start = end;
 			}
 
+			unfinished.append(piece.subarray(start));
 			return events;
 		},
-		rest: () => unsplit,
+		countUnfinishedBytes: unfinished.size,
+		takeRest: unfinished.take,
 	};
 }
