Let the event loop turn while an answer is parsed, and hold back reads at the socket

Found beside it: a gateway ends by an uncaught assertion of the HTTP client if the connection of an answer with Connection: close ends while the exchange is paused for a slow caller.

Cause: all that the kernel holds for a connection, up to 2 MB, is parsed in one turn; the client's pause must not meet the end of a connection that is not kept.

A caller that drains late is noted once, not for each piece.

--- a/src/gateway/__tests__/backend-connections.test.ts
+++ b/src/gateway/__tests__/backend-connections.test.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict';
+import {createServer} from 'node:net';
 import {test} from 'node:test';
 import {createLifeCycle} from '../../core/life-cycle.js';
+import {listenOn} from '../../core/listen-on.js';
 import {systemClock} from '../../core/system-clock.js';
 import {createBackendConnections} from '../backend-connections.js';
 
@@ -28,3 +30,67 @@
 		assert.equal(await connections.isListening(address), false);
 	});
 }
+
+type End = 'orderly' | 'reset';
+type Written = Readonly<{name: string; rest: string; end: End; isWhole: boolean}>;
+
+const endings: readonly Written[] = [
+	{
+		name: 'a reset, without framing', rest: '\r\nabc', end: 'reset', isWhole: false,
+	},
+	{
+		name: 'a reset, in chunks', rest: 'Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n', end: 'reset', isWhole: false,
+	},
+	{
+		name: 'a reset, short of its length', rest: 'Content-Length: 9\r\n\r\nabc', end: 'reset', isWhole: false,
+	},
+	{
+		name: 'an orderly end short of its length', rest: 'Content-Length: 9\r\n\r\nabc', end: 'orderly', isWhole: false,
+	},
+	{
+		name: 'an orderly end, without framing', rest: '\r\nabc', end: 'orderly', isWhole: true,
+	},
+	{
+		name: 'an orderly end after its last byte', rest: 'Content-Length: 3\r\n\r\nabc', end: 'orderly', isWhole: true,
+	},
+];
+
+// The parser fails an assertion, which ends the process, if the connection of an exchange ends that it was told to pause.
+for (const {name, rest, end, isWhole} of endings) {
+	void test(`the end of a paused exchange does not end the process (${name})`, async () => {
+		const server = createServer(socket => {
+			socket.on('error', () => undefined);
+			socket.once('data', () => {
+				socket.write(`HTTP/1.1 200 OK\r\nConnection: close\r\n${rest}`);
+				setTimeout(() => {
+					if (end === 'reset') {
+						socket.resetAndDestroy();
+					} else {
+						socket.end();
+					}
+				}, 50);
+			});
+		});
+		const listening = await listenOn(server, '127.0.0.1:0');
+		assert.ok(listening.ok);
+		const lifeCycle = createLifeCycle();
+		const connections = createBackendConnections({clock: systemClock, lifeCycle});
+		const error = await new Promise<string | undefined>(resolve => {
+			const exchange = connections.send(`127.0.0.1:${listening.value}`, {
+				method: 'GET', path: '/', headers: [], body: new Uint8Array(0), allowsLongIdleConnection: true, maxIdleConnections: 1,
+			}, {
+				onSent: () => undefined,
+				onHead: () => true,
+				onData() {
+					exchange.pause();
+					setTimeout(exchange.resume, 150);
+				},
+				onEnd: resolve,
+				onLateHead: () => undefined,
+			});
+		});
+		assert.equal(error === undefined, isWhole, error);
+		await lifeCycle.shutdown();
+		server.close();
+	});
+}
--- a/src/gateway/backend-connections.ts
+++ b/src/gateway/backend-connections.ts
@@ -7,6 +7,7 @@
 import type {LifeCycle} from '../core/life-cycle.js';
 import type {RawHeaders} from '../ports/call-codec.js';
 import {isEndedByConnection} from './answer-framing.js';
+import {paceSocket, type SocketPace} from './paced-socket.js';
 import {
 	CONNECT_TIMEOUT_MILLIS, IDLE_MARGIN_MILLIS, MAX_OVERHEAD_BYTES, MAX_OVERHEAD_PER_BODY_BYTE, IDLE_TIMEOUT_MILLIS, AT_MOST_ONCE_MAX_IDLE_MILLIS, LATE_HEAD_TIMEOUT_MILLIS, LIVENESS_TIMEOUT_MILLIS,
 } from './gateway-constants.js';
@@ -70,6 +71,8 @@
 	readReceivedBytes: () => number;
 	/** Ends the sending side, so that the peer stops its work; false if written bytes would follow, which are better dropped. */
 	tryHalfClose: () => boolean;
+	/** Undefined until the connection is established. */
+	pace: SocketPace | undefined;
 	/** Called when bytes have arrived, by the exchange that uses the connection. */
 	onReceived: () => void;
 };
@@ -99,7 +102,7 @@
 
 	function openConnection(address: string): Connection {
 		const socket: SocketState = {
-			error: undefined, hasEnded: false, readReceivedBytes: () => 0, tryHalfClose: () => false, onReceived: () => undefined,
+			error: undefined, hasEnded: false, readReceivedBytes: () => 0, tryHalfClose: () => false, pace: undefined, onReceived: () => undefined,
 		};
 		const client = new Client(`http://${address}`, {
 			pipelining: 1,
@@ -110,6 +113,7 @@
 					const [, opened] = result;
 					if (opened) {
 						socket.readReceivedBytes = () => opened.bytesRead;
+						socket.pace = paceSocket(opened, clock);
 						socket.tryHalfClose = () => {
 							const hasUnsent = opened.writableLength > 0;
 							if (!hasUnsent) {
@@ -241,6 +245,7 @@
 
 				hasEnded = true;
 				socket.onReceived = () => undefined;
+				socket.pace?.resume();
 				if (error === undefined) {
 					keepIdle(address, connection, req.maxIdleConnections);
 				} else {
@@ -323,10 +328,14 @@
 			return {
 				abort,
 				pause() {
-					controller?.pause();
+					if (!hasEnded) {
+						socket.pace?.pause();
+					}
 				},
 				resume() {
-					controller?.resume();
+					if (!hasEnded) {
+						socket.pace?.resume();
+					}
 				},
 			};
 		},
--- /dev/null
+++ b/src/gateway/paced-socket.ts
@@ -0,0 +1,78 @@
+/**
+ * Paces what a parser reads from a socket. The parser of undici can't be used for this: it fails an assertion if the connection of a
+ * paused exchange ends.
+ */
+import type {Socket} from 'node:net';
+import {setImmediate} from 'node:timers';
+import type {Clock} from '../core/clock.js';
+import {MAX_PARSING_MILLIS, MAX_READ_BYTES, MIN_TIMED_READ_BYTES} from './gateway-constants.js';
+
+/** Pace of the reads from one socket. */
+export type SocketPace = Readonly<{
+	/** Holds reads back, and with them the end of the connection; what the parser has read already still arrives. */
+	pause: () => void;
+	resume: () => void;
+}>;
+
+/** Makes the parser read little at a time, and let the event loop turn once it has been busy for long. */
+export function paceSocket(socket: Socket, clock: Clock): SocketPace {
+	const read = socket.read.bind(socket);
+	let isPaused = false;
+	let isYielding = false;
+	let parsingMillis = 0;
+	/** Time at which the parser got what it has just parsed; undefined if that was little. */
+	let readAtMillis: number | undefined;
+
+	function readOn(): void {
+		if (!isPaused && !isYielding && !socket.destroyed) {
+			socket.emit('readable');
+		}
+	}
+
+	function yieldTurn(): void {
+		isYielding = true;
+		parsingMillis = 0;
+		setImmediate(() => {
+			isYielding = false;
+			readOn();
+		});
+	}
+
+	function noteParsed(): void {
+		if (readAtMillis !== undefined) {
+			parsingMillis += clock.monotonicMillis() - readAtMillis;
+			readAtMillis = undefined;
+		}
+
+		if (parsingMillis >= MAX_PARSING_MILLIS) {
+			yieldTurn();
+		}
+	}
+
+	// The parser reads in a loop until nothing is left, and parses in between.
+	socket.read = (size?: number): unknown => {
+		noteParsed();
+		if (isPaused || isYielding) {
+			return null;
+		}
+
+		const bytes: unknown = size === undefined && socket.readableLength > MAX_READ_BYTES ? read(MAX_READ_BYTES) : read(size);
+		if (bytes instanceof Uint8Array && bytes.length >= MIN_TIMED_READ_BYTES) {
+			readAtMillis = clock.monotonicMillis();
+		}
+
+		return bytes;
+	};
+
+	return {
+		pause() {
+			isPaused = true;
+		},
+		resume() {
+			if (isPaused) {
+				isPaused = false;
+				readOn();
+			}
+		},
+	};
+}
--- a/src/gateway/run-attempt.ts
+++ b/src/gateway/run-attempt.ts
@@ -190,7 +190,7 @@
 					abortWith({tag: 'lost', detail: fault});
 				}
 
-				if (call.reply.needsDrain()) {
+				if (!isPaused && call.reply.needsDrain()) {
 					isPaused = true;
 					wasPausedSinceEvent = true;
 					exchange.pause();
