Send answers without a length to callers in chunks

Cause: the missing framing was passed on, so that the end of the gateway, by a close or by the kernel, was the end of the answer. A reset does not help a caller that has not read all before it.

Change: chunks for callers of HTTP/1.1; answers cut off to callers of HTTP/1.0 end with a reset, also when all connections are closed.

--- a/src/gateway/answer-sink.ts
+++ b/src/gateway/answer-sink.ts
@@ -56,7 +56,7 @@
 
 	function forward(bytes: Uint8Array): void {
 		if (!reply.areHeadersSent()) {
-			reply.writeHead(head.status, head.forwardedHeaders, head.isEndedByConnection);
+			reply.writeHead(head.status, head.forwardedHeaders);
 		}
 
 		reply.write(bytes);
@@ -126,7 +126,7 @@
 
 	function forwardBuffered(): void {
 		if (!reply.areHeadersSent()) {
-			reply.writeHead(head.status, head.forwardedHeaders, head.isEndedByConnection);
+			reply.writeHead(head.status, head.forwardedHeaders);
 		}
 
 		if (buffered.size() > 0) {
--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -18,8 +18,7 @@
 
 /** Writer of the answer to the caller. */
 export type CallReply = Readonly<{
-	/** With `isEndedByConnection` the body ends when the connection is closed, for an answer of unknown length. */
-	writeHead: (status: number, headers: RawHeaders, isEndedByConnection?: boolean) => void;
+	writeHead: (status: number, headers: RawHeaders) => void;
 	write: (bytes: Uint8Array) => void;
 	/** Whether the write buffer is full because the caller reads too slowly; `onDrain` calls back once it has drained. */
 	needsDrain: () => boolean;
--- a/src/gateway/caller-listener.ts
+++ b/src/gateway/caller-listener.ts
@@ -65,6 +65,7 @@
 	let isClosing = false;
 	let openCalls = 0;
 	let bufferedBytes = 0;
+	const openReplies = new Set<CallReply>();
 	const replyBuffers = createReplyBuffers({clock, maxBytes: maxBufferedBytes});
 
 	async function readBody(req: IncomingMessage): Promise<Result<Uint8Array, BodyError>> {
@@ -152,6 +153,14 @@
 
 		bufferedBytes += body.value.length;
 		const head = codec.readCall(req.rawHeaders);
+		const reply = createBoundedReply(res, head.attemptId, disconnection.signal.aborted);
+		if (!disconnection.signal.aborted) {
+			openReplies.add(reply);
+			res.once('close', () => {
+				openReplies.delete(reply);
+			});
+		}
+
 		await deps.serve({
 			method: req.method ?? 'GET',
 			path: req.url ?? '/',
@@ -160,7 +169,7 @@
 			head,
 			body: body.value,
 			arrivedAtMillis,
-			reply: createBoundedReply(res, head.attemptId, disconnection.signal.aborted),
+			reply,
 			disconnectSignal: disconnection.signal,
 		});
 		bufferedBytes -= body.value.length;
@@ -187,11 +196,20 @@
 		server.keepAliveTimeout = Math.max(server.keepAliveTimeout, next.idleTimeoutMillis + KEEP_ALIVE_SLACK_MILLIS);
 	}
 
+	/** Closes all connections; answers in flight must not look complete. */
+	function closeAllConnections(): void {
+		for (const reply of openReplies) {
+			reply.abort();
+		}
+
+		server.closeAllConnections();
+	}
+
 	setLimits(DEFAULT_LIMITS);
 	void watchReaders();
 	lifeCycle.own('caller listener', () => {
 		server.close();
-		server.closeAllConnections();
+		closeAllConnections();
 	});
 	return succeed({
 		port: listening.value,
@@ -205,8 +223,6 @@
 			server.closeIdleConnections();
 		},
 		countOpenCalls: () => openCalls,
-		closeAllConnections() {
-			server.closeAllConnections();
-		},
+		closeAllConnections,
 	});
 }
--- a/src/gateway/caller-reply.ts
+++ b/src/gateway/caller-reply.ts
@@ -1,5 +1,6 @@
 /** Writes an answer to a caller, and keeps what the caller has not read in small pieces, so that its progress can be seen. */
 import type {ServerResponse} from 'node:http';
+import type {RawHeaders} from '../ports/call-codec.js';
 import type {CallReply} from './call.js';
 import {MAX_WRITE_BYTES} from './gateway-constants.js';
 
@@ -18,8 +19,11 @@
 	onWritten: (bytes: number) => void;
 }>;
 
-/** Creates the writer of one answer. */
+const hasLength = (headers: RawHeaders) => headers.some((name, i) => i % 2 === 0 && name.toLowerCase() === 'content-length');
+
+/** Creates the writer of one answer. A body without a length is sent in chunks, so that the end of this process doesn't look like its end. */
 export function createCallerReply(res: ServerResponse, {isClosing, onWritten}: CallerReplyOptions): CallerReply {
+	/** Whether the caller can tell the end of the body only from the end of the connection: it speaks HTTP/1.0, and the answer has no length. */
 	let endsWithConnection = false;
 	const unwritten: Uint8Array[] = [];
 	let unwrittenBytes = 0;
@@ -64,14 +68,12 @@
 	});
 
 	return {
-		writeHead(status, headers, isEndedByConnection = false) {
-			if (isClosing() || isEndedByConnection) {
+		writeHead(status, headers) {
+			if (isClosing()) {
 				res.shouldKeepAlive = false;
 			}
 
-			endsWithConnection = isEndedByConnection;
-			res.useChunkedEncodingByDefault = !isEndedByConnection;
-
+			endsWithConnection = !res.useChunkedEncodingByDefault && !hasLength(headers);
 			res.writeHead(status, [...headers]);
 		},
 		write(bytes) {
--- a/src/gateway/finish-call.ts
+++ b/src/gateway/finish-call.ts
@@ -112,7 +112,7 @@
 	}
 
 	recordCall(ctx, routed, progress, 'answered');
-	reply.writeHead(head.status, head.forwardedHeaders, head.isEndedByConnection);
+	reply.writeHead(head.status, head.forwardedHeaders);
 	reply.write(body);
 	reply.end();
 }
