Tell resets of answers without framing from orderly ends

A stream without framing and events counted as whole, too. Ruled out: cuts inside the head (no success at any of them, before as well).

Change: the kernel's peer address, which is gone after a reset, is asked at the end of the connection; an unframed stream without events is lost.

--- a/src/gateway/answer-sink.ts
+++ b/src/gateway/answer-sink.ts
@@ -51,6 +51,7 @@
 function createEventSink(head: FramedHead, {reply, clock, progress, onEvent}: SinkDeps): AnswerSink {
 	const splitter: EventSplitter = createEventSplitter();
 	const isContinuation = reply.areHeadersSent();
+	let hasEvents = false;
 	/** Whether this answer is known to begin where the former one broke off. */
 	let isInSequence = !isContinuation;
 
@@ -74,6 +75,7 @@
 		}
 
 		isInSequence = true;
+		hasEvents = true;
 		progress.canContinue = id !== undefined;
 
 		const nowMillis = clock.monotonicMillis();
@@ -107,7 +109,9 @@
 			return splitter.countUnfinishedBytes() > MAX_UNFINISHED_BYTES ? `event of more than ${MAX_UNFINISHED_BYTES} bytes` : undefined;
 		},
 		finish() {
-			if (splitter.takeRest().some(byte => byte !== LINE_FEED && byte !== CARRIAGE_RETURN)) {
+			// Without framing, a backend server that fails behind its headers is not told from one that has no events.
+			const hasNotBegun = head.isEndedByConnection && !hasEvents;
+			if (hasNotBegun || splitter.takeRest().some(byte => byte !== LINE_FEED && byte !== CARRIAGE_RETURN)) {
 				return {tag: 'truncated'};
 			}
 
--- a/src/gateway/backend-connections.ts
+++ b/src/gateway/backend-connections.ts
@@ -1,5 +1,6 @@
 /** Pool of keep-alive connections to backend servers; each carries one request at a time. */
 import {Buffer} from 'node:buffer';
+import type {Socket} from 'node:net';
 import {buildConnector, Client, type Dispatcher} from 'undici';
 import type {Clock} from '../core/clock.js';
 import {describeError} from '../core/describe-error.js';
@@ -83,6 +84,14 @@
 	return Array.isArray(headers) ? headers.map(item => item instanceof Uint8Array ? Buffer.from(item).toString('latin1') : String(item)) : [];
 }
 
+/**
+ * Whether a connection whose end was read has been reset. A reset that arrives together with bytes is reported as an orderly end; only
+ * the kernel still knows, which has no peer address for a connection that is gone. The address must not have been read before, as it is kept.
+ */
+function isReset(socket: Socket): boolean {
+	return socket.remoteAddress === undefined;
+}
+
 /** An exchange that has failed before anything was sent; its end is reported once the caller has got it. */
 function failUnsent(error: string, {onEnd}: ExchangeListener): Exchange {
 	queueMicrotask(() => {
@@ -133,7 +142,7 @@
 						socket.error = describeError(err);
 					});
 					opened?.once('end', () => {
-						socket.hasEnded = true;
+						socket.hasEnded = !isReset(opened);
 					});
 					callback(...result);
 				});
--- a/src/gateway/run-attempt.ts
+++ b/src/gateway/run-attempt.ts
@@ -75,7 +75,7 @@
 		.returnType<AttemptOutcome>()
 		.with({tag: 'forwarded'}, () => ({tag: 'passed'}))
 		.with({tag: 'buffered'}, ({body}) => ({tag: 'answered', head, body}))
-		.with({tag: 'truncated'}, () => ({tag: 'lost', detail: 'the stream ended inside an event'}))
+		.with({tag: 'truncated'}, () => ({tag: 'lost', detail: 'the stream ended before or inside an event'}))
 		.exhaustive();
 }
 
