Take only calls during a drain that can end before the process does

Cause: fixed shares of the grace period; neither the caller's deadline nor the route's timeout was compared with the time left. Ruled out: the order of steps (0.75 for listening, 0.94 for the cut) with timeouts of up to 1.5 s.

Change: a call whose deadline is later than the cut is refused at once, as not run; streams are taken as before, but for at most 2.9 s if they may outlast the process. What is open at the cut ends with 504 in place of a closed connection.

--- a/src/gateway/gateway-constants.ts
+++ b/src/gateway/gateway-constants.ts
@@ -69,15 +69,19 @@
 export const CONNECTION_CHECK_INTERVAL_MILLIS = 1000;
 /** Time for which an idle connection is kept beyond its limit, in milliseconds; callers use it up to the limit. */
 export const KEEP_ALIVE_SLACK_MILLIS = 1000;
-/** Share of the grace period in which a draining gateway still accepts streams; the rest is longer than nearly all streams. */
+/** Share of the grace period in which a draining gateway still takes streams; the rest is longer than nearly all streams. */
 export const GRACE_SHARE_STREAMS = 0.36;
+/** Longest time in which it takes streams that may last longer than the process, in milliseconds. */
+export const MAX_LONG_STREAMS_MILLIS = 2900;
 /** Share of the grace period in which a draining gateway still accepts connections; callers keep an address for up to three lifetimes. */
 export const GRACE_SHARE_LISTENING = 0.75;
-/** Share of the grace period after which calls in flight are cut off, so that the process exits in time. */
+/** Share of the grace period after which calls in flight are ended, so that the process exits in time. */
 export const GRACE_SHARE_CALLS = 0.94;
+/** Time for the answers of calls that were ended to reach their callers, in milliseconds. */
+export const CUT_OFF_ANSWER_MILLIS = 150;
 /** Interval between checks whether calls are still in flight, in milliseconds. */
 export const DRAIN_POLL_INTERVAL_MILLIS = 50;
 /** Maximum number of backend servers tried for one call; a request that was not sent does not count as an attempt. */
 export const MAX_TRIED_SERVERS = 4;
-/** Retry-After value for new streams at a draining gateway, in milliseconds; other gateways accept them at once. */
+/** Retry-After value for calls that a draining gateway does not take, in milliseconds; other gateways take them at once. */
 export const STOPPING_RETRY_AFTER_MILLIS = 50;
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -16,6 +16,7 @@
 import type {BackendServerList, BackendServers} from './backend-server-list.js';
 import type {ConfigurationInForce} from './configuration-in-force.js';
 import type {CrashWatch} from './crash-watch.js';
+import type {DrainSchedule} from './drain-schedule.js';
 import type {EvacuationProgress} from './evacuation-progress.js';
 import type {Evacuations} from './evacuations.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
@@ -46,6 +47,8 @@
 	noteLeaving: BackendServerList['noteLeaving'];
 	quarantine: RequestQuarantine;
 	crashWatch: CrashWatch;
-	/** Whether new streams are accepted: false once they could no longer end before the process exits. */
-	isAcceptingStreams: () => boolean;
+	/** Steps of the drain; undefined until it begins. */
+	readDrainSchedule: () => DrainSchedule | undefined;
+	/** Aborts when the process is about to end, and calls in flight with it. */
+	cutOffSignal: AbortSignal;
 }>;
--- a/src/gateway/routed-call.ts
+++ b/src/gateway/routed-call.ts
@@ -4,6 +4,7 @@
 import type {RequestContent} from '../decisions/quarantine/crash-record.js';
 import type {RoutedAccount, Route, RoutingConfiguration} from '../routing/routing-configuration.js';
 import type {Call} from './call.js';
+import {mayTakeCall} from './drain-schedule.js';
 import {STOPPING_RETRY_AFTER_MILLIS} from './gateway-constants.js';
 import type {GatewayContext} from './gateway-context.js';
 import {describePrompt} from './describe-prompt.js';
@@ -51,7 +52,9 @@
 		return {tag: 'bad_call', reason: 'no_attempt_id'};
 	}
 
-	if (route.isStreaming && !ctx.isAcceptingStreams()) {
+	const deadlineMillis = call.arrivedAtMillis + Math.min(route.timeoutMillis, call.head.deadlineMillis ?? Infinity);
+	const drain = ctx.readDrainSchedule();
+	if (drain && !mayTakeCall(drain, {isStreaming: route.isStreaming, arrivedAtMillis: call.arrivedAtMillis, deadlineMillis})) {
 		return createNotRunRefusal('stopping', STOPPING_RETRY_AFTER_MILLIS);
 	}
 
@@ -60,7 +63,6 @@
 		return createNotRunRefusal('no_backend_server');
 	}
 
-	const timeoutMillis = Math.min(route.timeoutMillis, call.head.deadlineMillis ?? Infinity);
 	const caller = route.isPublic ? undefined : account;
 	return {
 		call,
@@ -69,7 +71,7 @@
 		service,
 		account: caller,
 		content: {parts: call.head.promptParts, fingerprint: createFingerprint(call, caller?.name ?? '')},
-		deadlineMillis: call.arrivedAtMillis + timeoutMillis,
+		deadlineMillis,
 		flow: ctx.flows.read(service),
 		prompt: describePrompt(cfg.services.get(service)?.engine, call.head.promptTokens),
 		waitedMillis: 0,
--- a/src/gateway/run-attempt.ts
+++ b/src/gateway/run-attempt.ts
@@ -35,6 +35,8 @@
 	silenceLimit: SilenceLimit | undefined;
 	/** Aborts when the call is to be continued at another backend server. */
 	moveSignal: AbortSignal;
+	/** Aborts when the process is about to end. */
+	cutOffSignal: AbortSignal;
 	/** Called whenever data arrives from the backend server. */
 	onProgress: () => void;
 	/** Called with the headers of each answer to this attempt. */
@@ -136,7 +138,12 @@
 			abortWith({tag: 'moved'});
 		};
 
+		const onCutOff = () => {
+			abortWith({tag: 'late'});
+		};
+
 		call.disconnectSignal.addEventListener('abort', onCallerDisconnected, {once: true});
+		plan.cutOffSignal.addEventListener('abort', onCutOff, {once: true});
 		plan.moveSignal.addEventListener('abort', onMoved, {once: true});
 		const exchange: Exchange = connections.send(plan.address, {
 			method: call.method, path: call.path, headers: plan.headers, body: call.body, allowsLongIdleConnection: plan.allowsLongIdleConnection, maxIdleConnections: plan.maxIdleConnections,
@@ -208,6 +215,7 @@
 				ended.abort();
 				call.disconnectSignal.removeEventListener('abort', onCallerDisconnected);
 				plan.moveSignal.removeEventListener('abort', onMoved);
+				plan.cutOffSignal.removeEventListener('abort', onCutOff);
 				if (abortOutcome) {
 					resolve(abortOutcome);
 				} else if (error === undefined) {
--- a/src/gateway/send-to-backend-server.ts
+++ b/src/gateway/send-to-backend-server.ts
@@ -87,6 +87,7 @@
 		maxIdleConnections: flow.readMaxIdleConnections(),
 		timeoutMillis: leftMillis,
 		moveSignal: moving.signal,
+		cutOffSignal: ctx.cutOffSignal,
 		silenceLimit: route.retryRule === 'at_most_once' ? undefined : createSilenceLimit(ctx, routed, server),
 		onProgress() {
 			ctx.progress.note(service, server.id, ctx.clock.monotonicMillis());
--- a/src/gateway/serve-call.ts
+++ b/src/gateway/serve-call.ts
@@ -193,6 +193,11 @@
 			await waitUntil(ctx, call, () => mayBeServed(ctx, routed));
 		}
 
+		if (ctx.cutOffSignal.aborted) {
+			finishUnanswered(ctx, routed, progress, {cause: 'stopping'});
+			return;
+		}
+
 		const leftMillis = routed.deadlineMillis - ctx.clock.monotonicMillis() - DEADLINE_MARGIN_MILLIS;
 		if (leftMillis < MIN_ATTEMPT_MILLIS) {
 			finishUnanswered(ctx, routed, progress, {cause: 'deadline'});
--- a/src/gateway/start-gateway.ts
+++ b/src/gateway/start-gateway.ts
@@ -36,6 +36,7 @@
 import {createConfigurationInForce} from './configuration-in-force.js';
 import {createCrashWatch} from './crash-watch.js';
 import {drainGateway} from './drain-gateway.js';
+import {createDrainSchedule, type DrainSchedule} from './drain-schedule.js';
 import {createEvacuationProgress, type DomainEvacuation} from './evacuation-progress.js';
 import {createEvacuations, type ReadEvacuation} from './evacuations.js';
 import {describeFinding} from './finish-call.js';
@@ -86,7 +87,8 @@
 	const {settings, clock, log, metrics, lifeCycle, random, codec, feed} = deps;
 	const opened: {listener?: CallerListener} = {};
 	let isStopping = false;
-	let isAcceptingStreams = true;
+	let drainSchedule: DrainSchedule | undefined;
+	const cutOff = new AbortController();
 	let hasServers = false;
 	const interrupt = createFeedInterrupt();
 	const store = createStoreObservations({
@@ -288,7 +290,8 @@
 		noteLeaving: servers.noteLeaving,
 		quarantine,
 		crashWatch,
-		isAcceptingStreams: () => isAcceptingStreams,
+		readDrainSchedule: () => drainSchedule,
+		cutOffSignal: cutOff.signal,
 	};
 	const listening = await listenForCallers({
 		address: settings.callerListen,
@@ -320,13 +323,14 @@
 		async drain() {
 			isStopping = true;
 			void members.announceDraining();
+			drainSchedule = createDrainSchedule(clock.monotonicMillis(), settings.graceMillis);
 			return drainGateway({
 				clock,
 				log,
 				listener: value,
-				graceMillis: settings.graceMillis,
-				stopAcceptingStreams() {
-					isAcceptingStreams = false;
+				schedule: drainSchedule,
+				endCalls() {
+					cutOff.abort();
 				},
 			});
 		},
