Let the waits on the store end in turn, and tell all gateways of a dead connection

Cause: a change begins the waits of all gateways anew, each drawn from 2 to 14 s, so that none might end for seconds; what a gateway found was told only as the version of a change; an interrupted call reused the pool's connections. Ruled out: keep-alive probes of TCP (11 s in Node.js).

Change: the ends of the waits are set by the gateways' places and the store's clock; a proven silence is told to all gateways, which call again within 0.3 s; interrupted calls are followed by new connections.

--- a/src/adapters/http-client.ts
+++ b/src/adapters/http-client.ts
@@ -17,6 +17,8 @@
 	timeoutMillis?: number;
 	/** Cancels the exchange when it aborts. */
 	signal?: AbortSignal;
+	/** Whether a cancellation means that the connections may be dead, so that the next requests use new ones. */
+	isCancelledAsDead?: boolean;
 }>;
 
 /** A complete reply. */
@@ -96,7 +98,7 @@
 			});
 			return succeed(await read(reply, onTimeout));
 		} catch (error) {
-			if (isTimeout(error)) {
+			if (isTimeout(error) || (req.isCancelledAsDead === true && req.signal?.aborted === true)) {
 				onTimeout();
 			}
 
--- a/src/adapters/http-failure.ts
+++ b/src/adapters/http-failure.ts
@@ -3,7 +3,7 @@
 	/** No byte of the request was written. */
 	= | Readonly<{tag: 'not_sent'; detail: string}>
 		/** The request may have arrived and taken effect. */
-		| Readonly<{tag: 'no_answer'; detail: string}>;
+		| Readonly<{tag: 'no_answer'; detail: string; isTimeout?: true}>;
 
 /** Codes of errors that occur before a connection is established. */
 const CONNECT_ERROR_CODES: ReadonlySet<string> = new Set([
@@ -28,7 +28,11 @@
 export function toHttpFailure(error: unknown): HttpFailure {
 	const code = codeOf(error);
 	const detail = [code, detailOf(error)].filter(Boolean).join(': ');
-	return {tag: CONNECT_ERROR_CODES.has(code) ? 'not_sent' : 'no_answer', detail};
+	if (CONNECT_ERROR_CODES.has(code)) {
+		return {tag: 'not_sent', detail};
+	}
+
+	return isTimeout(error) ? {tag: 'no_answer', detail, isTimeout: true} : {tag: 'no_answer', detail};
 }
 
 /** Codes of the library's own timeouts. */
--- a/src/feeds/__tests__/follow-table.test.ts
+++ b/src/feeds/__tests__/follow-table.test.ts
@@ -19,6 +19,7 @@
 const HISTORY_LOST: Answer = fail({tag: 'history_lost', isRestored: false});
 const RESTORED: Answer = fail({tag: 'history_lost', isRestored: true});
 const UNAVAILABLE: Answer = fail({tag: 'unavailable', detail: 'ECONNREFUSED'});
+const SILENT: Answer = fail({tag: 'unavailable', detail: 'timed out', isTimeout: true});
 
 function ignore(): void {
 	// The rows are not checked.
@@ -65,6 +66,13 @@
 				events.push(`changes ${rows.length}${isAfterOutage ? ' regained' : ''}`);
 			},
 		},
+		observer: {
+			onAnswer: ignore,
+			onFailure: ignore,
+			onSilence() {
+				events.push('silence');
+			},
+		},
 	});
 	return {events, pauses};
 }
@@ -132,3 +140,13 @@
 	await waiting;
 	assert.deepEqual(waits, [5000, 0]);
 });
+
+void test('only a wait that times out and an answer to the very next call show that a connection is dead while the store is reachable', async () => {
+	const silent = await follow([page(5), SILENT, page(7, [ROW]), page(8)]);
+	assert.deepEqual(silent.events, ['all', 'snapshot 0', 'after 5', 'after 5', 'changes 1 regained', 'silence', 'after 7', 'changes 0']);
+	for (const outage of [[SILENT, SILENT], [UNAVAILABLE], [UNAVAILABLE, SILENT], [SILENT, UNAVAILABLE]]) {
+		// eslint-disable-next-line no-await-in-loop -- One after the other.
+		const {events} = await follow([page(5), ...outage, page(7), page(8)]);
+		assert.ok(!events.includes('silence'));
+	}
+});
--- a/src/feeds/follow-table.ts
+++ b/src/feeds/follow-table.ts
@@ -8,7 +8,7 @@
 	FeedError, FeedPage, FeedRow, TableFeed,
 } from '../ports/table-feed.js';
 import type {FeedInterrupt} from './feed-interrupt.js';
-import {FIRST_RETRY_MILLIS, MIN_RETRY_CAP_MILLIS} from './follow-table-constants.js';
+import {FIRST_RETRY_MILLIS, MAX_SILENCE_PROOF_MILLIS, MIN_RETRY_CAP_MILLIS} from './follow-table-constants.js';
 
 /** Information about an answer of the store. */
 export type StoreContact = Readonly<{
@@ -47,6 +47,8 @@
 	onAnswer: (table: string, versions: Readonly<{position: number; newestChange: number}>) => void;
 	/** Called for each call that the store did not answer. */
 	onFailure: (table: string) => void;
+	/** Called when a connection has proved dead: a wait was not answered in time, and the next call, on another connection, was at once. */
+	onSilence: (table: string) => void;
 }>;
 
 /** Options of `followTable`. */
@@ -58,8 +60,8 @@
 	random: RandomSource;
 	/** Stops following when it aborts. */
 	signal: AbortSignal;
-	/** Chooses the maximum time that one call waits for a change, in milliseconds. */
-	chooseWaitMillis: () => number;
+	/** Chooses the maximum time that one call waits for a change, in milliseconds; gets the monotonic clock of the store. */
+	chooseWaitMillis: (storeMillis: number) => number;
 	/** Minimum time between the starts of two calls, in milliseconds; bounds the call rate when rows change all the time. */
 	minIntervalMillis: number;
 	listener: TableListener;
@@ -81,18 +83,22 @@
 	isInterrupted: boolean;
 	/** Whether the store has returned from an older copy since the last answer. */
 	isRestored: boolean;
+	/** By how much the clock of the store was ahead of that of this process, at the last answer. */
+	storeAheadMillis: number;
+	/** Monotonic time at which the only failed call since the last answer timed out while it waited; otherwise undefined. */
+	silentAtMillis: number | undefined;
 }>;
 
 const DEFAULT_BACKOFF: BackoffOptions = {initialMillis: FIRST_RETRY_MILLIS, maxMillis: MIN_RETRY_CAP_MILLIS};
 const INITIAL_POSITION: Position = {
-	version: undefined, failures: 0, isAnswered: true, isInterrupted: false, isRestored: false,
+	version: undefined, failures: 0, isAnswered: true, isInterrupted: false, isRestored: false, storeAheadMillis: 0, silentAtMillis: undefined,
 };
 
-function handleFailure({log, table, signal, observer, interrupt}: FollowOptions, previous: Position, err: FeedError): Position {
+function handleFailure({log, table, clock, signal, observer, interrupt}: FollowOptions, previous: Position, err: FeedError): Position {
 	if (err.tag === 'history_lost') {
 		log.info('table history no longer available; reading all rows', {table, version: previous.version, isRestored: err.isRestored});
 		return {
-			version: undefined, failures: previous.failures, isAnswered: true, isInterrupted: false, isRestored: err.isRestored,
+			...previous, version: undefined, isAnswered: true, isInterrupted: false, isRestored: err.isRestored,
 		};
 	}
 
@@ -105,20 +111,21 @@
 		interrupt?.raise();
 	}
 
+	const isSilent = err.isTimeout === true && previous.failures === 0 && previous.version !== undefined;
 	return {
-		version: previous.version, failures: previous.failures + 1, isAnswered: false, isInterrupted: false, isRestored: previous.isRestored,
+		...previous, failures: previous.failures + 1, isAnswered: false, isInterrupted: false, silentAtMillis: isSilent ? clock.monotonicMillis() : undefined,
 	};
 }
 
 /** Reads changes; undefined when the call was interrupted. */
-async function readChanges(options: FollowOptions, version: number, {failures, isInterrupted}: Position): Promise<Result<FeedPage, FeedError> | undefined> {
-	const {feed, table, interrupt, chooseWaitMillis} = options;
+async function readChanges(options: FollowOptions, version: number, {failures, isInterrupted, storeAheadMillis}: Position): Promise<Result<FeedPage, FeedError> | undefined> {
+	const {feed, table, clock, interrupt, chooseWaitMillis} = options;
 	const interrupted = new AbortController();
 	const unregister = interrupt?.register(table, () => {
 		interrupted.abort();
 	});
 	// Calls after a failure do not wait, so that the changes made during an outage are known as soon as it ends.
-	const waitMillis = failures > 0 || isInterrupted ? 0 : chooseWaitMillis();
+	const waitMillis = failures > 0 || isInterrupted ? 0 : chooseWaitMillis(clock.monotonicMillis() + storeAheadMillis);
 	const page = await feed.readChanges(table, version, waitMillis, interrupted.signal);
 	unregister?.();
 	return !page.ok && interrupted.signal.aborted ? undefined : page;
@@ -150,9 +157,14 @@
 		listener.onChanges(rows, contact);
 	}
 
+	const nowMillis = options.clock.monotonicMillis();
+	if (previous.silentAtMillis !== undefined && nowMillis - previous.silentAtMillis <= MAX_SILENCE_PROOF_MILLIS) {
+		options.observer?.onSilence(table);
+	}
+
 	options.observer?.onAnswer(table, {position: version, newestChange: Math.max(0, ...rows.map(row => row.version))});
 	return {
-		version, failures: 0, isAnswered: true, isInterrupted: false, isRestored: false,
+		version, failures: 0, isAnswered: true, isInterrupted: false, isRestored: false, storeAheadMillis: storeMillis - nowMillis, silentAtMillis: undefined,
 	};
 }
 
--- a/src/feeds/long-poll.ts
+++ b/src/feeds/long-poll.ts
@@ -2,19 +2,38 @@
 import type {RandomSource} from '../decisions/random.js';
 import {FIRST_RETRY_MILLIS, MAX_RETRY_MILLIS, MIN_RETRY_CAP_MILLIS} from './follow-table-constants.js';
 
-/** Shortest wait for a change, in milliseconds. */
-const MIN_WAIT_MILLIS = 2000;
 /** Longest wait for a change that the platform's store allows, in milliseconds. */
 const MAX_WAIT_MILLIS = 30_000;
-/** Range of the waits for each entry, in milliseconds; the entries' calls then end once or twice a second, at any number of them. */
-const WAIT_RANGE_PER_ENTRY_MILLIS = 2000;
+/** Shortest wait, so that one that ends a little early is not followed by another one for the same moment, in milliseconds. */
+const MIN_WAIT_MILLIS = 50;
+/** Time between two ends of waits on a table, of all entries together, in milliseconds. */
+const SLOT_MILLIS = 1200;
 /** Longest pause after a failed call for each entry, in milliseconds. */
 const RETRY_CAP_PER_ENTRY_MILLIS = 70;
 
-/** Draws the wait of one call; drawn anew each time, because a change ends the waits of all entries at once. */
-export function chooseLongPollMillis(entries: number, random: RandomSource): number {
-	const rangeMillis = Math.min(MAX_WAIT_MILLIS - MIN_WAIT_MILLIS, entries * WAIT_RANGE_PER_ENTRY_MILLIS);
-	return Math.round(MIN_WAIT_MILLIS + (random() * rangeMillis));
+/** Place of an entry among those that follow the same tables. */
+export type FeedSlot = Readonly<{
+	/** From 0, in an order on which the entries agree. */
+	index: number;
+	entries: number;
+	/** Part of a slot by which the waits of a table are shifted against those of other tables; from 0 to 1. */
+	shift: number;
+}>;
+
+/** Longest time between two calls of an entry, in milliseconds. */
+export function chooseCycleMillis(entries: number): number {
+	return Math.min(MAX_WAIT_MILLIS - MIN_WAIT_MILLIS, entries * SLOT_MILLIS);
+}
+
+/**
+ * Chooses the wait of one call. The waits of the entries end in turn, by the clock of the store, so that one of them soon shows that open
+ * connections are dead, also where a change has begun all waits anew. `storeMillis` is that clock.
+ */
+export function chooseLongPollMillis({index, entries, shift}: FeedSlot, storeMillis: number): number {
+	const cycleMillis = chooseCycleMillis(entries);
+	const dueMillis = (index + shift) * cycleMillis / entries;
+	const waitMillis = Math.round((((dueMillis - storeMillis) % cycleMillis) + cycleMillis) % cycleMillis);
+	return waitMillis < MIN_WAIT_MILLIS ? Math.round(waitMillis + cycleMillis) : waitMillis;
 }
 
 /** Draws the wait of one call for a table that changes seldom, at any number of entries. */
--- a/src/gateway/start-gateway.ts
+++ b/src/gateway/start-gateway.ts
@@ -16,7 +16,9 @@
 import {listLostRequests} from '../decisions/quarantine/finding.js';
 import type {RandomSource} from '../decisions/random.js';
 import {createFeedInterrupt} from '../feeds/feed-interrupt.js';
-import {combineListeners, followTable, type TableListener} from '../feeds/follow-table.js';
+import {
+	combineListeners, followTable, type FollowOptions, type TableListener,
+} from '../feeds/follow-table.js';
 import {chooseLongPollMillis, chooseRetryBackoff, chooseSeldomLongPollMillis} from '../feeds/long-poll.js';
 import {createCrashEvidence} from '../membership/crash-evidence.js';
 import {createEntryMembers, type EntryMembers} from '../membership/entry-members.js';
@@ -92,7 +94,13 @@
 	let hasServers = false;
 	const interrupt = createFeedInterrupt();
 	const store = createStoreObservations({
-		clock, log, random, interrupt,
+		clock,
+		log,
+		random,
+		interrupt,
+		onSilence() {
+			members.shareStoreView();
+		},
 	});
 	const servers: BackendServerList = createBackendServerList({
 		clock, log, read: deps.backendServers.read, readFailureAgeMillis: store.readFailureAgeMillis, drainMillis: settings.backendDrainMillis,
@@ -248,7 +256,7 @@
 		table: string,
 		minIntervalMillis: number,
 		tableListener: TableListener,
-		chooseWaitMillis = () => chooseLongPollMillis(members.countSharingEntries(), random),
+		chooseWaitMillis: FollowOptions['chooseWaitMillis'],
 	): void {
 		void followTable({
 			feed,
@@ -310,8 +318,10 @@
 	}
 
 	opened.listener = listening.value;
-	follow(deps.configuration.table, 0, combineListeners([evacuations.listener, configuration.listener]));
-	follow(deps.backendServers.table, settings.backendDrainMillis * SERVER_LIST_MIN_INTERVAL_SHARE, servers.listener);
+	const chooseWaitAt = (shift: number) => (storeMillis: number) => chooseLongPollMillis({...members.readPlace(), shift}, storeMillis);
+	follow(deps.configuration.table, 0, combineListeners([evacuations.listener, configuration.listener]), chooseWaitAt(0));
+	// The waits on the two tables end in turn: what one of them shows holds for the other one, too.
+	follow(deps.backendServers.table, settings.backendDrainMillis * SERVER_LIST_MIN_INTERVAL_SHARE, servers.listener, chooseWaitAt(0.5));
 	follow(SLOW_RANK_TABLE, 0, slowRanks.listener, () => chooseSeldomLongPollMillis(random));
 	void members.run(lifeCycle.signal);
 	const {value} = listening;
--- a/src/membership/__tests__/store-observations.test.ts
+++ b/src/membership/__tests__/store-observations.test.ts
@@ -17,7 +17,7 @@
 	}
 
 	const store = createStoreObservations({
-		clock, log: silentLog, random: () => 0.5, interrupt,
+		clock, log: silentLog, random: () => 0.5, interrupt, onSilence: () => undefined,
 	});
 	return {
 		...store, interrupted,
@@ -113,6 +113,30 @@
 
 void test('without contact, nothing is claimed of the store', () => {
 	const store = createObservations();
-	assert.deepEqual(store.describe(0), {tables: [], contactAgeMillis: undefined, failureAgeMillis: undefined});
+	assert.deepEqual(store.describe(0), {
+		tables: [], contactAgeMillis: undefined, failureAgeMillis: undefined, silenceAgeMillis: undefined,
+	});
 	assert.equal(store.readContactAgeMillis(), Infinity);
 });
+
+void test('when another entry finds its connection dead, the tables of which this one has heard nothing since are called again', async () => {
+	const store = createObservations();
+	store.onAnswer('op', {position: 10, newestChange: 4});
+	await store.pass(1000);
+	store.onAnswer('servers', {position: 10, newestChange: 9});
+	store.mergeAt({tables: [], silenceAgeMillis: 100});
+	await store.pass(150);
+	assert.deepEqual(store.interrupted, ['op']);
+	store.mergeAt({tables: [], silenceAgeMillis: 260});
+	await store.pass(300);
+	assert.deepEqual(store.interrupted, ['op'], 'the same finding, told again');
+});
+
+void test('an entry that finds its connection dead says so to the others, for a while', async () => {
+	const store = createObservations();
+	store.onSilence('op');
+	await store.pass(700);
+	assert.equal(store.describe(700).silenceAgeMillis, 700);
+	await store.pass(60_000);
+	assert.equal(store.describe(60_700).silenceAgeMillis, undefined);
+});
--- a/src/membership/entry-members.ts
+++ b/src/membership/entry-members.ts
@@ -62,6 +62,10 @@
 	permits: Pick<PermitExchange, 'borrow' | 'countLent' | 'countBorrowed'>;
 	/** Joins the other entries and observes them until `signal` aborts. */
 	run: (signal: AbortSignal) => Promise<void>;
+	/** Sends all others what this entry knows of the store. */
+	shareStoreView: () => void;
+	/** Place of this entry among those that follow the store: from 0, in the order of their ids. */
+	readPlace: () => Readonly<{index: number; entries: number}>;
 	/** Announces to the other entries that this one is draining. */
 	announceDraining: () => Promise<void>;
 }>;
@@ -410,6 +414,16 @@
 			unregisterEvidence();
 			unregisterLimits();
 		},
+		shareStoreView() {
+			const datagram = detector?.createDatagram(clock.monotonicMillis());
+			if (datagram) {
+				send(listReachable().map(address => ({address, datagram})));
+			}
+		},
+		readPlace() {
+			const ids = limitSharers.length > 0 ? limitSharers.toSorted() : [self.id];
+			return {index: Math.max(0, ids.indexOf(self.id)), entries: Math.max(ids.length, countSharingEntries())};
+		},
 		async announceDraining() {
 			isDraining = true;
 			updateLimitSharers();
--- a/src/membership/store-observations.ts
+++ b/src/membership/store-observations.ts
@@ -12,6 +12,14 @@
 /** Time for a change that another entry has seen to arrive over this entry's own feed, in milliseconds. */
 const FEED_LAG_MILLIS = 300;
 
+/** Longest delay of the calls that follow when another entry has found its connection dead, in milliseconds. */
+const MAX_RENEWAL_DELAY_MILLIS = 300;
+
+/** Time between two findings that are taken for one, in milliseconds; their ages are rounded and travel for some time. */
+const SAME_SILENCE_MILLIS = 500;
+/** Age from which a finding is no longer passed on, in milliseconds; by then each entry has called the store. */
+const MAX_SILENCE_AGE_MILLIS = 30_000;
+
 /** Age of the last contact of any entry from which a failed call of another makes this one call too, in milliseconds; rows lapse later. */
 const CHECK_AGE_MILLIS = 2000;
 /** Longest delay of such a call, in milliseconds; the entry that calls first saves the others their calls if it is answered. */
@@ -26,11 +34,18 @@
 	merge: (view: StoreView, nowMillis: number) => void;
 }>;
 
-type Deps = Readonly<{clock: Clock; log: Log; random: RandomSource; interrupt: FeedInterrupt}>;
+type Deps = Readonly<{
+	clock: Clock;
+	log: Log;
+	random: RandomSource;
+	interrupt: FeedInterrupt;
+	/** Called when a connection of this entry has proved dead: those of the others may be, too, and they wait on them. */
+	onSilence: () => void;
+}>;
 
 /** Creates the observations of an entry that has not reached the store yet. */
 export function createStoreObservations({
-	clock, log, random, interrupt,
+	clock, log, random, interrupt, onSilence,
 }: Deps): StoreObservations {
 	let contactAtMillis = -Infinity;
 	let failureAtMillis = -Infinity;
@@ -41,6 +56,10 @@
 	/** Version up to which this entry knows all changes of each table that it follows. */
 	const positions = new Map<string, number>();
 	const checkedTables = new Set<string>();
+	/** When this entry last got an answer for each table. */
+	const answeredAtMillis = new Map<string, number>();
+	/** When a connection of an entry, this one or another, was last found dead. */
+	let silentAtMillis = -Infinity;
 
 	function noteChange(table: string, version: number): void {
 		newestChanges.set(table, Math.max(version, newestChanges.get(table) ?? 0));
@@ -88,9 +107,26 @@
 		}
 	}
 
+	/** Calls the store again for the tables of which nothing has been heard since a connection of another entry was found dead. */
+	async function renewCalls(): Promise<void> {
+		const foundAtMillis = silentAtMillis;
+		await clock.sleep(random() * MAX_RENEWAL_DELAY_MILLIS);
+		for (const [table, millis] of answeredAtMillis) {
+			if (millis < foundAtMillis) {
+				interrupt.raise(table);
+			}
+		}
+	}
+
 	return {
+		onSilence(table) {
+			silentAtMillis = clock.monotonicMillis();
+			log.info('connection to the store fell silent', {table});
+			onSilence();
+		},
 		onAnswer(table, {position, newestChange}) {
 			contactAtMillis = clock.monotonicMillis();
+			answeredAtMillis.set(table, contactAtMillis);
 			positions.set(table, position);
 			noteChange(table, newestChange);
 		},
@@ -104,8 +140,14 @@
 			tables: [...newestChanges].map(([table, version]) => ({table, version})),
 			contactAgeMillis: Number.isFinite(contactAtMillis) ? Math.round(nowMillis - contactAtMillis) : undefined,
 			failureAgeMillis: Number.isFinite(failureAtMillis) ? Math.round(nowMillis - failureAtMillis) : undefined,
+			silenceAgeMillis: nowMillis - silentAtMillis <= MAX_SILENCE_AGE_MILLIS ? Math.round(nowMillis - silentAtMillis) : undefined,
 		}),
-		merge({tables, contactAgeMillis, failureAgeMillis}, nowMillis) {
+		merge({tables, contactAgeMillis, failureAgeMillis, silenceAgeMillis}, nowMillis) {
+			if (silenceAgeMillis !== undefined && nowMillis - silenceAgeMillis > silentAtMillis + SAME_SILENCE_MILLIS) {
+				silentAtMillis = nowMillis - silenceAgeMillis;
+				void renewCalls();
+			}
+
 			failureAtMillis = Math.max(failureAtMillis, nowMillis - (failureAgeMillis ?? Infinity));
 			for (const {table, version} of tables) {
 				noteChange(table, version);
--- a/src/observability/line-schemas.ts
+++ b/src/observability/line-schemas.ts
@@ -133,6 +133,7 @@
 	'datagrams cannot be sent': z.strictObject({detail: z.string()}),
 	'unreadable member datagram': z.strictObject({from: z.string(), detail: z.string()}),
 	'lost the table': z.strictObject({table: z.string(), detail: z.string(), version: version.optional()}),
+	'connection to the store fell silent': z.strictObject({table: z.string()}),
 	'regained the table': z.strictObject({table: z.string(), failures: count, version}),
 	'table history no longer available; reading all rows': z.strictObject({table: z.string(), version: version.optional(), isRestored: z.boolean().optional()}),
 	'entry names no backend server': z.strictObject({server: z.string(), detail: z.string()}),
