Apply the changes of a backend server's entry in their order

Cause: all removals of a page were applied before all of its entries, so that the beat put the server back. Ruled out: the memory of removed servers, which is right not to know the newer beat.

Change: entries before the last removal of their row come first, then the removals, then the rest.

--- a/src/gateway/__tests__/backend-server-list.test.ts
+++ b/src/gateway/__tests__/backend-server-list.test.ts
@@ -183,3 +183,22 @@
 	listener.onSnapshot([row(READY)], UNINTERRUPTED);
 	assert.deepEqual(list(), [], 'it does not come back when its successor leaves');
 });
+
+void test('a page with the last beat and the removal of an entry takes its backend server off the list', () => {
+	const {listener, list} = createList();
+	listener.onSnapshot([row(READY)], UNINTERRUPTED);
+	const lastBeat = {...READY, sequence: 6};
+	listener.onChanges([row(lastBeat), removal('s1')], UNINTERRUPTED);
+	assert.equal(list().length, 0);
+	listener.onChanges([row(lastBeat)], UNINTERRUPTED);
+	assert.equal(list().length, 0, 'a store that is restored lists it again');
+});
+
+void test('a page with the entry, the removal and a newer entry of a backend server lists it with the newer one', () => {
+	const {listener, list} = createList();
+	const restarted = {...READY, incarnation: 200, sequence: 1};
+	listener.onChanges([row(READY), removal('s1'), row(restarted)], UNINTERRUPTED);
+	assert.deepEqual(list(), [restarted]);
+	listener.onChanges([removal('s1'), row({...restarted, sequence: 2}), row({...restarted, sequence: 3}), removal('s1')], UNINTERRUPTED);
+	assert.equal(list().length, 0);
+});
--- a/src/gateway/backend-server-list.ts
+++ b/src/gateway/backend-server-list.ts
@@ -62,6 +62,34 @@
 	return [...listed.values()].filter(({address, incarnation}) => incarnation < (startedAtByAddress.get(address) ?? -Infinity));
 }
 
+/** Changes of several rows, in an order that lets those of each row follow each other. */
+type SplitChanges = Readonly<{
+	/** Entries that were removed after them. */
+	former: readonly FeedRow[];
+	/** Keys of the rows that were removed at some time. */
+	removed: ReadonlySet<string>;
+	/** Entries that were not removed after them. */
+	latter: readonly FeedRow[];
+}>;
+
+/** Splits the changes of a page, oldest first, at the last removal of each row. */
+function splitAtRemovals(rows: readonly FeedRow[]): SplitChanges {
+	const lastRemovals = new Map<string, number>();
+	for (const [i, {key, text}] of rows.entries()) {
+		if (text === undefined) {
+			lastRemovals.set(key, i);
+		}
+	}
+
+	const isFormer = (key: string, i: number) => i < (lastRemovals.get(key) ?? -1);
+	const entries = [...rows.entries()].filter(([, {text}]) => text !== undefined);
+	return {
+		former: entries.filter(([i, {key}]) => isFormer(key, i)).map(([, row]) => row),
+		removed: new Set(lastRemovals.keys()),
+		latter: entries.filter(([i, {key}]) => !isFormer(key, i)).map(([, row]) => row),
+	};
+}
+
 /** Creates an empty list. */
 export function createBackendServerList({clock, log, read, readFailureAgeMillis = () => Infinity, drainMillis = Infinity}: Deps): BackendServerList {
 	const servers = createSnapshotStore<BackendServers>(new Map());
@@ -190,8 +218,10 @@
 			onChanges(rows, {isAfterOutage}) {
 				noteContact(isAfterOutage);
 				if (rows.length > 0) {
-					const removed = new Set(rows.filter(row => row.text === undefined).map(row => row.key));
-					update(rows, id => removed.has(id));
+					const {former, removed, latter} = splitAtRemovals(rows);
+					// What an entry said last before its removal tells later whether another one is newer.
+					servers.update(before => applyRows(before, former));
+					update(latter, id => removed.has(id));
 				}
 			},
 		},
