--- a/src/gateway/gateway-constants.ts
+++ b/src/gateway/gateway-constants.ts
@@ -28,11 +28,11 @@
 export const MAX_OVERHEAD_BYTES = 65_536;
 export const MAX_OVERHEAD_PER_BODY_BYTE = 8;
 /** Largest part of an answer that is parsed at once, in bytes. */
-export const MAX_READ_BYTES = 4096;
+export const MAX_READ_BYTES = 2048;
 /** Least part of an answer whose parsing is timed, in bytes. */
-export const MIN_TIMED_READ_BYTES = 1024;
+export const MIN_TIMED_READ_BYTES = 512;
 /** Time for which one answer is parsed before the event loop turns, in milliseconds. */
-export const MAX_PARSING_MILLIS = 5;
+export const MAX_PARSING_MILLIS = 2;
 /** Maximum bytes of request bodies in a process, and of answers that wait to be read; a tenth of the smallest instance's memory. */
 export const MAX_BUFFERED_BYTES = 25_000_000;
 /** The same as a share of the memory of the process, where the settings state it. */
