Let all attempts in flight listen to the cut-off without a warning

Cause: Node.js warns on standard error, in plain text, once more than ten listeners are added to a signal; each attempt adds one to that of the cut-off. Seen by reading the change, and with 50 listeners on a signal of its own.

--- a/src/gateway/start-gateway.ts
+++ b/src/gateway/start-gateway.ts
@@ -1,4 +1,5 @@
 /** Starts a gateway: accepts calls and sends them directly to backend servers, using the protocol of its deployment. */
+import {setMaxListeners} from 'node:events';
 import type {Clock} from '../core/clock.js';
 import type {EarlyListener} from '../core/early-listener.js';
 import type {Incarnation} from '../core/ids.js';
@@ -91,6 +92,8 @@
 	let isStopping = false;
 	let drainSchedule: DrainSchedule | undefined;
 	const cutOff = new AbortController();
+	// Each attempt in flight listens; the default number of listeners is meant to show leaks.
+	setMaxListeners(0, cutOff.signal);
 	let hasServers = false;
 	const interrupt = createFeedInterrupt();
 	const store = createStoreObservations({
