--- a/src/gateway/__tests__/backend-connections.test.ts
+++ b/src/gateway/__tests__/backend-connections.test.ts
@@ -55,7 +55,7 @@
 	},
 ];
 
-// The parser fails an assertion, which ends the process, if the connection of an exchange ends that it was told to pause.
+// The HTTP client's own pause fails an assertion, which ends the process, if the connection ends during it.
 for (const {name, rest, end, isWhole} of endings) {
 	void test(`the end of a paused exchange does not end the process (${name})`, async () => {
 		const server = createServer(socket => {
--- a/src/gateway/answer-sink.ts
+++ b/src/gateway/answer-sink.ts
@@ -109,7 +109,7 @@
 			return splitter.countUnfinishedBytes() > MAX_UNFINISHED_BYTES ? `event of more than ${MAX_UNFINISHED_BYTES} bytes` : undefined;
 		},
 		finish() {
-			// Without framing, a backend server that fails behind its headers is not told from one that has no events.
+			// Without framing, a crash right after the headers looks the same as a stream without events.
 			const hasNotBegun = head.isEndedByConnection && !hasEvents;
 			if (hasNotBegun || splitter.takeRest().some(byte => byte !== LINE_FEED && byte !== CARRIAGE_RETURN)) {
 				return {tag: 'truncated'};
--- a/src/gateway/backend-connections.ts
+++ b/src/gateway/backend-connections.ts
@@ -85,8 +85,8 @@
 }
 
 /**
- * Whether a connection whose end was read has been reset. A reset that arrives together with bytes is reported as an orderly end; only
- * the kernel still knows, which has no peer address for a connection that is gone. The address must not have been read before, as it is kept.
+ * Whether a connection whose end was read has been reset. The event loop reports a reset that arrives together with bytes as an orderly end,
+ * but the kernel no longer has a peer address then. Node.js caches the address, so nothing may read it earlier.
  */
 function isReset(socket: Socket): boolean {
 	return socket.remoteAddress === undefined;
--- a/src/gateway/caller-reply.ts
+++ b/src/gateway/caller-reply.ts
@@ -23,7 +23,7 @@
 
 /** Creates the writer of one answer. A body without a length is sent in chunks, so that the end of this process doesn't look like its end. */
 export function createCallerReply(res: ServerResponse, {isClosing, onWritten}: CallerReplyOptions): CallerReply {
-	/** Whether the caller can tell the end of the body only from the end of the connection: it speaks HTTP/1.0, and the answer has no length. */
+	/** Whether only the end of the connection marks that of the body: for a caller of HTTP/1.0 and an answer without a length. */
 	let endsWithConnection = false;
 	const unwritten: Uint8Array[] = [];
 	let unwrittenBytes = 0;
--- a/src/gateway/paced-socket.ts
+++ b/src/gateway/paced-socket.ts
@@ -1,6 +1,6 @@
 /**
- * Paces what a parser reads from a socket. The parser of undici can't be used for this: it fails an assertion if the connection of a
- * paused exchange ends.
+ * Paces what a parser reads from a socket. The pause of undici can't be used for this: it fails an assertion if the connection ends
+ * during the pause.
  */
 import type {Socket} from 'node:net';
 import {setImmediate} from 'node:timers';
