Log and count answers that are complete but do not reach their caller

A call counts as answered once its answer has been handed to the connection; if the connection is destroyed before all bytes have been sent, nothing tells so. The hypotheses "cut off and counted" and "ended, but not sent" could not be told apart.

Change: a line `answer not delivered` with the bytes that were not sent, and the counter pollenport_undelivered_answers_total.

--- a/src/gateway/caller-listener.ts
+++ b/src/gateway/caller-listener.ts
@@ -12,7 +12,7 @@
 import type {CallCodec} from '../ports/call-codec.js';
 import type {CallerLimits} from '../routing/routing-configuration.js';
 import type {Call, CallReply} from './call.js';
-import {createCallerReply} from './caller-reply.js';
+import {createCallerReply, type CallerReply} from './caller-reply.js';
 import {
 	CONNECTION_CHECK_INTERVAL_MILLIS, KEEP_ALIVE_SLACK_MILLIS, MAX_CALLER_HEADER_BYTES, READER_CHECK_INTERVAL_MILLIS,
 } from './gateway-constants.js';
@@ -43,7 +43,7 @@
 	maxConnections: number;
 	/** Largest number of bytes that request bodies may occupy, and that answers may occupy, each in sum. */
 	maxBufferedBytes: number;
-	metrics: Pick<GatewayMetrics, 'abortedReaders' | 'bufferedBytes' | 'refusals'>;
+	metrics: Pick<GatewayMetrics, 'abortedReaders' | 'bufferedBytes' | 'refusals' | 'undeliveredAnswers'>;
 	clock: Clock;
 	log: Log;
 	lifeCycle: LifeCycle;
@@ -63,6 +63,8 @@
 	const {address, clock, log, lifeCycle, codec, maxBufferedBytes, metrics} = deps;
 	let limits = DEFAULT_LIMITS;
 	let isClosing = false;
+	/** Whether the process has closed all connections, as it ends. */
+	let hasClosedAll = false;
 	let openCalls = 0;
 	let bufferedBytes = 0;
 	const openReplies = new Set<CallReply>();
@@ -117,10 +119,33 @@
 		}
 	}
 
+	/** Reports an answer that was handed over in full when its connection was closed, but had not been sent in full. */
+	function watchDelivery(res: ServerResponse, request: string | undefined, {isEnded, readWrittenBytes, readBufferedBytes}: CallerReply): void {
+		const {socket} = res.req;
+		const noteClosed = () => {
+			if (isEnded()) {
+				const cause = hasClosedAll ? 'stopped' : 'connection_closed';
+				metrics.undeliveredAnswers.inc({cause});
+				log.info('answer not delivered', {
+					request, cause, writtenBytes: readWrittenBytes(), unsentBytes: readBufferedBytes(),
+				});
+			}
+		};
+
+		socket.once('close', noteClosed);
+		res.once('finish', () => {
+			// A response finishes, too, when its connection is destroyed.
+			if (!socket.destroyed) {
+				socket.off('close', noteClosed);
+			}
+		});
+	}
+
 	/** Creates the writer of the answer, whose buffer is bounded until the connection is closed or the answer has been read. */
-	function createBoundedReply(res: ServerResponse, request: string | undefined, isDisconnected: boolean): CallReply {
+	function createBoundedReply(res: ServerResponse, request: string | undefined, isDisconnected: boolean): CallerReply {
 		const reply = createCallerReply(res, {isClosing: () => isClosing, onWritten: replyBuffers.noteWritten});
 		if (!isDisconnected) {
+			watchDelivery(res, request, reply);
 			res.once('close', replyBuffers.add({
 				...reply,
 				giveUp({cause, reader}) {
@@ -198,6 +223,7 @@
 
 	/** Closes all connections; answers in flight must not look complete. */
 	function closeAllConnections(): void {
+		hasClosedAll = true;
 		for (const reply of openReplies) {
 			reply.abort();
 		}
--- a/src/gateway/caller-reply.ts
+++ b/src/gateway/caller-reply.ts
@@ -8,6 +8,8 @@
 export type CallerReply = CallReply & Readonly<{
 	readWrittenBytes: () => number;
 	readBufferedBytes: () => number;
+	/** Whether the answer has been handed over in full; its last bytes may not have been sent yet. */
+	isEnded: () => boolean;
 	/** Closes the connection with a reset, which also frees what the kernel holds for the caller. */
 	reset: () => void;
 }>;
@@ -104,6 +106,7 @@
 			res.destroy();
 		},
 		areHeadersSent: () => res.headersSent,
+		isEnded: () => isEnded,
 		readWrittenBytes: () => writtenBytes,
 		readBufferedBytes: () => unwrittenBytes + res.writableLength,
 	};
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -102,6 +102,9 @@
 		abortedReaders: new Counter({
 			name: 'pollenport_aborted_readers_total', help: 'Connections closed because their callers read too slowly', labelNames: ['reason'], registers,
 		}),
+		undeliveredAnswers: new Counter({
+			name: 'pollenport_undelivered_answers_total', help: 'Answers whose connection was closed before all of their bytes had been sent', labelNames: ['cause'], registers,
+		}),
 		callerShare: new Gauge({
 			name: 'pollenport_caller_share', help: 'Share of the callers that this entry expects, and by which it divides the permits', registers,
 		}),
--- /dev/null
+++ b/src/http/http-connections.ts
@@ -0,0 +1,246 @@
+/**
+ * Connections of an HTTP server. They are closed only when every answer has been sent, and in a way that does not discard what the peer has not
+ * received yet. Node.js takes an answer that has been ended for one that has been sent, and runs the requests of a connection side by side, also
+ * those that follow the one whose answer closes it.
+ */
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import type {Clock} from '../core/clock.js';
+
+/** A request and its answer. */
+export type HttpExchange = Readonly<{
+	/** Aborts when the connection is closed before the answer has been sent in full. */
+	disconnectSignal: AbortSignal;
+	/**
+	 * Resolves to true once all earlier requests on the connection have been answered, and to false if the connection closes without an answer to this
+	 * one, which must not run then.
+	 */
+	waitForTurn: () => Promise<boolean>;
+	/** Whether the connection is to be closed after this answer; to be asked when its head is written. */
+	isLast: () => boolean;
+}>;
+
+/** How an exchange ended. */
+export type ExchangeEnd
+	/** The operating system has taken all bytes of the answer. */
+	= 'sent'
+	/** The connection was closed before. */
+		| 'closed';
+
+/** Connections of one server. */
+export type HttpConnections = Readonly<{
+	/** Adds a request that the server has received; `onEnd` is called once, with how its answer has ended. */
+	add: (req: IncomingMessage, res: ServerResponse, onEnd?: (end: ExchangeEnd) => void) => HttpExchange;
+	/** From now on closes each connection after the answer to the last request that has arrived on it. */
+	disableKeepAlive: () => void;
+	/** Number of requests whose answers have not been sent in full. */
+	countOpenExchanges: () => number;
+	/** Number of connections whose last answer has been sent, and that wait for the peer to close them. */
+	countClosing: () => number;
+	/** Closes the connections without a request. */
+	closeIdle: () => void;
+	/** Closes all connections, also those with answers under way. */
+	closeAll: () => void;
+}>;
+
+export type HttpConnectionsOptions = Readonly<{
+	clock: Clock;
+	/** Longest time for which a closing connection waits for its peer, in milliseconds. */
+	closeTimeoutMillis: number;
+	/** Called when a peer resets a connection on which it has not acknowledged the end of the last answer. */
+	onReset?: () => void;
+}>;
+
+/** Answers to requests that cannot be parsed, by the code of the error. */
+const PARSE_ERROR_STATUSES: Readonly<Record<string, string>> = {
+	HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+	HPE_CHUNK_EXTENSIONS_OVERFLOW: '413 Payload Too Large',
+	ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+};
+const BAD_REQUEST = '400 Bad Request';
+
+/** Errors that end a connection on which nothing more can be sent. */
+const CONNECTION_ERRORS: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE', 'HPE_INVALID_EOF_STATE']);
+
+type OpenExchange = Readonly<{req: IncomingMessage; end: (end: ExchangeEnd) => void}>;
+
+type Connection = {
+	readonly socket: Socket;
+	/** In the order of arrival. */
+	readonly exchanges: Set<OpenExchange>;
+	/** Whether what has arrived behind the last request cannot be parsed. */
+	isBroken: boolean;
+	/** Whether the last answer has been sent, and the sending side is closed. */
+	isClosing: boolean;
+};
+
+/** Takes over the connections of a server, before it listens. */
+export function manageConnections(server: Server, {clock, closeTimeoutMillis, onReset}: HttpConnectionsOptions): HttpConnections {
+	const connections = new Map<Socket, Connection>();
+	let isKeepAliveDisabled = false;
+
+	/**
+	 * Closes the sending side and discards what arrives until the peer closes its own. Bytes that are unread at the close of a socket, or arrive
+	 * after it, make the kernel send a reset, and the peer may lose the end of the answer.
+	 */
+	async function closeGracefully(connection: Connection): Promise<void> {
+		const {socket, exchanges} = connection;
+		if (connection.isClosing) {
+			return;
+		}
+
+		connection.isClosing = true;
+		const closed = new AbortController();
+		socket.once('close', () => {
+			closed.abort();
+		});
+		socket.once('error', () => onReset?.());
+		// The listener takes the socket back from the parser.
+		socket.on('data', discard);
+		for (const listener of socket.listeners('data')) {
+			if (listener !== discard) {
+				socket.off('data', listener as () => void);
+			}
+		}
+
+		socket.resume();
+		socket.end();
+		for (const exchange of exchanges) {
+			exchange.end('closed');
+		}
+
+		await clock.sleep(closeTimeoutMillis, closed.signal);
+		socket.destroy();
+	}
+
+	function track(socket: Socket): Connection {
+		const known = connections.get(socket);
+		if (known) {
+			return known;
+		}
+
+		const connection: Connection = {
+			socket, exchanges: new Set(), isBroken: false, isClosing: false,
+		};
+		connections.set(socket, connection);
+		// The server calls this after the last answer on the connection.
+		socket.destroySoon = () => {
+			void closeGracefully(connection);
+		};
+
+		socket.once('close', () => {
+			connections.delete(socket);
+			for (const exchange of connection.exchanges) {
+				exchange.end('closed');
+			}
+		});
+		return connection;
+	}
+
+	/** Answers the request that cannot be parsed, unless others are still to be answered: those keep the connection open. */
+	function handleClientError(err: NodeJS.ErrnoException, socket: Socket): void {
+		const connection = connections.get(socket);
+		const isSecondError = connection?.isBroken ?? false;
+		if (!connection || !socket.writable || isSecondError || CONNECTION_ERRORS.has(err.code ?? '')) {
+			if (!connection?.isClosing) {
+				socket.destroy();
+			}
+
+			return;
+		}
+
+		connection.isBroken = true;
+		for (const exchange of connection.exchanges) {
+			if (!exchange.req.complete) {
+				exchange.end('closed');
+			}
+		}
+
+		if (connection.exchanges.size === 0) {
+			socket.write(`HTTP/1.1 ${PARSE_ERROR_STATUSES[err.code ?? ''] ?? BAD_REQUEST}\r\nConnection: close\r\n\r\n`);
+			void closeGracefully(connection);
+		}
+	}
+
+	function add(req: IncomingMessage, res: ServerResponse, onEnd?: (end: ExchangeEnd) => void): HttpExchange {
+		const connection = track(req.socket);
+		const {socket, exchanges} = connection;
+		const disconnection = new AbortController();
+		const turn = Promise.withResolvers<boolean>();
+		const exchange: OpenExchange = {
+			req,
+			end(end) {
+				if (!exchanges.delete(exchange)) {
+					return;
+				}
+
+				turn.resolve(false);
+				if (end === 'closed') {
+					disconnection.abort();
+				}
+
+				onEnd?.(end);
+				if (connection.isBroken && exchanges.size === 0) {
+					void closeGracefully(connection);
+				}
+			},
+		};
+		exchanges.add(exchange);
+		// The server gives a response its socket when all earlier ones have been sent, and never behind one that closes the connection.
+		if (res.socket) {
+			turn.resolve(true);
+		} else {
+			res.once('socket', () => {
+				turn.resolve(true);
+			});
+		}
+
+		res.once('finish', () => {
+			// A response finishes, too, when its connection is destroyed.
+			exchange.end(socket.destroyed ? 'closed' : 'sent');
+		});
+		if (connection.isClosing || socket.destroyed) {
+			exchange.end('closed');
+		}
+
+		return {
+			disconnectSignal: disconnection.signal,
+			waitForTurn: async () => turn.promise,
+			isLast: () => (isKeepAliveDisabled || connection.isBroken) && [...exchanges].at(-1) === exchange,
+		};
+	}
+
+	function closeIdle(): void {
+		for (const {socket, exchanges, isClosing} of connections.values()) {
+			if (exchanges.size === 0 && !isClosing) {
+				socket.destroy();
+			}
+		}
+	}
+
+	server.on('connection', track);
+	server.on('clientError', handleClientError);
+	// The server calls this when it stops listening.
+	server.closeIdleConnections = closeIdle;
+
+	return {
+		add,
+		disableKeepAlive() {
+			isKeepAliveDisabled = true;
+		},
+		countOpenExchanges: () => [...connections.values()].reduce((sum, {exchanges}) => sum + exchanges.size, 0),
+		countClosing: () => [...connections.values()].filter(({isClosing}) => isClosing).length,
+		closeIdle,
+		closeAll() {
+			for (const {socket} of connections.values()) {
+				socket.destroy();
+			}
+
+			server.closeAllConnections();
+		},
+	};
+}
+
+function discard(): void {
+	// What follows a last answer is not read.
+}
--- a/src/observability/line-schemas.ts
+++ b/src/observability/line-schemas.ts
@@ -87,6 +87,13 @@
 		/** Time for which a slow caller had read nothing. */
 		stalledMillis: millis.optional(),
 	}),
+	'answer not delivered': z.strictObject({
+		request: id.optional(),
+		cause: z.enum(['stopped', 'connection_closed']),
+		/** Bytes of the body, and those of the answer that had not been sent. */
+		writtenBytes: count,
+		unsentBytes: count,
+	}),
 	'request lost in a crash': z.strictObject({
 		request: id, server: z.string(), startedAt: z.number(), promptParts: z.string(), fingerprint: z.string(),
 	}),
