Close connections of callers only once their answers are sent, and run their requests in turn

Cause: the server of Node.js and the listener count by different rules what is idle and what is open. Node.js takes a connection whose answer has been ended for idle, also while megabytes of it wait in the process, and `close` destroys idle connections; a response counts as finished when its connection is destroyed. It runs the requests of a connection side by side, also behind an answer that closes it; their responses never end, so the count of open calls stayed up. After a last answer it closes the socket at once: bytes that arrive then make the kernel send a reset, and drop what the caller has not received.

Change: src/http/http-connections.ts is the only place that knows what is open. An exchange ends when the system has taken its last byte, or with its connection. Requests run one after the other, and never behind a last answer; an answer is the last one only if no further request has arrived. A last answer is followed by the end of the sending side, and what arrives is dropped until the caller closes (5 s at most); a drain waits for that up to its cut-off. Bytes that are no request no longer cost the answers before them. Lines `answer not delivered` and `request not run`.

--- a/src/gateway/caller-listener.ts
+++ b/src/gateway/caller-listener.ts
@@ -8,13 +8,14 @@
 import type {ListenError} from '../core/listen-error.js';
 import {listenOn} from '../core/listen-on.js';
 import {fail, succeed, type Result} from '../core/result.js';
+import {manageConnections, type HttpExchange} from '../http/http-connections.js';
 import type {Log} from '../observability/log.js';
 import type {CallCodec} from '../ports/call-codec.js';
 import type {CallerLimits} from '../routing/routing-configuration.js';
 import type {Call, CallReply} from './call.js';
 import {createCallerReply, type CallerReply} from './caller-reply.js';
 import {
-	CONNECTION_CHECK_INTERVAL_MILLIS, KEEP_ALIVE_SLACK_MILLIS, MAX_CALLER_HEADER_BYTES, READER_CHECK_INTERVAL_MILLIS,
+	CLOSE_TIMEOUT_MILLIS, CONNECTION_CHECK_INTERVAL_MILLIS, KEEP_ALIVE_SLACK_MILLIS, MAX_CALLER_HEADER_BYTES, READER_CHECK_INTERVAL_MILLIS,
 } from './gateway-constants.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import {createReplyBuffers} from './reply-buffers.js';
@@ -24,12 +25,14 @@
 	port: number;
 	/** Applies the limits of a new configuration; the idle timeout never gets shorter than the longest one so far. */
 	setLimits: (limits: CallerLimits) => void;
-	/** From now on closes each connection after its answer; new connections are still accepted. */
+	/** From now on closes each connection after the answer to the last request on it; new connections are still accepted. */
 	disableKeepAlive: () => void;
 	/** Stops accepting connections and closes the idle ones. */
 	stopListening: () => void;
-	/** Number of calls whose answer is not complete yet. */
+	/** Number of calls whose answer has not been sent in full. */
 	countOpenCalls: () => number;
+	/** Number of connections whose last answer has been sent, and that wait for the caller to close them. */
+	countClosingConnections: () => number;
 	/** Closes all connections, including those with calls in flight. */
 	closeAllConnections: () => void;
 }>;
@@ -62,10 +65,8 @@
 export async function listenForCallers(deps: CallerListenerDeps): Promise<Result<CallerListener, ListenError>> {
 	const {address, clock, log, lifeCycle, codec, maxBufferedBytes, metrics} = deps;
 	let limits = DEFAULT_LIMITS;
-	let isClosing = false;
 	/** Whether the process has closed all connections, as it ends. */
 	let hasClosedAll = false;
-	let openCalls = 0;
 	let bufferedBytes = 0;
 	const openReplies = new Set<CallReply>();
 	const replyBuffers = createReplyBuffers({clock, maxBytes: maxBufferedBytes});
@@ -119,33 +120,19 @@
 		}
 	}
 
-	/** Reports an answer that was handed over in full when its connection was closed, but had not been sent in full. */
-	function watchDelivery(res: ServerResponse, request: string | undefined, {isEnded, readWrittenBytes, readBufferedBytes}: CallerReply): void {
-		const {socket} = res.req;
-		const noteClosed = () => {
-			if (isEnded()) {
-				const cause = hasClosedAll ? 'stopped' : 'connection_closed';
-				metrics.undeliveredAnswers.inc({cause});
-				log.info('answer not delivered', {
-					request, cause, writtenBytes: readWrittenBytes(), unsentBytes: readBufferedBytes(),
-				});
-			}
-		};
-
-		socket.once('close', noteClosed);
-		res.once('finish', () => {
-			// A response finishes, too, when its connection is destroyed.
-			if (!socket.destroyed) {
-				socket.off('close', noteClosed);
-			}
+	/** Reports an answer that was handed over in full, but had not been sent in full when its connection was closed. */
+	function noteUndelivered(request: string | undefined, {readWrittenBytes, readBufferedBytes}: CallerReply): void {
+		const cause = hasClosedAll ? 'stopped' : 'connection_closed';
+		metrics.undeliveredAnswers.inc({cause});
+		log.info('answer not delivered', {
+			request, cause, writtenBytes: readWrittenBytes(), unsentBytes: readBufferedBytes(),
 		});
 	}
 
 	/** Creates the writer of the answer, whose buffer is bounded until the connection is closed or the answer has been read. */
-	function createBoundedReply(res: ServerResponse, request: string | undefined, isDisconnected: boolean): CallerReply {
-		const reply = createCallerReply(res, {isClosing: () => isClosing, onWritten: replyBuffers.noteWritten});
-		if (!isDisconnected) {
-			watchDelivery(res, request, reply);
+	function createBoundedReply(res: ServerResponse, request: string | undefined, {isLast, disconnectSignal}: HttpExchange): CallerReply {
+		const reply = createCallerReply(res, {isLast, onWritten: replyBuffers.noteWritten});
+		if (!disconnectSignal.aborted) {
 			res.once('close', replyBuffers.add({
 				...reply,
 				giveUp({cause, reader}) {
@@ -164,12 +151,13 @@
 
 	async function handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		const arrivedAtMillis = clock.monotonicMillis();
-		const disconnection = new AbortController();
-		res.on('close', () => {
-			if (!res.writableFinished) {
-				disconnection.abort();
+		const answer: {request?: string | undefined; reply?: CallerReply} = {};
+		const exchange = connections.add(req, res, end => {
+			if (end === 'closed' && answer.reply?.isEnded()) {
+				noteUndelivered(answer.request, answer.reply);
 			}
 		});
+		const {disconnectSignal} = exchange;
 		const body = await readBody(req);
 		if (!body.ok) {
 			answerUnreadRequest(res, body.error);
@@ -178,37 +166,47 @@
 
 		bufferedBytes += body.value.length;
 		const head = codec.readCall(req.rawHeaders);
-		const reply = createBoundedReply(res, head.attemptId, disconnection.signal.aborted);
-		if (!disconnection.signal.aborted) {
-			openReplies.add(reply);
-			res.once('close', () => {
-				openReplies.delete(reply);
+		if (await exchange.waitForTurn()) {
+			const reply = createBoundedReply(res, head.attemptId, exchange);
+			answer.request = head.attemptId;
+			answer.reply = reply;
+			if (!disconnectSignal.aborted) {
+				openReplies.add(reply);
+				res.once('close', () => {
+					openReplies.delete(reply);
+				});
+			}
+
+			await deps.serve({
+				method: req.method ?? 'GET',
+				path: req.url ?? '/',
+				host: req.headers.host ?? '',
+				headers: req.rawHeaders,
+				head,
+				body: body.value,
+				arrivedAtMillis,
+				reply,
+				disconnectSignal,
 			});
+		} else {
+			log.info('request not run', {request: head.attemptId, reason: 'connection_closed'});
 		}
 
-		await deps.serve({
-			method: req.method ?? 'GET',
-			path: req.url ?? '/',
-			host: req.headers.host ?? '',
-			headers: req.rawHeaders,
-			head,
-			body: body.value,
-			arrivedAtMillis,
-			reply,
-			disconnectSignal: disconnection.signal,
-		});
 		bufferedBytes -= body.value.length;
 	}
 
 	const server = createServer({
 		maxHeaderSize: MAX_CALLER_HEADER_BYTES, connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MILLIS, noDelay: true,
 	}, (req, res) => {
-		openCalls++;
-		res.once('close', () => {
-			openCalls--;
-		});
 		void handle(req, res);
 	});
+	const connections = manageConnections(server, {
+		clock,
+		closeTimeoutMillis: CLOSE_TIMEOUT_MILLIS,
+		onReset() {
+			metrics.undeliveredAnswers.inc({cause: 'reset'});
+		},
+	});
 	server.maxConnections = deps.maxConnections;
 	const listening = await listenOn(server, address, deps.earlyListener);
 	if (!listening.ok) {
@@ -228,7 +226,7 @@
 			reply.abort();
 		}
 
-		server.closeAllConnections();
+		connections.closeAll();
 	}
 
 	setLimits(DEFAULT_LIMITS);
@@ -240,15 +238,13 @@
 	return succeed({
 		port: listening.value,
 		setLimits,
-		disableKeepAlive() {
-			isClosing = true;
-		},
+		disableKeepAlive: connections.disableKeepAlive,
 		stopListening() {
-			isClosing = true;
+			connections.disableKeepAlive();
 			server.close();
-			server.closeIdleConnections();
 		},
-		countOpenCalls: () => openCalls,
+		countOpenCalls: connections.countOpenExchanges,
+		countClosingConnections: connections.countClosing,
 		closeAllConnections,
 	});
 }
--- a/src/gateway/caller-reply.ts
+++ b/src/gateway/caller-reply.ts
@@ -16,7 +16,7 @@
 
 export type CallerReplyOptions = Readonly<{
 	/** Whether the connection is to be closed after the answer. */
-	isClosing: () => boolean;
+	isLast: () => boolean;
 	/** Called after bytes were handed over. */
 	onWritten: (bytes: number) => void;
 }>;
@@ -24,7 +24,7 @@
 const hasLength = (headers: RawHeaders) => headers.some((name, i) => i % 2 === 0 && name.toLowerCase() === 'content-length');
 
 /** Creates the writer of one answer. A body without a length is sent in chunks, so that the end of this process doesn't look like its end. */
-export function createCallerReply(res: ServerResponse, {isClosing, onWritten}: CallerReplyOptions): CallerReply {
+export function createCallerReply(res: ServerResponse, {isLast, onWritten}: CallerReplyOptions): CallerReply {
 	/** Whether only the end of the connection marks that of the body: for a caller of HTTP/1.0 and an answer without a length. */
 	let endsWithConnection = false;
 	const unwritten: Uint8Array[] = [];
@@ -71,7 +71,7 @@
 
 	return {
 		writeHead(status, headers) {
-			if (isClosing()) {
+			if (isLast()) {
 				res.shouldKeepAlive = false;
 			}
 
--- a/src/gateway/drain-gateway.ts
+++ b/src/gateway/drain-gateway.ts
@@ -22,8 +22,8 @@
 	const {streamsUntilMillis, listeningUntilMillis, cutOffAtMillis} = schedule;
 	const sleepUntil = async (millis: number) => clock.sleep(millis - clock.monotonicMillis());
 
-	async function waitForCalls(untilMillis: number): Promise<void> {
-		while (listener.countOpenCalls() > 0 && clock.monotonicMillis() < untilMillis) {
+	async function waitForNone(count: () => number, untilMillis: number): Promise<void> {
+		while (count() > 0 && clock.monotonicMillis() < untilMillis) {
 			// eslint-disable-next-line no-await-in-loop -- Polls sequentially.
 			await clock.sleep(DRAIN_POLL_INTERVAL_MILLIS);
 		}
@@ -35,13 +35,16 @@
 	await sleepUntil(listeningUntilMillis);
 	listener.stopListening();
 	log.info('listens no more', {open: listener.countOpenCalls()});
-	await waitForCalls(cutOffAtMillis);
+	await waitForNone(listener.countOpenCalls, cutOffAtMillis);
 	const cutOff = listener.countOpenCalls();
+	const closeAtMillis = cutOffAtMillis + (cutOff > 0 ? CUT_OFF_ANSWER_MILLIS : 0);
 	if (cutOff > 0) {
 		endCalls();
-		await waitForCalls(cutOffAtMillis + CUT_OFF_ANSWER_MILLIS);
+		await waitForNone(listener.countOpenCalls, closeAtMillis);
 	}
 
+	await waitForNone(listener.countClosingConnections, closeAtMillis);
+
 	listener.closeAllConnections();
 	return cutOff;
 }
--- a/src/http/http-connections.ts
+++ b/src/http/http-connections.ts
@@ -45,6 +45,8 @@
 
 export type HttpConnectionsOptions = Readonly<{
 	clock: Clock;
+	/** Event of the server that passes a connection on to its parser; that of TLS differs. */
+	connectionEvent?: 'connection' | 'secureConnection';
 	/** Longest time for which a closing connection waits for its peer, in milliseconds. */
 	closeTimeoutMillis: number;
 	/** Called when a peer resets a connection on which it has not acknowledged the end of the last answer. */
@@ -68,6 +70,8 @@
 	readonly socket: Socket;
 	/** In the order of arrival. */
 	readonly exchanges: Set<OpenExchange>;
+	/** Bytes that had been received when the last exchange ended. */
+	idleBytesRead: number;
 	/** Whether what has arrived behind the last request cannot be parsed. */
 	isBroken: boolean;
 	/** Whether the last answer has been sent, and the sending side is closed. */
@@ -75,7 +79,9 @@
 };
 
 /** Takes over the connections of a server, before it listens. */
-export function manageConnections(server: Server, {clock, closeTimeoutMillis, onReset}: HttpConnectionsOptions): HttpConnections {
+export function manageConnections(server: Server, {
+	clock, connectionEvent = 'connection', closeTimeoutMillis, onReset,
+}: HttpConnectionsOptions): HttpConnections {
 	const connections = new Map<Socket, Connection>();
 	let isKeepAliveDisabled = false;
 
@@ -95,15 +101,7 @@
 			closed.abort();
 		});
 		socket.once('error', () => onReset?.());
-		// The listener takes the socket back from the parser.
-		socket.on('data', discard);
-		for (const listener of socket.listeners('data')) {
-			if (listener !== discard) {
-				socket.off('data', listener as () => void);
-			}
-		}
-
-		socket.resume();
+		discardReceived(socket);
 		socket.end();
 		for (const exchange of exchanges) {
 			exchange.end('closed');
@@ -120,7 +118,7 @@
 		}
 
 		const connection: Connection = {
-			socket, exchanges: new Set(), isBroken: false, isClosing: false,
+			socket, exchanges: new Set(), idleBytesRead: 0, isBroken: false, isClosing: false,
 		};
 		connections.set(socket, connection);
 		// The server calls this after the last answer on the connection.
@@ -140,16 +138,17 @@
 	/** Answers the request that cannot be parsed, unless others are still to be answered: those keep the connection open. */
 	function handleClientError(err: NodeJS.ErrnoException, socket: Socket): void {
 		const connection = connections.get(socket);
-		const isSecondError = connection?.isBroken ?? false;
-		if (!connection || !socket.writable || isSecondError || CONNECTION_ERRORS.has(err.code ?? '')) {
-			if (!connection?.isClosing) {
-				socket.destroy();
-			}
+		if (connection && (connection.isClosing || connection.isBroken)) {
+			return;
+		}
 
+		if (!connection || !socket.writable || CONNECTION_ERRORS.has(err.code ?? '')) {
+			socket.destroy();
 			return;
 		}
 
 		connection.isBroken = true;
+		discardReceived(socket);
 		for (const exchange of connection.exchanges) {
 			if (!exchange.req.complete) {
 				exchange.end('closed');
@@ -166,7 +165,10 @@
 		const connection = track(req.socket);
 		const {socket, exchanges} = connection;
 		const disconnection = new AbortController();
-		const turn = Promise.withResolvers<boolean>();
+		let settleTurn: (isNext: boolean) => void = () => undefined;
+		const turn = new Promise<boolean>(resolve => {
+			settleTurn = resolve;
+		});
 		const exchange: OpenExchange = {
 			req,
 			end(end) {
@@ -174,11 +176,12 @@
 					return;
 				}
 
-				turn.resolve(false);
+				settleTurn(false);
 				if (end === 'closed') {
 					disconnection.abort();
 				}
 
+				connection.idleBytesRead = socket.bytesRead;
 				onEnd?.(end);
 				if (connection.isBroken && exchanges.size === 0) {
 					void closeGracefully(connection);
@@ -188,14 +191,15 @@
 		exchanges.add(exchange);
 		// The server gives a response its socket when all earlier ones have been sent, and never behind one that closes the connection.
 		if (res.socket) {
-			turn.resolve(true);
+			settleTurn(true);
 		} else {
 			res.once('socket', () => {
-				turn.resolve(true);
+				settleTurn(true);
 			});
 		}
 
-		res.once('finish', () => {
+		// Before the server's own listener, which closes the connection after its last answer.
+		res.prependOnceListener('finish', () => {
 			// A response finishes, too, when its connection is destroyed.
 			exchange.end(socket.destroyed ? 'closed' : 'sent');
 		});
@@ -205,20 +209,23 @@
 
 		return {
 			disconnectSignal: disconnection.signal,
-			waitForTurn: async () => turn.promise,
+			waitForTurn: async () => turn,
 			isLast: () => (isKeepAliveDisabled || connection.isBroken) && [...exchanges].at(-1) === exchange,
 		};
 	}
 
+	/** Closes the connections on which no part of a request has been received since the last answer. */
 	function closeIdle(): void {
-		for (const {socket, exchanges, isClosing} of connections.values()) {
-			if (exchanges.size === 0 && !isClosing) {
+		for (const {socket, exchanges, idleBytesRead, isClosing} of connections.values()) {
+			if (exchanges.size === 0 && socket.bytesRead === idleBytesRead && !isClosing) {
 				socket.destroy();
 			}
 		}
 	}
 
-	server.on('connection', track);
+	server.on(connectionEvent, (socket: Socket) => {
+		track(socket);
+	});
 	server.on('clientError', handleClientError);
 	// The server calls this when it stops listening.
 	server.closeIdleConnections = closeIdle;
@@ -241,6 +248,15 @@
 	};
 }
 
-function discard(): void {
-	// What follows a last answer is not read.
+function ignoreData(): void {
+	// A listener makes the socket read on.
+}
+
+/** Reads and drops whatever arrives from now on; the end of the connection is still noticed. */
+function discardReceived(socket: Socket): void {
+	// The first listener takes the socket back from the parser, which reads it below the stream.
+	socket.on('data', ignoreData);
+	socket.removeAllListeners('data');
+	socket.on('data', ignoreData);
+	socket.resume();
 }
--- a/src/observability/line-schemas.ts
+++ b/src/observability/line-schemas.ts
@@ -94,6 +94,7 @@
 		writtenBytes: count,
 		unsentBytes: count,
 	}),
+	'request not run': z.strictObject({request: id.optional(), reason: z.enum(['connection_closed'])}),
 	'request lost in a crash': z.strictObject({
 		request: id, server: z.string(), startedAt: z.number(), promptParts: z.string(), fingerprint: z.string(),
 	}),
