Let the other listeners close their connections by the same rule

The address directory, readiness, metrics and the product's own interface close with `closeIdleConnections`, too: a response that had been ended, but not sent, was destroyed when its process ended, and requests of a connection ran side by side. They now share src/http/http-connections.ts; closing waits for responses that have not been sent, as before 5 s at most, and no longer for connections that their peers keep open after a response.

--- a/src/http/http-listener-constants.ts
+++ b/src/http/http-listener-constants.ts
@@ -4,3 +4,7 @@
 export const CONNECTION_CHECK_MILLIS = 1000;
 /** Time limit for receiving the headers and the body of a request, in milliseconds. */
 export const REQUEST_TIMEOUT_MILLIS = 10_000;
+/** Interval between checks whether responses are still in flight, in milliseconds. */
+export const CLOSE_POLL_INTERVAL_MILLIS = 20;
+/** Longest time for which a connection stays open after its last response until the peer closes it, in milliseconds. */
+export const PEER_CLOSE_TIMEOUT_MILLIS = 1000;
--- a/src/http/http-listener.ts
+++ b/src/http/http-listener.ts
@@ -1,5 +1,7 @@
 import {Buffer} from 'node:buffer';
-import {createServer, type Server} from 'node:http';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
 import {createServer as createTlsServer} from 'node:https';
 import {getRequestListener} from '@hono/node-server';
 import type {TlsMaterial} from '../access/link-access.js';
@@ -8,7 +10,10 @@
 import type {ListenError} from '../core/listen-error.js';
 import {listenOn} from '../core/listen-on.js';
 import type {Result} from '../core/result.js';
-import {CLOSE_TIMEOUT_MILLIS, CONNECTION_CHECK_MILLIS, REQUEST_TIMEOUT_MILLIS} from './http-listener-constants.js';
+import {manageConnections, type HttpConnections} from './http-connections.js';
+import {
+	CLOSE_POLL_INTERVAL_MILLIS, CLOSE_TIMEOUT_MILLIS, CONNECTION_CHECK_MILLIS, PEER_CLOSE_TIMEOUT_MILLIS, REQUEST_TIMEOUT_MILLIS,
+} from './http-listener-constants.js';
 
 export type FetchHandler = (req: Request) => Response | Promise<Response>;
 
@@ -34,14 +39,9 @@
 	connectionsCheckingInterval: CONNECTION_CHECK_MILLIS,
 } as const;
 
-function createHttpServer(handler: FetchHandler, tls: ListenerTls | undefined): Server {
-	const listener = getRequestListener(handler);
-	const handleRequest = (...args: Parameters<typeof listener>) => {
-		void listener(...args);
-	};
-
+function createHttpServer(tls: ListenerTls | undefined): Server {
 	if (!tls) {
-		return createServer(SERVER_TIMEOUTS, handleRequest);
+		return createServer(SERVER_TIMEOUTS);
 	}
 
 	return createTlsServer({
@@ -51,26 +51,44 @@
 		ca: Buffer.from(tls.material.authority),
 		requestCert: tls.asksForCertificate,
 		rejectUnauthorized: tls.asksForCertificate,
-	}, handleRequest);
+	});
 }
 
 /** Listens until the life cycle shuts down; closing waits for responses in flight. The value is the port. */
-export async function listenHttp(handler: FetchHandler, options: ListenOptions): Promise<Result<number, ListenError>> {
-	const server = createHttpServer(handler, options.tls);
-	const listening = await listenOn(server, options.address);
+export async function listenHttp(handler: FetchHandler, {name, address, clock, lifeCycle, tls}: ListenOptions): Promise<Result<number, ListenError>> {
+	const server = createHttpServer(tls);
+	const connections = manageConnections(server, {
+		clock, connectionEvent: tls ? 'secureConnection' : 'connection', closeTimeoutMillis: PEER_CLOSE_TIMEOUT_MILLIS,
+	});
+	const listener = getRequestListener(handler);
+	server.on('request', (req, res) => {
+		void serveInTurn(connections, req, res, listener);
+	});
+	const listening = await listenOn(server, address);
 	if (listening.ok) {
-		options.lifeCycle.own(options.name, async () => closeServer(server, options.clock));
+		lifeCycle.own(name, async () => closeServer(server, connections, clock));
 	}
 
 	return listening;
 }
 
-async function closeServer(server: Server, clock: Clock): Promise<void> {
-	const closed = new AbortController();
-	server.close(() => {
-		closed.abort();
-	});
-	server.closeIdleConnections();
-	await clock.sleep(CLOSE_TIMEOUT_MILLIS, closed.signal);
-	server.closeAllConnections();
+type RequestListener = ReturnType<typeof getRequestListener>;
+
+/** Serves the requests of a connection one after the other. */
+async function serveInTurn(connections: HttpConnections, req: IncomingMessage, res: ServerResponse, listener: RequestListener): Promise<void> {
+	if (await connections.add(req, res).waitForTurn()) {
+		await listener(req, res);
+	}
+}
+
+async function closeServer(server: Server, connections: HttpConnections, clock: Clock): Promise<void> {
+	const startedAtMillis = clock.monotonicMillis();
+	server.close();
+	/* eslint-disable no-await-in-loop -- Polls sequentially. */
+	while (connections.countOpenExchanges() > 0 && clock.monotonicMillis() - startedAtMillis < CLOSE_TIMEOUT_MILLIS) {
+		await clock.sleep(CLOSE_POLL_INTERVAL_MILLIS);
+	}
+	/* eslint-enable no-await-in-loop */
+
+	connections.closeAll();
 }
