--- a/src/gateway/caller-listener.ts
+++ b/src/gateway/caller-listener.ts
@@ -15,7 +15,7 @@
 import type {Call, CallReply} from './call.js';
 import {createCallerReply, type CallerReply} from './caller-reply.js';
 import {
-	CLOSE_TIMEOUT_MILLIS, CONNECTION_CHECK_INTERVAL_MILLIS, KEEP_ALIVE_SLACK_MILLIS, MAX_CALLER_HEADER_BYTES, READER_CHECK_INTERVAL_MILLIS,
+	CLOSE_TIMEOUT_MILLIS, CONNECTION_CHECK_INTERVAL_MILLIS, KEEP_ALIVE_SLACK_MILLIS, MAX_CALLER_HEADER_BYTES, MAX_CLOSING_SHARE, READER_CHECK_INTERVAL_MILLIS,
 } from './gateway-constants.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import {createReplyBuffers} from './reply-buffers.js';
@@ -29,8 +29,12 @@
 	disableKeepAlive: () => void;
 	/** Stops accepting connections and closes the idle ones. */
 	stopListening: () => void;
+	/** Closes the idle connections. */
+	closeIdleConnections: () => void;
 	/** Number of calls whose answer has not been sent in full. */
 	countOpenCalls: () => number;
+	/** Number of connections on which a part of a call has been received. */
+	countReceivingConnections: () => number;
 	/** Number of connections whose last answer has been sent, and that wait for the caller to close them. */
 	countClosingConnections: () => number;
 	/** Closes all connections, including those with calls in flight. */
@@ -203,6 +207,7 @@
 	const connections = manageConnections(server, {
 		clock,
 		closeTimeoutMillis: CLOSE_TIMEOUT_MILLIS,
+		maxClosing: deps.maxConnections * MAX_CLOSING_SHARE,
 		onReset() {
 			metrics.undeliveredAnswers.inc({cause: 'reset'});
 		},
@@ -243,7 +248,9 @@
 			connections.disableKeepAlive();
 			server.close();
 		},
+		closeIdleConnections: connections.closeIdle,
 		countOpenCalls: connections.countOpenExchanges,
+		countReceivingConnections: connections.countReceiving,
 		countClosingConnections: connections.countClosing,
 		closeAllConnections,
 	});
--- a/src/gateway/drain-gateway.ts
+++ b/src/gateway/drain-gateway.ts
@@ -35,7 +35,7 @@
 	await sleepUntil(listeningUntilMillis);
 	listener.stopListening();
 	log.info('listens no more', {open: listener.countOpenCalls()});
-	await waitForNone(listener.countOpenCalls, cutOffAtMillis);
+	await waitForNone(() => listener.countOpenCalls() + listener.countReceivingConnections(), cutOffAtMillis);
 	const cutOff = listener.countOpenCalls();
 	const closeAtMillis = cutOffAtMillis + (cutOff > 0 ? CUT_OFF_ANSWER_MILLIS : 0);
 	if (cutOff > 0) {
@@ -43,6 +43,7 @@
 		await waitForNone(listener.countOpenCalls, closeAtMillis);
 	}
 
+	listener.closeIdleConnections();
 	await waitForNone(listener.countClosingConnections, closeAtMillis);
 
 	listener.closeAllConnections();
--- a/src/http/__tests__/http-connections.test.ts
+++ b/src/http/__tests__/http-connections.test.ts
@@ -13,6 +13,7 @@
 /** Less than that. */
 const KERNEL_BODY_BYTES = 400_000;
 const CLOSE_TIMEOUT_MILLIS = 3000;
+const MAX_CLOSING = 5;
 const POLL_MILLIS = 10;
 
 const get = (path: string, more = '') => `GET ${path} HTTP/1.1\r\nHost: h\r\n${more}\r\n`;
@@ -29,7 +30,7 @@
 	const seen: string[] = [];
 	const ends: ExchangeEnd[] = [];
 	const server = createServer({noDelay: true});
-	const connections = manageConnections(server, {clock: systemClock, closeTimeoutMillis: CLOSE_TIMEOUT_MILLIS});
+	const connections = manageConnections(server, {clock: systemClock, closeTimeoutMillis: CLOSE_TIMEOUT_MILLIS, maxClosing: MAX_CLOSING});
 	server.on('request', (req, res) => {
 		const exchange = connections.add(req, res, end => {
 			ends.push(end);
@@ -158,6 +159,55 @@
 	assert.ok(read().length > KERNEL_BODY_BYTES);
 });
 
+void test('a request that crosses the close of a kept connection does not cost the end of the answer before it', async t => {
+	const {server, connections, seen, connect} = await startServer(t, () => Buffer.alloc(KERNEL_BODY_BYTES));
+	const {socket, read, hasEnded} = connect(true);
+	socket.write(get('/1'));
+	await waitFor(() => seen.length === 1 && connections.countOpenExchanges() === 0);
+	server.close();
+	await wait(20);
+	socket.write(get('/2'));
+	await wait(20);
+	socket.resume();
+	await waitFor(hasEnded);
+	assert.ok(read().length > KERNEL_BODY_BYTES);
+	assert.deepEqual(seen, ['/1']);
+});
+
+void test('connections that their peers do not close are bounded', async t => {
+	const {connections, seen, connect} = await startServer(t, path => path);
+	connections.disableKeepAlive();
+	for (let i = 0; i < MAX_CLOSING * 2; i++) {
+		const {socket} = connect(true);
+		socket.write(get(`/${i}`));
+		// eslint-disable-next-line no-await-in-loop -- One connection after the other.
+		await waitFor(() => seen.length === i + 1 && connections.countOpenExchanges() === 0);
+	}
+
+	await waitFor(() => connections.countClosing() === MAX_CLOSING);
+	assert.equal(connections.countClosing(), MAX_CLOSING);
+});
+
+void test('requests that wait on one connection are bounded, and those that are taken are answered', async t => {
+	const {connections, seen, connect} = await startServer(t, async path => wait(1, path));
+	const {socket, read, hasEnded} = connect();
+	socket.write(get('/x').repeat(20_000));
+	await waitFor(() => connections.countOpenExchanges() > 0);
+	assert.ok(connections.countOpenExchanges() <= 100, `${connections.countOpenExchanges()} are open`);
+	await waitFor(hasEnded);
+	assert.equal(countAnswers(read()), seen.length);
+	assert.equal(read().split('Connection: close').length - 1, 1);
+	assert.equal(connections.countOpenExchanges(), 0);
+});
+
+void test('a request whose body cannot be parsed is answered with 400', async t => {
+	const {connect} = await startServer(t, path => path);
+	const {socket, read, hasEnded} = connect();
+	socket.write('POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nno size\r\n');
+	await waitFor(hasEnded);
+	assert.match(read(), /^HTTP\/1\.1 400 /v);
+});
+
 void test('bytes that are no request do not cost the answer to the request before them', async t => {
 	const {seen, connections, connect} = await startServer(t, async path => wait(60, path));
 	const {socket, read, hasEnded} = connect();
--- a/src/http/http-connections.ts
+++ b/src/http/http-connections.ts
@@ -5,6 +5,7 @@
  */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {setImmediate} from 'node:timers';
 import type {Clock} from '../core/clock.js';
 
 /** A request and its answer. */
@@ -35,9 +36,11 @@
 	disableKeepAlive: () => void;
 	/** Number of requests whose answers have not been sent in full. */
 	countOpenExchanges: () => number;
+	/** Number of connections on which a part of a request has been received, and no other one is open. */
+	countReceiving: () => number;
 	/** Number of connections whose last answer has been sent, and that wait for the peer to close them. */
 	countClosing: () => number;
-	/** Closes the connections without a request. */
+	/** Closes the connections without a request or a part of one. */
 	closeIdle: () => void;
 	/** Closes all connections, also those with answers under way. */
 	closeAll: () => void;
@@ -49,6 +52,8 @@
 	connectionEvent?: 'connection' | 'secureConnection';
 	/** Longest time for which a closing connection waits for its peer, in milliseconds. */
 	closeTimeoutMillis: number;
+	/** Most connections that wait for their peers at a time; beyond it the one that has waited longest is closed. */
+	maxClosing: number;
 	/** Called when a peer resets a connection on which it has not acknowledged the end of the last answer. */
 	onReset?: () => void;
 }>;
@@ -64,15 +69,19 @@
 /** Errors that end a connection on which nothing more can be sent. */
 const CONNECTION_ERRORS: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE', 'HPE_INVALID_EOF_STATE']);
 
-type OpenExchange = Readonly<{req: IncomingMessage; end: (end: ExchangeEnd) => void}>;
+/** Requests of a connection whose answers may be open at a time; it takes no further ones beyond that. */
+const MAX_OPEN_EXCHANGES = 100;
+
+type OpenExchange = Readonly<{req: IncomingMessage; res: ServerResponse; end: (end: ExchangeEnd) => void}>;
 
 type Connection = {
 	readonly socket: Socket;
 	/** In the order of arrival. */
 	readonly exchanges: Set<OpenExchange>;
-	/** Bytes that had been received when the last exchange ended. */
+	/** Bytes that had been received when the last exchange ended, and the monotonic time; undefined before. */
 	idleBytesRead: number;
-	/** Whether what has arrived behind the last request cannot be parsed. */
+	idleSinceMillis: number | undefined;
+	/** Whether nothing behind the last request is taken: it cannot be parsed, or there are too many. */
 	isBroken: boolean;
 	/** Whether the last answer has been sent, and the sending side is closed. */
 	isClosing: boolean;
@@ -80,9 +89,11 @@
 
 /** Takes over the connections of a server, before it listens. */
 export function manageConnections(server: Server, {
-	clock, connectionEvent = 'connection', closeTimeoutMillis, onReset,
+	clock, connectionEvent = 'connection', closeTimeoutMillis, maxClosing, onReset,
 }: HttpConnectionsOptions): HttpConnections {
 	const connections = new Map<Socket, Connection>();
+	/** In the order in which they began to close. */
+	const closing = new Set<Connection>();
 	let isKeepAliveDisabled = false;
 
 	/**
@@ -96,8 +107,15 @@
 		}
 
 		connection.isClosing = true;
+		closing.add(connection);
+		const [oldest] = closing;
+		if (closing.size > maxClosing) {
+			oldest?.socket.destroy();
+		}
+
 		const closed = new AbortController();
 		socket.once('close', () => {
+			closing.delete(connection);
 			closed.abort();
 		});
 		socket.once('error', () => onReset?.());
@@ -118,7 +136,7 @@
 		}
 
 		const connection: Connection = {
-			socket, exchanges: new Set(), idleBytesRead: 0, isBroken: false, isClosing: false,
+			socket, exchanges: new Set(), idleBytesRead: 0, idleSinceMillis: undefined, isBroken: false, isClosing: false,
 		};
 		connections.set(socket, connection);
 		// The server calls this after the last answer on the connection.
@@ -149,16 +167,20 @@
 
 		connection.isBroken = true;
 		discardReceived(socket);
-		for (const exchange of connection.exchanges) {
-			if (!exchange.req.complete) {
+		const incomplete = [...connection.exchanges].filter(({req}) => !req.complete);
+		if (incomplete.length < connection.exchanges.size) {
+			for (const exchange of incomplete) {
 				exchange.end('closed');
 			}
+
+			return;
 		}
 
-		if (connection.exchanges.size === 0) {
+		if (!incomplete.some(({res}) => res.headersSent)) {
 			socket.write(`HTTP/1.1 ${PARSE_ERROR_STATUSES[err.code ?? ''] ?? BAD_REQUEST}\r\nConnection: close\r\n\r\n`);
-			void closeGracefully(connection);
 		}
+
+		void closeGracefully(connection);
 	}
 
 	function add(req: IncomingMessage, res: ServerResponse, onEnd?: (end: ExchangeEnd) => void): HttpExchange {
@@ -171,6 +193,7 @@
 		});
 		const exchange: OpenExchange = {
 			req,
+			res,
 			end(end) {
 				if (!exchanges.delete(exchange)) {
 					return;
@@ -182,6 +205,7 @@
 				}
 
 				connection.idleBytesRead = socket.bytesRead;
+				connection.idleSinceMillis = clock.monotonicMillis();
 				onEnd?.(end);
 				if (connection.isBroken && exchanges.size === 0) {
 					void closeGracefully(connection);
@@ -203,7 +227,13 @@
 			// A response finishes, too, when its connection is destroyed.
 			exchange.end(socket.destroyed ? 'closed' : 'sent');
 		});
-		if (connection.isClosing || socket.destroyed) {
+		if (exchanges.size > MAX_OPEN_EXCHANGES && !connection.isBroken) {
+			connection.isBroken = true;
+			// The parser is running.
+			setImmediate(discardReceived, socket);
+		}
+
+		if (connection.isBroken || connection.isClosing || socket.destroyed) {
 			exchange.end('closed');
 		}
 
@@ -214,10 +244,19 @@
 		};
 	}
 
-	/** Closes the connections on which no part of a request has been received since the last answer. */
+	const isReceiving = ({socket, exchanges, idleBytesRead, isClosing}: Connection) => exchanges.size === 0 && socket.bytesRead !== idleBytesRead && !isClosing;
+
 	function closeIdle(): void {
-		for (const {socket, exchanges, idleBytesRead, isClosing} of connections.values()) {
-			if (exchanges.size === 0 && socket.bytesRead === idleBytesRead && !isClosing) {
+		for (const connection of connections.values()) {
+			const {socket, exchanges, idleSinceMillis} = connection;
+			if (exchanges.size > 0 || isReceiving(connection)) {
+				continue;
+			}
+
+			// The peer may not have received the end of an answer that was sent a short time before.
+			if (idleSinceMillis !== undefined && clock.monotonicMillis() - idleSinceMillis < closeTimeoutMillis) {
+				void closeGracefully(connection);
+			} else if (!connection.isClosing) {
 				socket.destroy();
 			}
 		}
@@ -236,7 +275,8 @@
 			isKeepAliveDisabled = true;
 		},
 		countOpenExchanges: () => [...connections.values()].reduce((sum, {exchanges}) => sum + exchanges.size, 0),
-		countClosing: () => [...connections.values()].filter(({isClosing}) => isClosing).length,
+		countReceiving: () => [...connections.values()].filter(connection => isReceiving(connection)).length,
+		countClosing: () => closing.size,
 		closeIdle,
 		closeAll() {
 			for (const {socket} of connections.values()) {
--- a/src/http/http-listener-constants.ts
+++ b/src/http/http-listener-constants.ts
@@ -8,3 +8,7 @@
 export const CLOSE_POLL_INTERVAL_MILLIS = 20;
 /** Longest time for which a connection stays open after its last response until the peer closes it, in milliseconds. */
 export const PEER_CLOSE_TIMEOUT_MILLIS = 1000;
+/** The same at the shutdown, which has little time, in milliseconds. */
+export const SHUTDOWN_PEER_TIMEOUT_MILLIS = 200;
+/** Most connections that wait for that at a time. */
+export const MAX_CLOSING_CONNECTIONS = 100;
--- a/src/http/http-listener.ts
+++ b/src/http/http-listener.ts
@@ -12,7 +12,7 @@
 import type {Result} from '../core/result.js';
 import {manageConnections, type HttpConnections} from './http-connections.js';
 import {
-	CLOSE_POLL_INTERVAL_MILLIS, CLOSE_TIMEOUT_MILLIS, CONNECTION_CHECK_MILLIS, PEER_CLOSE_TIMEOUT_MILLIS, REQUEST_TIMEOUT_MILLIS,
+	CLOSE_POLL_INTERVAL_MILLIS, CLOSE_TIMEOUT_MILLIS, CONNECTION_CHECK_MILLIS, MAX_CLOSING_CONNECTIONS, PEER_CLOSE_TIMEOUT_MILLIS, REQUEST_TIMEOUT_MILLIS, SHUTDOWN_PEER_TIMEOUT_MILLIS,
 } from './http-listener-constants.js';
 
 export type FetchHandler = (req: Request) => Response | Promise<Response>;
@@ -58,7 +58,7 @@
 export async function listenHttp(handler: FetchHandler, {name, address, clock, lifeCycle, tls}: ListenOptions): Promise<Result<number, ListenError>> {
 	const server = createHttpServer(tls);
 	const connections = manageConnections(server, {
-		clock, connectionEvent: tls ? 'secureConnection' : 'connection', closeTimeoutMillis: PEER_CLOSE_TIMEOUT_MILLIS,
+		clock, connectionEvent: tls ? 'secureConnection' : 'connection', closeTimeoutMillis: PEER_CLOSE_TIMEOUT_MILLIS, maxClosing: MAX_CLOSING_CONNECTIONS,
 	});
 	const listener = getRequestListener(handler);
 	server.on('request', (req, res) => {
@@ -76,19 +76,29 @@
 
 /** Serves the requests of a connection one after the other. */
 async function serveInTurn(connections: HttpConnections, req: IncomingMessage, res: ServerResponse, listener: RequestListener): Promise<void> {
-	if (await connections.add(req, res).waitForTurn()) {
+	const exchange = connections.add(req, res);
+	if (await exchange.waitForTurn()) {
+		if (exchange.isLast()) {
+			res.shouldKeepAlive = false;
+		}
+
 		await listener(req, res);
 	}
 }
 
 async function closeServer(server: Server, connections: HttpConnections, clock: Clock): Promise<void> {
-	const startedAtMillis = clock.monotonicMillis();
-	server.close();
-	/* eslint-disable no-await-in-loop -- Polls sequentially. */
-	while (connections.countOpenExchanges() > 0 && clock.monotonicMillis() - startedAtMillis < CLOSE_TIMEOUT_MILLIS) {
-		await clock.sleep(CLOSE_POLL_INTERVAL_MILLIS);
-	}
-	/* eslint-enable no-await-in-loop */
+	const waitForNone = async (count: () => number, timeoutMillis: number) => {
+		const untilMillis = clock.monotonicMillis() + timeoutMillis;
+		while (count() > 0 && clock.monotonicMillis() < untilMillis) {
+			// eslint-disable-next-line no-await-in-loop -- Polls sequentially.
+			await clock.sleep(CLOSE_POLL_INTERVAL_MILLIS);
+		}
+	};
 
+	connections.disableKeepAlive();
+	server.close();
+	await waitForNone(() => connections.countOpenExchanges() + connections.countReceiving(), CLOSE_TIMEOUT_MILLIS);
+	connections.closeIdle();
+	await waitForNone(connections.countClosing, SHUTDOWN_PEER_TIMEOUT_MILLIS);
 	connections.closeAll();
 }
