Count only parsed bytes as overhead of a backend server's answer

Cause: the limit on bytes besides a body compared the bytes received on the socket with the bytes of the body that the parser had delivered. Since the reads are paced, up to 128 kB can have arrived that the parser has not been given. They counted as bytes that are no body.

What callers saw: a large answer of a sound backend server was broken off while parsing was slow, as for the first answer of a process, or while the caller of a large answer read slowly. A post that must not be repeated ended with its outcome unknown.

Change: overhead is what the parser has been given less what reached the body callback, looked at between two reads, when all that was given is parsed.

--- a/src/gateway/__tests__/backend-connections.test.ts
+++ b/src/gateway/__tests__/backend-connections.test.ts
@@ -1,10 +1,13 @@
 import assert from 'node:assert/strict';
-import {createServer} from 'node:net';
+import {Buffer} from 'node:buffer';
+import {createServer, type Socket} from 'node:net';
 import {test} from 'node:test';
+import type {Clock} from '../../core/clock.js';
 import {createLifeCycle} from '../../core/life-cycle.js';
 import {listenOn} from '../../core/listen-on.js';
 import {systemClock} from '../../core/system-clock.js';
-import {createBackendConnections} from '../backend-connections.js';
+import {createBackendConnections, type Exchange, type ExchangeListener} from '../backend-connections.js';
+import {MAX_PARSING_MILLIS} from '../gateway-constants.js';
 
 const ADDRESSES = ['10.0.0.1:99999', '10.0.0.1:0', '999.1.1.1:80', '...:80', ''];
 
@@ -94,3 +97,153 @@
 		server.close();
 	});
 }
+
+/** A clock by which everything between two readings takes longer than an answer may be parsed without a break. */
+function createSlowClock(): Clock {
+	let elapsedMillis = 0;
+	return {
+		...systemClock,
+		monotonicMillis() {
+			elapsedMillis += MAX_PARSING_MILLIS + 1;
+			return elapsedMillis;
+		},
+	};
+}
+
+/** Starts a server that calls `respond` for each request, and connections to it. */
+async function startBackend(respond: (socket: Socket) => void, clock: Clock = systemClock) {
+	const sockets = new Set<Socket>();
+	const server = createServer(socket => {
+		sockets.add(socket);
+		socket.on('error', () => undefined);
+		socket.on('close', () => {
+			sockets.delete(socket);
+		});
+		socket.on('data', () => {
+			respond(socket);
+		});
+	});
+	const listening = await listenOn(server, '127.0.0.1:0');
+	assert.ok(listening.ok);
+	const lifeCycle = createLifeCycle();
+	const connections = createBackendConnections({clock, lifeCycle});
+
+	/** Sends a request and resolves once its exchange has ended; `more` replaces or follows callbacks. */
+	async function exchange(onData: (exchange: Exchange) => void = () => undefined, more: Partial<ExchangeListener> = {}) {
+		let bytes = 0;
+		let status = 0;
+		const error = await new Promise<string | undefined>(resolve => {
+			const sent = connections.send(`127.0.0.1:${listening.ok ? listening.value : ''}`, {
+				method: 'GET', path: '/', headers: [], body: new Uint8Array(0), allowsLongIdleConnection: true, maxIdleConnections: 1,
+			}, {
+				onSent: () => undefined,
+				onHead(head) {
+					status = head.status;
+					return true;
+				},
+				onData(data) {
+					bytes += data.length;
+					onData(sent);
+				},
+				onEnd: resolve,
+				onLateHead: () => undefined,
+				...more,
+			});
+		});
+		return {error, status, bytes};
+	}
+
+	return {
+		exchange,
+		async close() {
+			await lifeCycle.shutdown();
+			server.close();
+			for (const socket of sockets) {
+				socket.destroy();
+			}
+		},
+	};
+}
+
+type Framing = 'a length' | 'chunks' | 'no framing';
+
+function formatAnswer(framing: Framing, bodyBytes: number): string {
+	const body = 'x'.repeat(bodyBytes);
+	switch (framing) {
+		case 'a length': {
+			return `HTTP/1.1 200 OK\r\nContent-Length: ${bodyBytes}\r\n\r\n${body}`;
+		}
+
+		case 'chunks': {
+			const chunk = `2710\r\n${body.slice(0, 10_000)}\r\n`;
+			return `HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${chunk.repeat(bodyBytes / 10_000)}0\r\n\r\n`;
+		}
+
+		case 'no framing': {
+			return `HTTP/1.1 200 OK\r\n\r\n${body}`;
+		}
+	}
+}
+
+for (const framing of ['a length', 'chunks', 'no framing'] as const) {
+	for (const bodyBytes of [250_000, 1_000_000, 4_000_000]) {
+		const respond = (socket: Socket) => {
+			socket.write(formatAnswer(framing, bodyBytes));
+			if (framing === 'no framing') {
+				socket.end();
+			}
+		};
+
+		void test(`an answer of ${bodyBytes} bytes with ${framing} is not given up because it is parsed slowly`, async () => {
+			const backend = await startBackend(respond, createSlowClock());
+			const ended = await backend.exchange();
+			await backend.close();
+			assert.deepEqual(ended, {error: undefined, status: 200, bytes: bodyBytes});
+		});
+
+		void test(`an answer of ${bodyBytes} bytes with ${framing} is not given up because it waits for its caller`, async () => {
+			const backend = await startBackend(respond);
+			let hasPaused = false;
+			const ended = await backend.exchange(exchange => {
+				if (!hasPaused) {
+					hasPaused = true;
+					exchange.pause();
+					setTimeout(exchange.resume, 100);
+				}
+			});
+			await backend.close();
+			assert.deepEqual(ended, {error: undefined, status: 200, bytes: bodyBytes});
+		});
+	}
+}
+
+const endless: ReadonlyArray<Readonly<{name: string; begin: string; text: string}>> = [
+	{name: 'headers', begin: 'HTTP/1.1 200 OK\r\n', text: 'X-More: y\r\n'},
+	{name: 'informational answers', begin: '', text: 'HTTP/1.1 103 Early Hints\r\n\r\n'},
+	{name: 'empty lines', begin: '', text: '\r\n'},
+	{name: 'the size of a chunk', begin: 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n', text: '0'},
+	{name: 'the extension of a chunk', begin: 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;', text: 'x'},
+	{name: 'trailers', begin: 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n', text: 'X-More: y\r\n'},
+];
+
+for (const [clockName, clock] of [['at once', systemClock], ['slowly', createSlowClock()]] as const) {
+	for (const {name, begin, text} of endless) {
+		void test(`${name} without end, parsed ${clockName}, are given up`, async () => {
+			const bytes = text.repeat(1000);
+			const backend = await startBackend(socket => {
+				const writeMore = () => {
+					while (!socket.destroyed && socket.write(bytes)) {
+						// The connection takes more.
+					}
+				};
+
+				socket.on('drain', writeMore);
+				socket.write(begin);
+				writeMore();
+			}, clock);
+			const {error} = await backend.exchange();
+			await backend.close();
+			assert.match(error ?? '', /bytes besides|overflow/iv);
+		});
+	}
+}
--- a/src/gateway/backend-connections.ts
+++ b/src/gateway/backend-connections.ts
@@ -69,13 +69,12 @@
 type SocketState = {
 	error: string | undefined;
 	hasEnded: boolean;
-	readReceivedBytes: () => number;
 	/** Ends the sending side, so that the peer stops its work; false if written bytes would follow, which are better dropped. */
 	tryHalfClose: () => boolean;
 	/** Undefined until the connection is established. */
 	pace: SocketPace | undefined;
-	/** Called when bytes have arrived, by the exchange that uses the connection. */
-	onReceived: () => void;
+	/** Called when what was received has been parsed; set by the exchange that uses the connection. */
+	onParsed: () => void;
 };
 type IdleConnection = Connection & Readonly<{idleSinceMillis: number}>;
 
@@ -111,7 +110,7 @@
 
 	function openConnection(address: string): Connection {
 		const socket: SocketState = {
-			error: undefined, hasEnded: false, readReceivedBytes: () => 0, tryHalfClose: () => false, pace: undefined, onReceived: () => undefined,
+			error: undefined, hasEnded: false, tryHalfClose: () => false, pace: undefined, onParsed: () => undefined,
 		};
 		const client = new Client(`http://${address}`, {
 			pipelining: 1,
@@ -121,8 +120,12 @@
 				connect(options, (...result) => {
 					const [, opened] = result;
 					if (opened) {
-						socket.readReceivedBytes = () => opened.bytesRead;
-						socket.pace = paceSocket(opened, clock);
+						socket.pace = paceSocket(opened, {
+							clock,
+							onParsed() {
+								socket.onParsed();
+							},
+						});
 						socket.tryHalfClose = () => {
 							const hasUnsent = opened.writableLength > 0;
 							if (!hasUnsent) {
@@ -131,10 +134,6 @@
 
 							return !hasUnsent;
 						};
-
-						opened.on('readable', () => {
-							socket.onReceived();
-						});
 					}
 
 					// Undici treats an answer without a length as complete however its connection ends.
@@ -230,8 +229,8 @@
 			let isAbandoned = false;
 			let endsWithConnection = false;
 			let bodyBytes = 0;
-			/** Bytes received on the connection when the request was written. */
-			let receivedBefore = 0;
+			/** Bytes parsed on the connection when the request was written. */
+			let parsedBefore = 0;
 
 			/** Why an answer that undici reports as complete may be truncated; undefined if it is complete. */
 			function findEndError(): string | undefined {
@@ -240,7 +239,7 @@
 
 			/** Gives up a backend server that sends bytes without end that are no part of a body, as they reach no callback. */
 			function checkOverhead(): void {
-				const overheadBytes = socket.readReceivedBytes() - receivedBefore - bodyBytes;
+				const overheadBytes = (socket.pace?.readParsedBytes() ?? 0) - parsedBefore - bodyBytes;
 				if (overheadBytes > MAX_OVERHEAD_BYTES + (bodyBytes * MAX_OVERHEAD_PER_BODY_BYTE)) {
 					abort(`${overheadBytes} bytes besides ${bodyBytes} bytes of a body`);
 				}
@@ -253,7 +252,7 @@
 				}
 
 				hasEnded = true;
-				socket.onReceived = () => undefined;
+				socket.onParsed = () => undefined;
 				socket.pace?.resume();
 				if (error === undefined) {
 					keepIdle(address, connection, req.maxIdleConnections);
@@ -299,8 +298,8 @@
 			}, {
 				onRequestStart(started) {
 					controller = started;
-					receivedBefore = socket.readReceivedBytes();
-					socket.onReceived = checkOverhead;
+					parsedBefore = socket.pace?.readParsedBytes() ?? 0;
+					socket.onParsed = checkOverhead;
 					listener.onSent();
 				},
 				onResponseStart(started, status) {
--- a/src/gateway/paced-socket.ts
+++ b/src/gateway/paced-socket.ts
@@ -12,14 +12,23 @@
 	/** Holds reads back, and with them the end of the connection; what the parser has read already still arrives. */
 	pause: () => void;
 	resume: () => void;
+	/** Bytes that the parser has been given; fewer than have arrived while it is held back. */
+	readParsedBytes: () => number;
+}>;
+
+export type SocketPaceOptions = Readonly<{
+	clock: Clock;
+	/** Called between the parser's reads, when everything it has been given is parsed; may destroy the socket. */
+	onParsed: () => void;
 }>;
 
 /** Makes the parser read little at a time, and let the event loop turn once it has been busy for long. */
-export function paceSocket(socket: Socket, clock: Clock): SocketPace {
+export function paceSocket(socket: Socket, {clock, onParsed}: SocketPaceOptions): SocketPace {
 	const read = socket.read.bind(socket);
 	let isPaused = false;
 	let isYielding = false;
 	let parsingMillis = 0;
+	let parsedBytes = 0;
 	/** Time at which the parser got what it has just parsed; undefined if that was little. */
 	let readAtMillis: number | undefined;
 
@@ -52,13 +61,15 @@
 	// The parser reads in a loop until nothing is left, and parses in between.
 	socket.read = (size?: number): unknown => {
 		noteParsed();
-		if (isPaused || isYielding) {
+		onParsed();
+		if (isPaused || isYielding || socket.destroyed) {
 			return null;
 		}
 
 		const bytes: unknown = size === undefined && socket.readableLength > MAX_READ_BYTES ? read(MAX_READ_BYTES) : read(size);
-		if (bytes instanceof Uint8Array && bytes.length >= MIN_TIMED_READ_BYTES) {
-			readAtMillis = clock.monotonicMillis();
+		if (bytes instanceof Uint8Array) {
+			parsedBytes += bytes.length;
+			readAtMillis = bytes.length >= MIN_TIMED_READ_BYTES ? clock.monotonicMillis() : undefined;
 		}
 
 		return bytes;
@@ -74,5 +85,6 @@
 				readOn();
 			}
 		},
+		readParsedBytes: () => parsedBytes,
 	};
 }
