Resume a paused exchange outside the parser

Cause: resuming an exchange made the parser read at once. Every exchange is resumed at its end, and that end, an abort or a resume can come from a callback of a parser: of the same connection, or of another one, as when a slow caller is given up while another answer is written. The HTTP client then failed an assertion inside the end of the exchange, which was never reported.

What callers saw: a call whose attempt never ends has no answer, and counts as open until the grace period of a drain is over.

Change: after a resume, the parser reads on in the next turn of the event loop.

--- a/src/gateway/__tests__/backend-connections.test.ts
+++ b/src/gateway/__tests__/backend-connections.test.ts
@@ -2,12 +2,13 @@
 import {Buffer} from 'node:buffer';
 import {createServer, type Socket} from 'node:net';
 import {test} from 'node:test';
+import {setTimeout as wait} from 'node:timers/promises';
 import type {Clock} from '../../core/clock.js';
 import {createLifeCycle} from '../../core/life-cycle.js';
 import {listenOn} from '../../core/listen-on.js';
 import {systemClock} from '../../core/system-clock.js';
 import {createBackendConnections, type Exchange, type ExchangeListener} from '../backend-connections.js';
-import {MAX_PARSING_MILLIS} from '../gateway-constants.js';
+import {MAX_PARSING_MILLIS, MAX_READ_BYTES} from '../gateway-constants.js';
 
 const ADDRESSES = ['10.0.0.1:99999', '10.0.0.1:0', '999.1.1.1:80', '...:80', ''];
 
@@ -110,6 +111,9 @@
 	};
 }
 
+/** A clock by which parsing takes no time. */
+const stoppedClock: Clock = {...systemClock, monotonicMillis: () => 0};
+
 /** Starts a server that calls `respond` for each request, and connections to it. */
 async function startBackend(respond: (socket: Socket) => void, clock: Clock = systemClock) {
 	const sockets = new Set<Socket>();
@@ -247,3 +251,61 @@
 		});
 	}
 }
+
+/** Time limit of a test whose exchange might not end, in milliseconds. */
+const TEST_TIMEOUT_MILLIS = 3000;
+/** More than is parsed at once. */
+const REST = 'x'.repeat(3 * MAX_READ_BYTES);
+const pieces = '1\r\nx\r\n'.repeat(2 * MAX_READ_BYTES);
+
+// The parser must not be entered again from one of its callbacks, whether it parses for the same connection or for another one.
+void test('a paused exchange ends when its answer does, although more bytes follow', {timeout: TEST_TIMEOUT_MILLIS}, async () => {
+	const backend = await startBackend(socket => {
+		socket.write(`HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc${REST}`);
+	}, stoppedClock);
+	const ended = await backend.exchange(exchange => {
+		exchange.pause();
+	});
+	await backend.close();
+	assert.deepEqual(ended, {error: undefined, status: 200, bytes: 3});
+});
+
+void test('a paused exchange that is aborted for what follows in the same read ends', {timeout: TEST_TIMEOUT_MILLIS}, async () => {
+	const backend = await startBackend(socket => {
+		socket.write(`HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${pieces}`);
+	}, stoppedClock);
+	let count = 0;
+	const {error} = await backend.exchange(exchange => {
+		count++;
+		if (count === 1) {
+			exchange.pause();
+		} else if (count === 2) {
+			exchange.abort('a fault');
+		}
+	});
+	await backend.close();
+	assert.equal(error, 'a fault');
+});
+
+for (const action of ['abort', 'resume'] as const) {
+	void test(`a paused exchange ends after its ${action} while another answer is parsed`, {timeout: TEST_TIMEOUT_MILLIS}, async () => {
+		const backend = await startBackend(socket => {
+			socket.write(formatAnswer('a length', 10 * MAX_READ_BYTES));
+		}, stoppedClock);
+		let paused: Exchange | undefined;
+		const first = backend.exchange(exchange => {
+			if (!paused) {
+				paused = exchange;
+				exchange.pause();
+			}
+		});
+		await wait(50);
+		const second = await backend.exchange(() => {
+			paused?.[action]('given up');
+		});
+		const {error} = await first;
+		await backend.close();
+		assert.equal(second.error, undefined);
+		assert.equal(error, action === 'abort' ? 'given up' : undefined);
+	});
+}
--- a/src/gateway/paced-socket.ts
+++ b/src/gateway/paced-socket.ts
@@ -39,8 +39,12 @@
 	}
 
 	function yieldTurn(): void {
-		isYielding = true;
 		parsingMillis = 0;
+		if (isYielding) {
+			return;
+		}
+
+		isYielding = true;
 		setImmediate(() => {
 			isYielding = false;
 			readOn();
@@ -82,7 +86,8 @@
 		resume() {
 			if (isPaused) {
 				isPaused = false;
-				readOn();
+				// The caller may be a callback of a parser, and no parser of the process may be entered from there.
+				yieldTurn();
 			}
 		},
 		readParsedBytes: () => parsedBytes,
