Parse what has arrived before a backend server's connection fails

Cause: a failed read or write destroys the socket at once, with all that has arrived and waits to be parsed. Before the reads were paced nothing waited, so an answer that had arrived was parsed before the failure was seen.

What callers saw: an answer that was in the gateway whole was lost if its connection was reset while it was parsed or held back for a slow caller. A post that must not be repeated ended with its outcome unknown.

Change: the socket is destroyed for a failed read or write once everything that has arrived is parsed; at once for any other reason.

--- a/src/gateway/__tests__/backend-connections.test.ts
+++ b/src/gateway/__tests__/backend-connections.test.ts
@@ -309,3 +309,54 @@
 		assert.equal(error, action === 'abort' ? 'given up' : undefined);
 	});
 }
+
+const RESET_MILLIS = 50;
+
+for (const framing of ['a length', 'chunks'] as const) {
+	for (const bodyBytes of [10_000, 60_000]) {
+		for (const isPaused of [false, true]) {
+			const state = isPaused ? 'held back for its caller' : 'parsed slowly';
+			void test(`${bodyBytes} bytes with ${framing} are a whole answer despite a later reset, ${state}`, {timeout: TEST_TIMEOUT_MILLIS}, async () => {
+				const backend = await startBackend(socket => {
+					socket.write(formatAnswer(framing, bodyBytes), () => {
+						setTimeout(() => {
+							socket.resetAndDestroy();
+						}, isPaused ? RESET_MILLIS : 0);
+					});
+				}, isPaused ? systemClock : createSlowClock());
+				let hasPaused = !isPaused;
+				const ended = await backend.exchange(exchange => {
+					if (!hasPaused) {
+						hasPaused = true;
+						exchange.pause();
+						setTimeout(exchange.resume, 2 * RESET_MILLIS);
+					}
+				});
+				await backend.close();
+				assert.deepEqual(ended, {error: undefined, status: 200, bytes: bodyBytes});
+			});
+		}
+	}
+}
+
+for (const isPaused of [false, true]) {
+	void test(`a reset does not look like the end of an answer without framing, ${isPaused ? 'held back for its caller' : 'parsed slowly'}`, {timeout: TEST_TIMEOUT_MILLIS}, async () => {
+		const backend = await startBackend(socket => {
+			socket.write(formatAnswer('no framing', 10_000), () => {
+				setTimeout(() => {
+					socket.resetAndDestroy();
+				}, isPaused ? RESET_MILLIS : 0);
+			});
+		}, isPaused ? systemClock : createSlowClock());
+		let hasPaused = !isPaused;
+		const {error} = await backend.exchange(exchange => {
+			if (!hasPaused) {
+				hasPaused = true;
+				exchange.pause();
+				setTimeout(exchange.resume, 2 * RESET_MILLIS);
+			}
+		});
+		await backend.close();
+		assert.notEqual(error, undefined);
+	});
+}
--- a/src/gateway/paced-socket.ts
+++ b/src/gateway/paced-socket.ts
@@ -25,10 +25,13 @@
 /** Makes the parser read little at a time, and let the event loop turn once it has been busy for long. */
 export function paceSocket(socket: Socket, {clock, onParsed}: SocketPaceOptions): SocketPace {
 	const read = socket.read.bind(socket);
+	const destroy = socket.destroy.bind(socket);
 	let isPaused = false;
 	let isYielding = false;
 	let parsingMillis = 0;
 	let parsedBytes = 0;
+	/** Why the connection has failed, while the parser has not been given all that arrived before. */
+	let failure: Error | undefined;
 	/** Time at which the parser got what it has just parsed; undefined if that was little. */
 	let readAtMillis: number | undefined;
 
@@ -70,6 +73,11 @@
 			return null;
 		}
 
+		if (failure && socket.readableLength === 0) {
+			destroy(failure);
+			return null;
+		}
+
 		const bytes: unknown = size === undefined && socket.readableLength > MAX_READ_BYTES ? read(MAX_READ_BYTES) : read(size);
 		if (bytes instanceof Uint8Array) {
 			parsedBytes += bytes.length;
@@ -79,6 +87,16 @@
 		return bytes;
 	};
 
+	// A failed connection discards what has not been read, which may be the rest of a whole answer.
+	socket.destroy = (error?: Error) => {
+		if (error === undefined || !('syscall' in error) || socket.readableLength === 0) {
+			return destroy(error);
+		}
+
+		failure ??= error;
+		return socket;
+	};
+
 	return {
 		pause() {
 			isPaused = true;
