--- a/src/gateway/paced-socket.ts
+++ b/src/gateway/paced-socket.ts
@@ -12,14 +12,26 @@
 	/** Holds reads back, and with them the end of the connection; what the parser has read already still arrives. */
 	pause: () => void;
 	resume: () => void;
+	/** Bytes that the parser has been given; fewer than have arrived while it is held back. */
+	readParsedBytes: () => number;
+}>;
+
+export type SocketPaceOptions = Readonly<{
+	clock: Clock;
+	/** Called between the parser's reads, when everything it has been given is parsed; may destroy the socket. */
+	onParsed: () => void;
 }>;
 
 /** Makes the parser read little at a time, and let the event loop turn once it has been busy for long. */
-export function paceSocket(socket: Socket, clock: Clock): SocketPace {
+export function paceSocket(socket: Socket, {clock, onParsed}: SocketPaceOptions): SocketPace {
 	const read = socket.read.bind(socket);
+	const destroy = socket.destroy.bind(socket);
 	let isPaused = false;
 	let isYielding = false;
 	let parsingMillis = 0;
+	let parsedBytes = 0;
+	/** Why the connection has failed, while the parser has not been given all that arrived before. */
+	let failure: Error | undefined;
 	/** Time at which the parser got what it has just parsed; undefined if that was little. */
 	let readAtMillis: number | undefined;
 
@@ -30,8 +42,12 @@
 	}
 
 	function yieldTurn(): void {
-		isYielding = true;
 		parsingMillis = 0;
+		if (isYielding) {
+			return;
+		}
+
+		isYielding = true;
 		setImmediate(() => {
 			isYielding = false;
 			readOn();
@@ -52,18 +68,35 @@
 	// The parser reads in a loop until nothing is left, and parses in between.
 	socket.read = (size?: number): unknown => {
 		noteParsed();
-		if (isPaused || isYielding) {
+		onParsed();
+		if (isPaused || isYielding || socket.destroyed) {
+			return null;
+		}
+
+		if (failure && socket.readableLength === 0) {
+			destroy(failure);
 			return null;
 		}
 
 		const bytes: unknown = size === undefined && socket.readableLength > MAX_READ_BYTES ? read(MAX_READ_BYTES) : read(size);
-		if (bytes instanceof Uint8Array && bytes.length >= MIN_TIMED_READ_BYTES) {
-			readAtMillis = clock.monotonicMillis();
+		if (bytes instanceof Uint8Array) {
+			parsedBytes += bytes.length;
+			readAtMillis = bytes.length >= MIN_TIMED_READ_BYTES ? clock.monotonicMillis() : undefined;
 		}
 
 		return bytes;
 	};
 
+	// A failed connection discards what has not been read, which may be the rest of a whole answer.
+	socket.destroy = (error?: Error) => {
+		if (error === undefined || !('syscall' in error) || socket.readableLength === 0) {
+			return destroy(error);
+		}
+
+		failure ??= error;
+		return socket;
+	};
+
 	return {
 		pause() {
 			isPaused = true;
@@ -71,8 +104,10 @@
 		resume() {
 			if (isPaused) {
 				isPaused = false;
-				readOn();
+				// The caller may be a callback of a parser, and no parser of the process may be entered from there.
+				yieldTurn();
 			}
 		},
+		readParsedBytes: () => parsedBytes,
 	};
 }
