Catch stop signals while the modules of a process are still being loaded

What callers saw: a gateway that got SIGTERM between the opening of its listener and the end of loading (0.2 to 0.5 s) ended at once by the default action; the calls that it had accepted were closed without an answer.

Cause: SIGTERM and SIGINT were handled only after the settings had been checked and the libraries loaded; the listener for callers is opened before that.

Change: the main program catches the stop signals before anything else, and the process drains once it has started. They are logged as before, as soon as there is a log.

--- a/src/daemon/run-daemon.ts
+++ b/src/daemon/run-daemon.ts
@@ -7,7 +7,7 @@
 import {createContext} from './create-context.js';
 import {EXIT_OK, EXIT_REFUSED, EXIT_USAGE} from './exit-code.js';
 import {startRole, type RunningRole} from './start-role.js';
-import {waitForStopSignal} from './stop-signal.js';
+import {catchStopSignals} from './stop-signal.js';
 import type {ProcessContext} from './process-context.js';
 
 /** Extra time for a role to report its drain after the drain's own time limit has passed, in milliseconds. */
@@ -43,7 +43,7 @@
 /** Runs a role until a stop signal arrives; resolves to the exit code. */
 export async function runDaemon(settings: Settings, secrets: Secrets): Promise<number> {
 	const ctx = createContext(settings, secrets);
-	const stopSignal = waitForStopSignal(ctx.log);
+	const stopSignal = catchStopSignals().wait(ctx.log);
 	ctx.lifeCycle.own('configuration polling', registerConfigurationSync({...ctx, holder: ctx.configuration, random: Math.random}));
 	const role = await startRole(ctx, settings, secrets);
 	if (!role.ok) {
