Count a drain from the stop signal on, also if it comes during the start

What callers saw: a gateway that was told to stop while it was starting took calls that ended after the kill. With a start that went on for 1.5 s after the signal and 3 s of grace, posts sent 1.8 s after the signal with 1.5 s to go were passed on, and the process ended 3.8 s after the signal; the platform kills it after 3 s.

Cause: the drain schedule was created when the drain began, which is after the start, though the platform counts the grace period from the signal. Calls that came between the signal and the end of the start saw no schedule at all.

Change: the time of the first signal is kept, and the schedule follows from it as soon as it is known; the gateway isn't ready from then on.

--- a/src/daemon/run-daemon.ts
+++ b/src/daemon/run-daemon.ts
@@ -43,7 +43,7 @@
 /** Runs a role until a stop signal arrives; resolves to the exit code. */
 export async function runDaemon(settings: Settings, secrets: Secrets): Promise<number> {
 	const ctx = createContext(settings, secrets);
-	const stopSignal = catchStopSignals().wait(ctx.log);
+	const stopSignal = catchStopSignals(ctx.clock).wait(ctx.log);
 	ctx.lifeCycle.own('configuration polling', registerConfigurationSync({...ctx, holder: ctx.configuration, random: Math.random}));
 	const role = await startRole(ctx, settings, secrets);
 	if (!role.ok) {
--- a/src/gateway/start-gateway.ts
+++ b/src/gateway/start-gateway.ts
@@ -65,7 +65,9 @@
 	feed: TableFeed;
 	table: TableStore;
 	/** Listener for callers that was opened while the process was being loaded; optional. */
-	earlyListener?: EarlyListener;
+	earlyListener?: EarlyListener | undefined;
+	/** Monotonic time of the stop signal, which may come during the start; undefined until then. */
+	readStopMillis?: (() => number | undefined) | undefined;
 	/** Socket for the datagrams between entries. */
 	socket: DatagramSocket;
 	configuration: Readonly<{table: string; read: ReadConfiguration}>;
@@ -89,7 +91,6 @@
 export async function startGateway(deps: GatewayDeps): Promise<Result<Gateway, ListenError>> {
 	const {settings, clock, log, metrics, lifeCycle, random, codec, feed} = deps;
 	const opened: {listener?: CallerListener} = {};
-	let isStopping = false;
 	let drainSchedule: DrainSchedule | undefined;
 	const cutOff = new AbortController();
 	// Each attempt in flight listens; the default number of listeners is meant to show leaks.
@@ -129,7 +130,7 @@
 			updateFlows();
 		},
 	});
-	const isReady = () => !isStopping && hasServers && configuration.read() !== undefined;
+	const isReady = () => readDrainSchedule() === undefined && hasServers && configuration.read() !== undefined;
 	const quarantine = createRequestQuarantine({
 		clock,
 		onFound(finding) {
@@ -212,6 +213,16 @@
 		clock, log, metrics, connections, quarantine, readServers: servers.servers.read,
 	});
 
+	/** Steps of the drain, for which the time counts from the stop signal on, however long the start still takes. */
+	function readDrainSchedule(): DrainSchedule | undefined {
+		const stopMillis = deps.readStopMillis?.();
+		if (stopMillis !== undefined) {
+			drainSchedule ??= createDrainSchedule(stopMillis, settings.graceMillis);
+		}
+
+		return drainSchedule;
+	}
+
 	function noteQuarantine(): void {
 		const findings = quarantine.listFindings();
 		metrics.quarantinedParts.set(findings.filter(({tag}) => tag === 'parts').length);
@@ -301,7 +312,7 @@
 		noteLeaving: servers.noteLeaving,
 		quarantine,
 		crashWatch,
-		readDrainSchedule: () => drainSchedule,
+		readDrainSchedule,
 		cutOffSignal: cutOff.signal,
 	};
 	const listening = await listenForCallers({
@@ -334,14 +345,14 @@
 		members,
 		listEvacuations: evacuationProgress.list,
 		async drain() {
-			isStopping = true;
+			const schedule = readDrainSchedule() ?? createDrainSchedule(clock.monotonicMillis(), settings.graceMillis);
+			drainSchedule = schedule;
 			void members.announceDraining();
-			drainSchedule = createDrainSchedule(clock.monotonicMillis(), settings.graceMillis);
 			return drainGateway({
 				clock,
 				log,
 				listener: value,
-				schedule: drainSchedule,
+				schedule,
 				endCalls() {
 					cutOff.abort();
 				},
