Take back the registration of an entry whose drain began before it was done

What others saw: an entry that was told to stop before it had registered stayed in the store's table after its planned end, and the other entries got no notice that it left. They count its share of the backend servers until they hold it to be dead, and later starts look for it.

Cause: a drain announces that the entry leaves only if it is a member already; the registration under way went on and was never taken back.

Change: once registered, an entry that drains leaves.

--- a/src/membership/entry-members.ts
+++ b/src/membership/entry-members.ts
@@ -332,6 +332,13 @@
 		}
 	}
 
+	/** Tells the other entries that this one leaves, and removes its row. */
+	async function leave({leave: leaveMembers, readSelf}: FailureDetector): Promise<void> {
+		send(leaveMembers(clock.monotonicMillis()));
+		wake.abort();
+		await removeEntryRow(deps, self.id, readSelf().generation);
+	}
+
 	/** Probes the other entries until the signal aborts. */
 	async function observe({nextDueMillis, tick}: FailureDetector, signal: AbortSignal): Promise<void> {
 		signal.addEventListener('abort', () => {
@@ -407,6 +414,11 @@
 				detector = joined;
 				updateLimitSharers();
 				deps.onChange();
+				// The drain may have begun while the row was being written.
+				if (isDraining) {
+					void leave(joined);
+				}
+
 				await observe(joined, signal);
 			}
 
@@ -428,9 +440,7 @@
 			isDraining = true;
 			updateLimitSharers();
 			if (detector) {
-				send(detector.leave(clock.monotonicMillis()));
-				wake.abort();
-				await removeEntryRow(deps, self.id, detector.readSelf().generation);
+				await leave(detector);
 			}
 		},
 	};
