Let connections that wait for their callers give way only to new ones

Seen: 3 of 24 answers to callers that had not read for 0.6 to 3 s lost their end when further bytes came (extra-bytes.test.ts beside other tests). Cause: with a limit of 100 connections only ten could wait for their callers, and each for 2 s. Now a connection that waits is closed early only where a new one would exceed nine tenths of the connections, and else after 5 s. Half a head that arrives during an answer counts as received, so that its connection isn't closed as idle.

--- a/src/gateway/caller-listener.ts
+++ b/src/gateway/caller-listener.ts
@@ -15,7 +15,7 @@
 import type {Call, CallReply} from './call.js';
 import {createCallerReply, type CallerReply} from './caller-reply.js';
 import {
-	CLOSE_TIMEOUT_MILLIS, CONNECTION_CHECK_INTERVAL_MILLIS, KEEP_ALIVE_SLACK_MILLIS, MAX_CALLER_HEADER_BYTES, MAX_CLOSING_SHARE, READER_CHECK_INTERVAL_MILLIS,
+	CLOSE_TIMEOUT_MILLIS, CONNECTION_CHECK_INTERVAL_MILLIS, KEEP_ALIVE_SLACK_MILLIS, MAX_CALLER_HEADER_BYTES, READER_CHECK_INTERVAL_MILLIS, UNCROWDED_SHARE,
 } from './gateway-constants.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import {createReplyBuffers} from './reply-buffers.js';
@@ -207,7 +207,7 @@
 	const connections = manageConnections(server, {
 		clock,
 		closeTimeoutMillis: CLOSE_TIMEOUT_MILLIS,
-		maxClosing: deps.maxConnections * MAX_CLOSING_SHARE,
+		maxUncrowded: deps.maxConnections * UNCROWDED_SHARE,
 		onReset() {
 			metrics.undeliveredAnswers.inc({cause: 'reset'});
 		},
--- a/src/gateway/gateway-constants.ts
+++ b/src/gateway/gateway-constants.ts
@@ -80,9 +80,9 @@
 /** Time for the answers of calls that were ended to reach their callers, in milliseconds. */
 export const CUT_OFF_ANSWER_MILLIS = 150;
 /** Longest time for which a connection stays open after its last answer until the caller closes it, in milliseconds. */
-export const CLOSE_TIMEOUT_MILLIS = 2000;
-/** Share of the connections that may wait for their callers to close them. */
-export const MAX_CLOSING_SHARE = 0.1;
+export const CLOSE_TIMEOUT_MILLIS = 5000;
+/** Share of the connections above which one that waits for its caller gives its place to a new one. */
+export const UNCROWDED_SHARE = 0.9;
 /** Interval between checks whether calls are still in flight, in milliseconds. */
 export const DRAIN_POLL_INTERVAL_MILLIS = 50;
 /** Maximum number of backend servers tried for one call; a request that was not sent does not count as an attempt. */
--- a/src/http/http-connections.ts
+++ b/src/http/http-connections.ts
@@ -52,8 +52,8 @@
 	connectionEvent?: 'connection' | 'secureConnection';
 	/** Longest time for which a closing connection waits for its peer, in milliseconds. */
 	closeTimeoutMillis: number;
-	/** Most connections that wait for their peers at a time; beyond it the one that has waited longest is closed. */
-	maxClosing: number;
+	/** Number of connections above which each new one ends the wait of the one that has waited longest for its peer. */
+	maxUncrowded: number;
 	/** Called when a peer resets a connection on which it has not acknowledged the end of the last answer. */
 	onReset?: () => void;
 }>;
@@ -78,8 +78,9 @@
 	readonly socket: Socket;
 	/** In the order of arrival. */
 	readonly exchanges: Set<OpenExchange>;
-	/** Bytes that had been received when the last exchange ended, and the monotonic time; undefined before. */
+	/** Bytes that had been received with the last request. */
 	idleBytesRead: number;
+	/** Monotonic time at which the last exchange ended; undefined before. */
 	idleSinceMillis: number | undefined;
 	/** Whether nothing behind the last request is taken: it cannot be parsed, or there are too many. */
 	isBroken: boolean;
@@ -89,7 +90,7 @@
 
 /** Takes over the connections of a server, before it listens. */
 export function manageConnections(server: Server, {
-	clock, connectionEvent = 'connection', closeTimeoutMillis, maxClosing, onReset,
+	clock, connectionEvent = 'connection', closeTimeoutMillis, maxUncrowded, onReset,
 }: HttpConnectionsOptions): HttpConnections {
 	const connections = new Map<Socket, Connection>();
 	/** In the order in which they began to close. */
@@ -108,11 +109,6 @@
 
 		connection.isClosing = true;
 		closing.add(connection);
-		const [oldest] = closing;
-		if (closing.size > maxClosing) {
-			oldest?.socket.destroy();
-		}
-
 		const closed = new AbortController();
 		socket.once('close', () => {
 			closing.delete(connection);
@@ -139,6 +135,11 @@
 			socket, exchanges: new Set(), idleBytesRead: 0, idleSinceMillis: undefined, isBroken: false, isClosing: false,
 		};
 		connections.set(socket, connection);
+		if (connections.size > maxUncrowded) {
+			const [oldest] = closing;
+			oldest?.socket.destroy();
+		}
+
 		// The server calls this after the last answer on the connection.
 		socket.destroySoon = () => {
 			void closeGracefully(connection);
@@ -187,6 +188,11 @@
 		const connection = track(req.socket);
 		const {socket, exchanges} = connection;
 		const disconnection = new AbortController();
+		/** Bytes that had been received when the request was read. */
+		let requestBytesRead: number | undefined;
+		req.once('end', () => {
+			requestBytesRead = socket.bytesRead;
+		});
 		let settleTurn: (isNext: boolean) => void = () => undefined;
 		const turn = new Promise<boolean>(resolve => {
 			settleTurn = resolve;
@@ -204,7 +210,7 @@
 					disconnection.abort();
 				}
 
-				connection.idleBytesRead = socket.bytesRead;
+				connection.idleBytesRead = requestBytesRead ?? socket.bytesRead;
 				connection.idleSinceMillis = clock.monotonicMillis();
 				onEnd?.(end);
 				if (connection.isBroken && exchanges.size === 0) {
--- a/src/http/http-listener-constants.ts
+++ b/src/http/http-listener-constants.ts
@@ -10,5 +10,5 @@
 export const PEER_CLOSE_TIMEOUT_MILLIS = 1000;
 /** The same at the shutdown, which has little time, in milliseconds. */
 export const SHUTDOWN_PEER_TIMEOUT_MILLIS = 200;
-/** Most connections that wait for that at a time. */
-export const MAX_CLOSING_CONNECTIONS = 100;
+/** Number of connections above which new ones end that wait. */
+export const MAX_UNCROWDED_CONNECTIONS = 200;
--- a/src/http/http-listener.ts
+++ b/src/http/http-listener.ts
@@ -12,7 +12,7 @@
 import type {Result} from '../core/result.js';
 import {manageConnections, type HttpConnections} from './http-connections.js';
 import {
-	CLOSE_POLL_INTERVAL_MILLIS, CLOSE_TIMEOUT_MILLIS, CONNECTION_CHECK_MILLIS, MAX_CLOSING_CONNECTIONS, PEER_CLOSE_TIMEOUT_MILLIS, REQUEST_TIMEOUT_MILLIS, SHUTDOWN_PEER_TIMEOUT_MILLIS,
+	CLOSE_POLL_INTERVAL_MILLIS, CLOSE_TIMEOUT_MILLIS, CONNECTION_CHECK_MILLIS, MAX_UNCROWDED_CONNECTIONS, PEER_CLOSE_TIMEOUT_MILLIS, REQUEST_TIMEOUT_MILLIS, SHUTDOWN_PEER_TIMEOUT_MILLIS,
 } from './http-listener-constants.js';
 
 export type FetchHandler = (req: Request) => Response | Promise<Response>;
@@ -58,7 +58,7 @@
 export async function listenHttp(handler: FetchHandler, {name, address, clock, lifeCycle, tls}: ListenOptions): Promise<Result<number, ListenError>> {
 	const server = createHttpServer(tls);
 	const connections = manageConnections(server, {
-		clock, connectionEvent: tls ? 'secureConnection' : 'connection', closeTimeoutMillis: PEER_CLOSE_TIMEOUT_MILLIS, maxClosing: MAX_CLOSING_CONNECTIONS,
+		clock, connectionEvent: tls ? 'secureConnection' : 'connection', closeTimeoutMillis: PEER_CLOSE_TIMEOUT_MILLIS, maxUncrowded: MAX_UNCROWDED_CONNECTIONS,
 	});
 	const listener = getRequestListener(handler);
 	server.on('request', (req, res) => {
