Answer calls under way although a request for a tunnel follows on their connection

Now nothing more is taken from it, and it closes after the answers that are due; 501 where there are none.

--- a/src/http/__tests__/http-connections.test.ts
+++ b/src/http/__tests__/http-connections.test.ts
@@ -238,6 +238,17 @@
 	assert.equal(connections.countOpenExchanges(), 0);
 });
 
+void test('a request for a tunnel does not cost the answer to the request before it', async t => {
+	const {seen, connect} = await startServer(t, async () => wait(60, Buffer.alloc(LARGE_BODY_BYTES)));
+	const {socket, read, hasEnded} = connect();
+	socket.write(get('/1'));
+	await wait(10);
+	socket.write('CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n');
+	await waitFor(hasEnded);
+	assert.ok(read().length > LARGE_BODY_BYTES);
+	assert.deepEqual(seen, ['/1']);
+});
+
 void test('bytes that are no request are answered with 400 on a connection without one', async t => {
 	const {connect} = await startServer(t, path => path);
 	const {socket, read, hasEnded} = connect();
--- a/src/http/http-connections.ts
+++ b/src/http/http-connections.ts
@@ -5,6 +5,7 @@
  */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import type {Duplex} from 'node:stream';
 import {setImmediate} from 'node:timers';
 import type {Clock} from '../core/clock.js';
 
@@ -65,6 +66,7 @@
 	ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
 };
 const BAD_REQUEST = '400 Bad Request';
+const TUNNEL_REFUSAL = '501 Not Implemented';
 
 /** Errors that end a connection on which nothing more can be sent. */
 const CONNECTION_ERRORS: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE', 'HPE_INVALID_EOF_STATE']);
@@ -76,6 +78,8 @@
 
 type Connection = {
 	readonly socket: Socket;
+	/** Continue an answer once the socket takes more. */
+	readonly drainListeners: ReadonlyArray<() => void>;
 	/** In the order of arrival. */
 	readonly exchanges: Set<OpenExchange>;
 	/** Bytes that had been received with the last request. */
@@ -132,7 +136,9 @@
 		}
 
 		const connection: Connection = {
-			socket, exchanges: new Set(), idleBytesRead: 0, idleSinceMillis: undefined, isBroken: false, isClosing: false,
+			socket, drainListeners: socket.listeners('drain').map(listener => () => {
+				Reflect.apply(listener, socket, []);
+			}), exchanges: new Set(), idleBytesRead: 0, idleSinceMillis: undefined, isBroken: false, isClosing: false,
 		};
 		connections.set(socket, connection);
 		if (connections.size > maxUncrowded) {
@@ -166,6 +172,30 @@
 			return;
 		}
 
+		rejectRest(connection, PARSE_ERROR_STATUSES[err.code ?? ''] ?? BAD_REQUEST);
+	}
+
+	/** Refuses a request for a tunnel. The server has taken its listeners off the socket by then, also that which continues an answer under way. */
+	function handleTunnelRequest(_req: IncomingMessage, socket: Duplex): void {
+		const connection = [...connections.values()].find(item => item.socket === socket);
+		if (!connection) {
+			socket.destroy();
+			return;
+		}
+
+		for (const listener of connection.drainListeners) {
+			socket.on('drain', listener);
+		}
+
+		socket.on('end', () => {
+			socket.end();
+		});
+		rejectRest(connection, TUNNEL_REFUSAL);
+	}
+
+	/** Takes nothing more from a connection. Answers under way go on; if there are none, the request that cannot be taken is answered. */
+	function rejectRest(connection: Connection, status: string): void {
+		const {socket} = connection;
 		connection.isBroken = true;
 		discardReceived(socket);
 		const incomplete = [...connection.exchanges].filter(({req}) => !req.complete);
@@ -178,7 +208,7 @@
 		}
 
 		if (!incomplete.some(({res}) => res.headersSent)) {
-			socket.write(`HTTP/1.1 ${PARSE_ERROR_STATUSES[err.code ?? ''] ?? BAD_REQUEST}\r\nConnection: close\r\n\r\n`);
+			socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
 		}
 
 		void closeGracefully(connection);
@@ -272,6 +302,7 @@
 		track(socket);
 	});
 	server.on('clientError', handleClientError);
+	server.on('connect', handleTunnelRequest);
 	// The server calls this when it stops listening.
 	server.closeIdleConnections = closeIdle;
 
