Judge the end of a backend server's connection when it is read

Cause: an answer without framing is whole if its connection ends in order, and not if it is reset. Which of them it was was asked only when the parser had reached the end, while the end may have been read long before. A reset in between, as from a backend server that closes with unread bytes, made an orderly end a reset.

What callers saw: a whole answer held back for a slow caller was broken off.

Change: the end is judged when it is read from the socket.

Result: passes; the tests that a reset is no end pass unchanged.

--- a/src/gateway/__tests__/backend-connections.test.ts
+++ b/src/gateway/__tests__/backend-connections.test.ts
@@ -360,3 +360,22 @@
 		assert.notEqual(error, undefined);
 	});
 }
+
+void test('an answer without framing that has ended is whole despite a reset while it is held back for its caller', {timeout: TEST_TIMEOUT_MILLIS}, async () => {
+	const backend = await startBackend(socket => {
+		socket.end(formatAnswer('no framing', 10_000));
+		setTimeout(() => {
+			socket.resetAndDestroy();
+		}, RESET_MILLIS);
+	});
+	let hasPaused = false;
+	const ended = await backend.exchange(exchange => {
+		if (!hasPaused) {
+			hasPaused = true;
+			exchange.pause();
+			setTimeout(exchange.resume, 2 * RESET_MILLIS);
+		}
+	});
+	await backend.close();
+	assert.deepEqual(ended, {error: undefined, status: 200, bytes: 10_000});
+});
--- a/src/gateway/backend-connections.ts
+++ b/src/gateway/backend-connections.ts
@@ -68,6 +68,7 @@
 type Connection = Readonly<{client: Client; socket: SocketState}>;
 type SocketState = {
 	error: string | undefined;
+	/** Whether the orderly end of the connection has been read. */
 	hasEnded: boolean;
 	/** Ends the sending side, so that the peer stops its work; false if written bytes would follow, which are better dropped. */
 	tryHalfClose: () => boolean;
@@ -126,6 +127,16 @@
 								socket.onParsed();
 							},
 						});
+						// Bytes may wait to be parsed after the end was read, and a reset meanwhile takes nothing back.
+						const push = opened.push.bind(opened);
+						opened.push = (chunk: unknown, ...rest) => {
+							if (chunk === null) {
+								socket.hasEnded = !isReset(opened);
+							}
+
+							return push(chunk, ...rest);
+						};
+
 						socket.tryHalfClose = () => {
 							const hasUnsent = opened.writableLength > 0;
 							if (!hasUnsent) {
@@ -140,9 +151,6 @@
 					opened?.once('error', err => {
 						socket.error = describeError(err);
 					});
-					opened?.once('end', () => {
-						socket.hasEnded = !isReset(opened);
-					});
 					callback(...result);
 				});
 			},
