Look for the end of a kept connection before each reuse of it

Cause: the HTTP client writes a request on a kept connection at the end of the turn of the event loop, to see first whether the peer has ended it. A request that follows an answer at once is written in the turn of that answer, in which nothing more is read. An end that came right behind the answer was not seen.

What callers saw: a call that waited for a place at a backend server that closes its connection after an answer was written to the ended connection, and lost. A post that must not be repeated ended with its outcome unknown.

Change: a request waits for the end of the turn in which the former answer ended; it costs one turn, and no new connection.

--- a/src/gateway/__tests__/backend-connections.test.ts
+++ b/src/gateway/__tests__/backend-connections.test.ts
@@ -114,6 +114,9 @@
 /** A clock by which parsing takes no time. */
 const stoppedClock: Clock = {...systemClock, monotonicMillis: () => 0};
 
+/** Callbacks that replace those of a request, and the reason of an abort right after it is sent. */
+type ExchangeOptions = Partial<ExchangeListener> & Readonly<{abortReason?: string}>;
+
 /** Starts a server that calls `respond` for each request, and connections to it. */
 async function startBackend(respond: (socket: Socket) => void, clock: Clock = systemClock) {
 	const sockets = new Set<Socket>();
@@ -132,8 +135,8 @@
 	const lifeCycle = createLifeCycle();
 	const connections = createBackendConnections({clock, lifeCycle});
 
-	/** Sends a request and resolves once its exchange has ended; `more` replaces or follows callbacks. */
-	async function exchange(onData: (exchange: Exchange) => void = () => undefined, more: Partial<ExchangeListener> = {}) {
+	/** Sends a request and resolves once its exchange has ended; `more` replaces callbacks. */
+	async function exchange(onData: (exchange: Exchange) => void = () => undefined, {abortReason, ...more}: ExchangeOptions = {}) {
 		let bytes = 0;
 		let status = 0;
 		const error = await new Promise<string | undefined>(resolve => {
@@ -153,6 +156,9 @@
 				onLateHead: () => undefined,
 				...more,
 			});
+			if (abortReason !== undefined) {
+				sent.abort(abortReason);
+			}
 		});
 		return {error, status, bytes};
 	}
@@ -379,3 +385,84 @@
 	await backend.close();
 	assert.deepEqual(ended, {error: undefined, status: 200, bytes: 10_000});
 });
+
+const ANSWER = formatAnswer('a length', 3);
+
+/** What a backend server sends on a kept connection besides its answer. */
+const extras: ReadonlyArray<Readonly<{name: string; send: (socket: Socket) => void; delayMillis: number}>> = [0, 20].flatMap(delayMillis => [
+	{
+		name: 'a second answer', send(socket: Socket) {
+			socket.write(ANSWER.replace('200', '201'));
+		}, delayMillis,
+	},
+	{
+		name: 'part of an answer', send(socket: Socket) {
+			socket.write('HTTP/1.1 201 Cre');
+		}, delayMillis,
+	},
+	{
+		name: 'bytes that are no answer', send(socket: Socket) {
+			socket.write(REST);
+		}, delayMillis,
+	},
+	{
+		name: 'its end', send(socket: Socket) {
+			socket.end();
+		}, delayMillis,
+	},
+]);
+
+for (const [clockName, createClock] of [['at once', () => stoppedClock], ['slowly', createSlowClock]] as const) {
+	for (const {name, send, delayMillis} of extras) {
+		for (const pauseMillis of delayMillis === 0 ? [0, 40] : [40]) {
+			const state = `${delayMillis} ms later, request after ${pauseMillis} ms, parsed ${clockName}`;
+			void test(`the next request gets its own answer after ${name} behind the former one (${state})`, {timeout: TEST_TIMEOUT_MILLIS}, async () => {
+				let count = 0;
+				const backend = await startBackend(socket => {
+					count++;
+					if (count > 1) {
+						socket.write(ANSWER);
+					} else if (delayMillis === 0) {
+						socket.cork();
+						socket.write(ANSWER);
+						send(socket);
+						socket.uncork();
+					} else {
+						socket.write(ANSWER);
+						setTimeout(send, delayMillis, socket);
+					}
+				}, createClock());
+				const first = await backend.exchange();
+				if (pauseMillis > 0) {
+					await wait(pauseMillis);
+				}
+
+				const second = await backend.exchange();
+				await backend.close();
+				assert.deepEqual(first, {error: undefined, status: 200, bytes: 3});
+				assert.deepEqual(second, {error: undefined, status: 200, bytes: 3});
+			});
+		}
+	}
+}
+
+void test('a request that is aborted before it is written on a kept connection is not sent', {timeout: TEST_TIMEOUT_MILLIS}, async () => {
+	let count = 0;
+	const backend = await startBackend(socket => {
+		count++;
+		socket.write(ANSWER);
+	});
+	await backend.exchange();
+	let wasSent = false;
+	const {error} = await backend.exchange(undefined, {
+		abortReason: 'left',
+		onSent() {
+			wasSent = true;
+		},
+	});
+	await wait(20);
+	await backend.close();
+	assert.equal(error, 'left');
+	assert.equal(wasSent, false);
+	assert.equal(count, 1);
+});
--- a/src/gateway/backend-connections.ts
+++ b/src/gateway/backend-connections.ts
@@ -1,6 +1,7 @@
 /** Pool of keep-alive connections to backend servers; each carries one request at a time. */
 import {Buffer} from 'node:buffer';
 import type {Socket} from 'node:net';
+import {setImmediate} from 'node:timers';
 import {buildConnector, Client, type Dispatcher} from 'undici';
 import type {Clock} from '../core/clock.js';
 import {describeError} from '../core/describe-error.js';
@@ -77,7 +78,11 @@
 	/** Called when what was received has been parsed; set by the exchange that uses the connection. */
 	onParsed: () => void;
 };
-type IdleConnection = Connection & Readonly<{idleSinceMillis: number}>;
+type IdleConnection = Connection & Readonly<{
+	idleSinceMillis: number;
+	/** Resolves once the turn of the event loop in which the answer ended is over. */
+	turnEnd: Promise<void>;
+}>;
 
 /** Decodes raw headers; undici passes names and values alternately, as bytes. */
 function decodeHeaders(headers: unknown): string[] {
@@ -170,7 +175,7 @@
 	}
 
 	/** Takes the most recently used idle connection or opens a new one; closes idle connections that have timed out. */
-	function takeConnection(address: string, allowsLongIdle: boolean): Connection {
+	function takeConnection(address: string, allowsLongIdle: boolean): Connection | IdleConnection {
 		const kept = idle.get(address) ?? [];
 		const nowMillis = clock.monotonicMillis();
 		const maxIdleMillis = allowsLongIdle ? IDLE_TIMEOUT_MILLIS : AT_MOST_ONCE_MAX_IDLE_MILLIS;
@@ -201,7 +206,10 @@
 		if (kept.length >= maxIdleConnections) {
 			close(connection.client);
 		} else if (!connection.client.closed && !connection.client.destroyed) {
-			idle.set(address, [...kept, {...connection, idleSinceMillis: clock.monotonicMillis()}]);
+			const turnEnd = new Promise<void>(resolve => {
+				setImmediate(resolve);
+			});
+			idle.set(address, [...kept, {...connection, idleSinceMillis: clock.monotonicMillis(), turnEnd}]);
 		}
 	}
 
@@ -301,9 +309,7 @@
 				}
 			}
 
-			client.dispatch({
-				method: req.method, path: req.path, headers: req.headers, body: req.body.length > 0 ? req.body : null,
-			}, {
+			const handler: Dispatcher.DispatchHandler = {
 				onRequestStart(started) {
 					controller = started;
 					parsedBefore = socket.pace?.readParsedBytes() ?? 0;
@@ -340,7 +346,21 @@
 				onResponseError(_started, error) {
 					finish(abortReason ?? describeError(error));
 				},
-			});
+			};
+
+			function dispatch(): void {
+				client.dispatch({
+					method: req.method, path: req.path, headers: req.headers, body: req.body.length > 0 ? req.body : null,
+				}, handler);
+			}
+
+			// The client looks for what has arrived on an idle connection until the turn ends, which says nothing in the turn of the former answer.
+			if ('turnEnd' in connection) {
+				void connection.turnEnd.then(dispatch);
+			} else {
+				dispatch();
+			}
+
 			return {
 				abort,
 				pause() {
