Close an idle connection on which bytes arrive

Cause: the HTTP parser skips empty lines between two answers, so bytes on an idle connection need not end it. While the reads are paced, what follows them can be held back until the next request is written, and then belongs to it.

What callers saw: with an answer that follows empty lines, the next request gets the former one's second answer, which is rejected for its attempt id, and a post that must not be repeated is lost. Empty lines without end kept the connection idle and in use.

Change: a connection on which anything is parsed while it is idle is closed.

--- a/src/gateway/__tests__/backend-connections.test.ts
+++ b/src/gateway/__tests__/backend-connections.test.ts
@@ -395,6 +395,11 @@
 			socket.write(ANSWER.replace('200', '201'));
 		}, delayMillis,
 	},
+	{
+		name: 'a second answer behind empty lines', send(socket: Socket) {
+			socket.write('\r\n'.repeat(3 * MAX_READ_BYTES) + ANSWER.replace('200', '201'));
+		}, delayMillis,
+	},
 	{
 		name: 'part of an answer', send(socket: Socket) {
 			socket.write('HTTP/1.1 201 Cre');
@@ -410,6 +415,11 @@
 			socket.end();
 		}, delayMillis,
 	},
+	{
+		name: 'empty lines and its end', send(socket: Socket) {
+			socket.end('\r\n'.repeat(3 * MAX_READ_BYTES));
+		}, delayMillis,
+	},
 ]);
 
 for (const [clockName, createClock] of [['at once', () => stoppedClock], ['slowly', createSlowClock]] as const) {
@@ -466,3 +476,22 @@
 	assert.equal(wasSent, false);
 	assert.equal(count, 1);
 });
+
+void test('an idle connection on which empty lines arrive without end is closed', {timeout: TEST_TIMEOUT_MILLIS}, async () => {
+	let closedAtMillis: number | undefined;
+	const backend = await startBackend(socket => {
+		socket.write(ANSWER);
+		const timer = setInterval(() => {
+			socket.write('\r\n');
+		}, 10);
+		socket.on('close', () => {
+			clearInterval(timer);
+			closedAtMillis ??= performance.now();
+		});
+	});
+	await backend.exchange();
+	const idleSinceMillis = performance.now();
+	await wait(500);
+	await backend.close();
+	assert.ok(closedAtMillis !== undefined && closedAtMillis - idleSinceMillis < 250);
+});
--- a/src/gateway/backend-connections.ts
+++ b/src/gateway/backend-connections.ts
@@ -75,6 +75,7 @@
 	tryHalfClose: () => boolean;
 	/** Undefined until the connection is established. */
 	pace: SocketPace | undefined;
+	destroy: () => void;
 	/** Called when what was received has been parsed; set by the exchange that uses the connection. */
 	onParsed: () => void;
 };
@@ -116,13 +117,14 @@
 
 	function openConnection(address: string): Connection {
 		const socket: SocketState = {
-			error: undefined, hasEnded: false, tryHalfClose: () => false, pace: undefined, onParsed: () => undefined,
+			error: undefined, hasEnded: false, tryHalfClose: () => false, pace: undefined, destroy: () => undefined, onParsed: () => undefined,
 		};
 		const client = new Client(`http://${address}`, {
 			pipelining: 1,
 			connect(options, callback) {
 				socket.error = undefined;
 				socket.hasEnded = false;
+				socket.onParsed = () => undefined;
 				connect(options, (...result) => {
 					const [, opened] = result;
 					if (opened) {
@@ -132,6 +134,10 @@
 								socket.onParsed();
 							},
 						});
+						socket.destroy = () => {
+							opened.destroy();
+						};
+
 						// Bytes may wait to be parsed after the end was read, and a reset meanwhile takes nothing back.
 						const push = opened.push.bind(opened);
 						opened.push = (chunk: unknown, ...rest) => {
@@ -261,6 +267,16 @@
 				}
 			}
 
+			/** Closes an idle connection on which anything arrives. */
+			function watchIdle(): void {
+				const parsedBytes = socket.pace?.readParsedBytes();
+				socket.onParsed = () => {
+					if (socket.pace?.readParsedBytes() !== parsedBytes) {
+						socket.destroy();
+					}
+				};
+			}
+
 			function finish(error: string | undefined): void {
 				if (hasEnded) {
 					closeIfAbandoned();
@@ -268,7 +284,7 @@
 				}
 
 				hasEnded = true;
-				socket.onParsed = () => undefined;
+				watchIdle();
 				socket.pace?.resume();
 				if (error === undefined) {
 					keepIdle(address, connection, req.maxIdleConnections);
