Count a stop signal that comes while modules are loaded from its arrival

What callers saw: with a start that blocked the event loop for 1.5 s, a post sent 1.8 s after the stop signal with 1.5 s to go was run, though the kill came before its end.

Cause: a signal is handled when the event loop turns. Loading modules blocks it: signals sent 0 to 0.26 s after the listener had opened were handled 2 to 237 ms late (12 processes on a busy machine); the cut leaves 180 ms of a grace period of 3 s.

Change: until the start is over, turns of the event loop are noted every 10 ms, and a signal counts from the last turn after which it can have come. The drain may thus begin a little early, never late.

--- a/src/daemon/run-daemon.ts
+++ b/src/daemon/run-daemon.ts
@@ -43,7 +43,8 @@
 /** Runs a role until a stop signal arrives; resolves to the exit code. */
 export async function runDaemon(settings: Settings, secrets: Secrets): Promise<number> {
 	const ctx = createContext(settings, secrets);
-	const stopSignal = catchStopSignals(ctx.clock).wait(ctx.log);
+	const stopSignals = catchStopSignals(ctx.clock);
+	const stopSignal = stopSignals.wait(ctx.log);
 	ctx.lifeCycle.own('configuration polling', registerConfigurationSync({...ctx, holder: ctx.configuration, random: Math.random}));
 	const role = await startRole(ctx, settings, secrets);
 	if (!role.ok) {
@@ -56,6 +57,7 @@
 	}
 
 	ctx.log.info('started', {role: settings.role});
+	stopSignals.noteStarted();
 	await stopSignal;
 	const cutOff = await drainWithTimeout(ctx, role.value, computeDrainLimitMillis(settings));
 	const failures = await ctx.lifeCycle.shutdown();
