--- a/src/gateway/attempt-outcome.ts
+++ b/src/gateway/attempt-outcome.ts
@@ -14,6 +14,6 @@
 		| Readonly<{tag: 'lost'; detail: string; isSilent?: true}>
 	/** The attempt was ended here, to be continued at another backend server; it has run in part. */
 		| Readonly<{tag: 'moved'}>
-	/** The attempt timed out; it may have run. */
-		| Readonly<{tag: 'late'}>
+	/** The attempt timed out, or the process is about to end (`stopping`); it may have run. */
+		| Readonly<{tag: 'late'; cause?: 'stopping'}>
 		| Readonly<{tag: 'caller_left'}>;
--- a/src/gateway/finish-call.ts
+++ b/src/gateway/finish-call.ts
@@ -97,7 +97,9 @@
 		case 'not_run':
 		case 'not_sent': {
 			recordCall(ctx, routed, progress, 'unknown');
-			refuseCall(ctx, call, {tag: 'unknown', reason: outcome.tag === 'late' ? 'late' : 'lost'}, {route: routed.route.name, attempts: progress.attempts});
+			refuseCall(ctx, call, {tag: 'unknown', reason: outcome.tag === 'late' ? 'late' : 'lost'}, {
+				route: routed.route.name, cause: 'cause' in outcome ? outcome.cause : undefined, attempts: progress.attempts,
+			});
 		}
 	}
 }
--- a/src/gateway/run-attempt.ts
+++ b/src/gateway/run-attempt.ts
@@ -139,7 +139,7 @@
 		};
 
 		const onCutOff = () => {
-			abortWith({tag: 'late'});
+			abortWith({tag: 'late', cause: 'stopping'});
 		};
 
 		call.disconnectSignal.addEventListener('abort', onCallerDisconnected, {once: true});
--- a/src/gateway/send-to-backend-server.ts
+++ b/src/gateway/send-to-backend-server.ts
@@ -166,6 +166,7 @@
 			server: server.id,
 			end: outcome.tag,
 			detail: 'detail' in outcome ? outcome.detail : undefined,
+			cause: 'cause' in outcome ? outcome.cause : undefined,
 			status: 'head' in outcome ? outcome.head.status : undefined,
 			faultyServer: 'head' in outcome ? outcome.head.faultyServer : undefined,
 			events: eventCount,
--- a/src/http/http-listener-constants.ts
+++ b/src/http/http-listener-constants.ts
@@ -9,6 +9,6 @@
 /** Longest time for which a connection stays open after its last response until the peer closes it, in milliseconds. */
 export const PEER_CLOSE_TIMEOUT_MILLIS = 1000;
 /** The same at the shutdown, which has little time, in milliseconds. */
-export const SHUTDOWN_PEER_TIMEOUT_MILLIS = 200;
+export const PEER_SHUTDOWN_TIMEOUT_MILLIS = 200;
 /** Number of connections above which new ones end that wait. */
 export const MAX_UNCROWDED_CONNECTIONS = 200;
--- a/src/http/http-listener.ts
+++ b/src/http/http-listener.ts
@@ -12,7 +12,7 @@
 import type {Result} from '../core/result.js';
 import {manageConnections, type HttpConnections} from './http-connections.js';
 import {
-	CLOSE_POLL_INTERVAL_MILLIS, CLOSE_TIMEOUT_MILLIS, CONNECTION_CHECK_MILLIS, MAX_UNCROWDED_CONNECTIONS, PEER_CLOSE_TIMEOUT_MILLIS, REQUEST_TIMEOUT_MILLIS, SHUTDOWN_PEER_TIMEOUT_MILLIS,
+	CLOSE_POLL_INTERVAL_MILLIS, CLOSE_TIMEOUT_MILLIS, CONNECTION_CHECK_MILLIS, MAX_UNCROWDED_CONNECTIONS, PEER_CLOSE_TIMEOUT_MILLIS, PEER_SHUTDOWN_TIMEOUT_MILLIS, REQUEST_TIMEOUT_MILLIS,
 } from './http-listener-constants.js';
 
 export type FetchHandler = (req: Request) => Response | Promise<Response>;
@@ -97,8 +97,9 @@
 
 	connections.disableKeepAlive();
 	server.close();
-	await waitForNone(() => connections.countOpenExchanges() + connections.countReceiving(), CLOSE_TIMEOUT_MILLIS);
+	await waitForNone(connections.countOpenExchanges, CLOSE_TIMEOUT_MILLIS);
 	connections.closeIdle();
-	await waitForNone(connections.countClosing, SHUTDOWN_PEER_TIMEOUT_MILLIS);
+	// Half a request or a peer that does not close must not hold up the shutdown.
+	await waitForNone(() => connections.countOpenExchanges() + connections.countReceiving() + connections.countClosing(), PEER_SHUTDOWN_TIMEOUT_MILLIS);
 	connections.closeAll();
 }
--- a/src/observability/line-schemas.ts
+++ b/src/observability/line-schemas.ts
@@ -45,6 +45,7 @@
 		server: z.string(),
 		end: z.enum(['not_sent', 'not_run', 'answered', 'lost', 'late', 'caller_left']),
 		detail: z.string().optional(),
+		cause: z.enum(['stopping']).optional(),
 		status: z.number().int().optional(),
 		faultyServer: z.string().optional(),
 		/** Whole events that the backend server had sent in this attempt. */
