Read what has arrived before an attempt is ended as silent or late

Cause: after the process was busy, timers fire before the event loop reads what has arrived meanwhile. The limits on silence and on the time of an attempt were looked at there, so an answer in the receive buffer counted as none.

What callers saw: after a pause of the process, an attempt was given up although its answer had come in time. It was repeated, or ended with its outcome unknown.

Change: at either limit the event loop turns once before the attempt is ended.

--- a/src/gateway/run-attempt.ts
+++ b/src/gateway/run-attempt.ts
@@ -1,4 +1,5 @@
 /** Runs one attempt of a call at one backend server. */
+import {setImmediate as waitForTurn} from 'node:timers/promises';
 import {match} from 'ts-pattern';
 import type {AnswerMetadata, CallCodec} from '../ports/call-codec.js';
 import type {Clock} from '../core/clock.js';
@@ -81,6 +82,11 @@
 		.exhaustive();
 }
 
+/** Lets the event loop read what has arrived: after the process was busy, timers fire before that. */
+async function waitForArrived(): Promise<void> {
+	await waitForTurn();
+}
+
 /** Sends the call and resolves once the exchange has ended. */
 export async function runAttempt({connections, codec, clock}: AttemptDeps, call: Call, plan: AttemptPlan): Promise<AttemptOutcome> {
 	return new Promise(resolve => {
@@ -114,14 +120,19 @@
 				}
 
 				const limitMillis = hasData ? pauseMillis : firstByteMillis;
+				const checkedProgressAtMillis = lastProgressAtMillis;
 				const leftMillis = lastProgressAtMillis + limitMillis - clock.monotonicMillis();
+				/* eslint-disable no-await-in-loop -- Polls sequentially. */
 				if (leftMillis <= 0 && isOtherAlive()) {
-					abortWith({tag: 'lost', detail: `no data for ${limitMillis} ms while other backend servers made progress`, isSilent: true});
-					return;
+					await waitForArrived();
+					if (!ended.signal.aborted && lastProgressAtMillis === checkedProgressAtMillis) {
+						abortWith({tag: 'lost', detail: `no data for ${limitMillis} ms while other backend servers made progress`, isSilent: true});
+						return;
+					}
 				}
 
-				// eslint-disable-next-line no-await-in-loop -- Polls sequentially.
 				await clock.sleep(Math.max(SILENCE_CHECK_INTERVAL_MILLIS, leftMillis), ended.signal);
+				/* eslint-enable no-await-in-loop */
 			}
 		}
 
@@ -229,7 +240,8 @@
 			void watchSilence(plan.silenceLimit);
 		}
 
-		void clock.sleep(plan.timeoutMillis, ended.signal).then(() => {
+		void clock.sleep(plan.timeoutMillis, ended.signal).then(async () => {
+			await waitForArrived();
 			if (!ended.signal.aborted) {
 				abortWith({tag: 'late'});
 			}
