Test answers whose requests can't be written to their end

A backend server may answer before it has read the whole request, and close. The failed write must not discard the answer that has arrived.

The parser is also made to read on after such a failure, as a failed stream emits no event for what it holds. No test reaches this.

--- a/src/gateway/__tests__/backend-connections.test.ts
+++ b/src/gateway/__tests__/backend-connections.test.ts
@@ -114,8 +114,8 @@
 /** A clock by which parsing takes no time. */
 const stoppedClock: Clock = {...systemClock, monotonicMillis: () => 0};
 
-/** Callbacks that replace those of a request, and the reason of an abort right after it is sent. */
-type ExchangeOptions = Partial<ExchangeListener> & Readonly<{abortReason?: string}>;
+/** Callbacks that replace those of a request, the reason of an abort right after it is sent, and its body. */
+type ExchangeOptions = Partial<ExchangeListener> & Readonly<{abortReason?: string; body?: Uint8Array}>;
 
 /** Starts a server that calls `respond` for each request, and connections to it. */
 async function startBackend(respond: (socket: Socket) => void, clock: Clock = systemClock) {
@@ -136,12 +136,12 @@
 	const connections = createBackendConnections({clock, lifeCycle});
 
 	/** Sends a request and resolves once its exchange has ended; `more` replaces callbacks. */
-	async function exchange(onData: (exchange: Exchange) => void = () => undefined, {abortReason, ...more}: ExchangeOptions = {}) {
+	async function exchange(onData: (exchange: Exchange) => void = () => undefined, {abortReason, body = new Uint8Array(0), ...more}: ExchangeOptions = {}) {
 		let bytes = 0;
 		let status = 0;
 		const error = await new Promise<string | undefined>(resolve => {
 			const sent = connections.send(`127.0.0.1:${listening.ok ? listening.value : ''}`, {
-				method: 'GET', path: '/', headers: [], body: new Uint8Array(0), allowsLongIdleConnection: true, maxIdleConnections: 1,
+				method: body.length > 0 ? 'POST' : 'GET', path: '/', headers: [], body, allowsLongIdleConnection: true, maxIdleConnections: 1,
 			}, {
 				onSent: () => undefined,
 				onHead(head) {
@@ -389,38 +389,45 @@
 const ANSWER = formatAnswer('a length', 3);
 
 /** What a backend server sends on a kept connection besides its answer. */
-const extras: ReadonlyArray<Readonly<{name: string; send: (socket: Socket) => void; delayMillis: number}>> = [0, 20].flatMap(delayMillis => [
-	{
-		name: 'a second answer', send(socket: Socket) {
-			socket.write(ANSWER.replace('200', '201'));
-		}, delayMillis,
-	},
-	{
-		name: 'a second answer behind empty lines', send(socket: Socket) {
-			socket.write('\r\n'.repeat(3 * MAX_READ_BYTES) + ANSWER.replace('200', '201'));
-		}, delayMillis,
-	},
-	{
-		name: 'part of an answer', send(socket: Socket) {
-			socket.write('HTTP/1.1 201 Cre');
-		}, delayMillis,
-	},
-	{
-		name: 'bytes that are no answer', send(socket: Socket) {
-			socket.write(REST);
-		}, delayMillis,
-	},
-	{
-		name: 'its end', send(socket: Socket) {
-			socket.end();
-		}, delayMillis,
-	},
+const extras: ReadonlyArray<Readonly<{name: string; send: (socket: Socket) => void; delayMillis: number}>> = [
+	...[0, 20].flatMap(delayMillis => [
+		{
+			name: 'a second answer', send(socket: Socket) {
+				socket.write(ANSWER.replace('200', '201'));
+			}, delayMillis,
+		},
+		{
+			name: 'a second answer behind empty lines', send(socket: Socket) {
+				socket.write('\r\n'.repeat(3 * MAX_READ_BYTES) + ANSWER.replace('200', '201'));
+			}, delayMillis,
+		},
+		{
+			name: 'part of an answer', send(socket: Socket) {
+				socket.write('HTTP/1.1 201 Cre');
+			}, delayMillis,
+		},
+		{
+			name: 'bytes that are no answer', send(socket: Socket) {
+				socket.write(REST);
+			}, delayMillis,
+		},
+		{
+			name: 'its end', send(socket: Socket) {
+				socket.end();
+			}, delayMillis,
+		},
+		{
+			name: 'empty lines and its end', send(socket: Socket) {
+				socket.end('\r\n'.repeat(3 * MAX_READ_BYTES));
+			}, delayMillis,
+		},
+	]),
 	{
-		name: 'empty lines and its end', send(socket: Socket) {
-			socket.end('\r\n'.repeat(3 * MAX_READ_BYTES));
-		}, delayMillis,
+		name: 'a reset', send(socket: Socket) {
+			socket.resetAndDestroy();
+		}, delayMillis: 20,
 	},
-]);
+];
 
 for (const [clockName, createClock] of [['at once', () => stoppedClock], ['slowly', createSlowClock]] as const) {
 	for (const {name, send, delayMillis} of extras) {
@@ -495,3 +502,27 @@
 	await backend.close();
 	assert.ok(closedAtMillis !== undefined && closedAtMillis - idleSinceMillis < 250);
 });
+
+for (const isPaused of [false, true]) {
+	const state = isPaused ? 'held back for its caller' : 'parsed slowly';
+	void test(`an answer that has arrived is whole although the rest of its request can't be written (${state})`, {timeout: TEST_TIMEOUT_MILLIS}, async () => {
+		const backend = await startBackend(socket => {
+			socket.pause();
+			socket.write(formatAnswer('a length', 10_000), () => {
+				setTimeout(() => {
+					socket.destroy();
+				}, isPaused ? RESET_MILLIS : 0);
+			});
+		}, isPaused ? systemClock : createSlowClock());
+		let hasPaused = !isPaused;
+		const ended = await backend.exchange(exchange => {
+			if (!hasPaused) {
+				hasPaused = true;
+				exchange.pause();
+				setTimeout(exchange.resume, 2 * RESET_MILLIS);
+			}
+		}, {body: Buffer.alloc(8_000_000)});
+		await backend.close();
+		assert.deepEqual(ended, {error: undefined, status: 200, bytes: 10_000});
+	});
+}
--- a/src/gateway/paced-socket.ts
+++ b/src/gateway/paced-socket.ts
@@ -94,6 +94,8 @@
 		}
 
 		failure ??= error;
+		// A failed stream does not say that it can be read.
+		yieldTurn();
 		return socket;
 	};
 
