Let the TCP relay simulate a slow link with a small buffer

The soak's callers had links without delay, so that an answer had always left its gateway when it ended. A relay may now have a delay, a rate and a buffer of its own; it reads on only while there is room. What it received before one side closed is still delivered to the other, also where the close is a reset: bytes of a real network aren't overtaken by it.

--- a/bench/system/__tests__/tcp-relay.test.ts
+++ b/bench/system/__tests__/tcp-relay.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {connect, createServer} from 'node:net';
 import {test} from 'node:test';
@@ -49,3 +50,32 @@
 		assert.equal(received, pieces.join(''), `round ${round}`);
 	}
 });
+
+void test('a slow link with a small buffer holds its sender back and delivers all that was sent before the connection closed', async () => {
+	const size = 10_000_000;
+	let isSent = false;
+	const server = createServer(socket => {
+		socket.end(Buffer.alloc(size), () => {
+			isSent = true;
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const bound = server.address();
+	assert.ok(typeof bound === 'object' && bound);
+	const relay = await startTcpRelay({port: 0}, bound.port, {delayMillis: 20, bytesPerSecond: 20_000_000, bufferBytes: 65_536});
+	const client = connect(Number(relay.address.split(':')[1]), '127.0.0.1');
+	let received = 0;
+	client.on('data', bytes => {
+		received += bytes.length;
+	});
+	const startedAtMillis = performance.now();
+	await wait(200);
+	assert.equal(isSent, false);
+	await once(client, 'end');
+	assert.ok(performance.now() - startedAtMillis > 450);
+	assert.equal(received, size);
+	client.destroy();
+	await relay.close();
+	server.close();
+});
--- a/bench/system/tcp-relay.ts
+++ b/bench/system/tcp-relay.ts
@@ -27,6 +27,7 @@
 type RelayedConnection = {readonly targetSocket: Socket; readonly clientSocket: Socket; isSilent: boolean};
 
 const LOOPBACK = '127.0.0.1';
+const MILLIS_PER_SECOND = 1000;
 
 function destroySockets({targetSocket, clientSocket}: RelayedConnection): void {
 	targetSocket.destroy();
@@ -36,17 +37,23 @@
 /** Address that a relay listens on; port 0 takes a free port. */
 export type RelayListenAddress = Readonly<{host?: string; port: number}>;
 
-/** Relays connections from the given address, by default on loopback, to `targetPort` on loopback. */
-export async function startTcpRelay({host = LOOPBACK, port}: RelayListenAddress, targetPort: number): Promise<TcpRelay> {
+/** Properties of the simulated link; by default it is fast and relays to loopback. */
+export type RelayLink = Readonly<{targetHost?: string; delayMillis?: number; bytesPerSecond?: number; bufferBytes?: number}>;
+
+/** Relays connections from the given address, by default on loopback, to `targetPort`. */
+export async function startTcpRelay({host = LOOPBACK, port}: RelayListenAddress, targetPort: number, link: RelayLink = {}): Promise<TcpRelay> {
+	const {targetHost = LOOPBACK, delayMillis: linkDelayMillis = 0, bytesPerSecond = Infinity, bufferBytes = Infinity} = link;
 	const connections = new Set<RelayedConnection>();
 	let isCut = false;
 	let silencedDirection: SilentWay = 'none';
-	let delayMillis = 0;
+	let delayMillis = linkDelayMillis;
 
 	/** Forwards bytes in order, each chunk after the delay in effect when it arrives. */
 	function forward(connection: RelayedConnection, from: Socket, to: Socket, direction: SilentWay): void {
 		// Timers alone do not keep the order: each counts from the time at which the event loop last read the clock.
 		let queue: ReadonlyArray<Readonly<{dueMillis: number; action: () => void}>> = [];
+		let queuedBytes = 0;
+		let isFreeAtMillis = 0;
 		const flush = () => {
 			const nowMillis = performance.now();
 			while (queue[0] && queue[0].dueMillis <= nowMillis) {
@@ -60,20 +67,33 @@
 			}
 		};
 
-		const schedule = (action: () => void) => {
-			const dueMillis = Math.max(queue.at(-1)?.dueMillis ?? 0, performance.now() + delayMillis);
+		const schedule = (action: () => void, bytes = 0) => {
+			isFreeAtMillis = Math.max(isFreeAtMillis, performance.now()) + (bytes / bytesPerSecond * MILLIS_PER_SECOND);
+			const dueMillis = Math.max(queue.at(-1)?.dueMillis ?? 0, isFreeAtMillis + delayMillis);
 			queue = [...queue, {dueMillis, action}];
 			if (queue.length === 1) {
 				flush();
 			}
 		};
 
+		const readWhileRoom = () => {
+			if (queuedBytes + to.writableLength < bufferBytes) {
+				from.resume();
+			} else {
+				from.pause();
+			}
+		};
+
 		const isSilent = () => connection.isSilent || silencedDirection === direction || silencedDirection === 'both';
 		from.on('data', bytes => {
 			if (!isSilent()) {
+				queuedBytes += bytes.length;
 				schedule(() => {
-					to.write(bytes);
-				});
+					queuedBytes -= bytes.length;
+					to.write(bytes, readWhileRoom);
+					readWhileRoom();
+				}, bytes.length);
+				readWhileRoom();
 			}
 		});
 		from.on('end', () => {
@@ -83,6 +103,12 @@
 				});
 			}
 		});
+		// What was received before the connection closed is still delivered.
+		from.on('close', () => {
+			schedule(() => {
+				to.destroySoon();
+			});
+		});
 	}
 
 	function resetOpen(): void {
@@ -98,16 +124,17 @@
 			return;
 		}
 
-		const targetSocket = connect({host: LOOPBACK, port: targetPort, allowHalfOpen: true});
+		const targetSocket = connect({host: targetHost, port: targetPort, allowHalfOpen: true});
 		const connection: RelayedConnection = {targetSocket, clientSocket, isSilent: false};
 		connections.add(connection);
 		for (const socket of [targetSocket, clientSocket]) {
 			socket.on('error', () => {
-				destroySockets(connection);
+				socket.destroy();
 			});
 			socket.on('close', () => {
-				destroySockets(connection);
-				connections.delete(connection);
+				if (targetSocket.destroyed && clientSocket.destroyed) {
+					connections.delete(connection);
+				}
 			});
 		}
 
@@ -140,7 +167,7 @@
 		heal() {
 			isCut = false;
 			silencedDirection = 'none';
-			delayMillis = 0;
+			delayMillis = linkDelayMillis;
 		},
 		async close() {
 			for (const connection of connections) {
