--- a/bench/soak-command.ts
+++ b/bench/soak-command.ts
@@ -1,7 +1,8 @@
 import process from 'node:process';
 import {defineCommand} from 'citty';
 import {invariant} from '../src/core/invariant.js';
-import {SOAK_FAULTS} from '../platform/__tests__/soak/soak-faults.js';
+import {listFaults} from '../platform/__tests__/soak/soak-faults.js';
+import {SOAK_GRACE_S} from '../platform/__tests__/soak/soak-system.js';
 import {runSoak, type SoakSummary} from '../platform/__tests__/soak/run-soak.js';
 
 const EXIT_PROMISE_BROKEN = 1;
@@ -26,15 +27,21 @@
 		gateways: {type: 'string', description: 'Gateway processes', default: '3'},
 		backends: {type: 'string', description: 'Backend servers', default: '4'},
 		callers: {type: 'string', description: 'Concurrent callers', default: '16'},
-		only: {type: 'string', description: 'Kinds of faults, separated by commas; all by default', default: ''},
+		posters: {type: 'string', description: 'Callers that post slow work, ask for large answers and keep their connections', default: '0'},
+		grace: {type: 'string', description: 'Time that a gateway may take to stop, in seconds', default: String(SOAK_GRACE_S)},
+		only: {type: 'string', description: 'Kinds of faults, separated by commas; by default all but stop_series', default: ''},
 	},
 	async run({args}) {
 		const rounds = readCount('rounds', args.rounds, 1);
 		const size = {
-			gateways: readCount('gateways', args.gateways, 1), backends: readCount('backends', args.backends, 2), callers: readCount('callers', args.callers, 1),
+			gateways: readCount('gateways', args.gateways, 1),
+			backends: readCount('backends', args.backends, 2),
+			callers: readCount('callers', args.callers, 1),
+			posters: readCount('posters', args.posters, 0),
+			graceS: readCount('grace', args.grace, 1),
 		};
 		const only = args.only === '' ? [] : args.only.split(',');
-		const unknown = only.find(name => !SOAK_FAULTS.some(fault => fault.name === name));
+		const unknown = only.find(name => !listFaults([name]).some(fault => fault.name === name));
 		if (unknown !== undefined) {
 			throw new Error(`--only: unknown kind of fault: ${unknown}`);
 		}
