--- a/src/http/__tests__/http-listener.test.ts
+++ b/src/http/__tests__/http-listener.test.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict';
 import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {createConnection} from 'node:net';
 import {test, type TestContext} from 'node:test';
 import {Agent, request} from 'undici';
 import {createTestCertificate} from '../../../fakes/test-certificate.js';
@@ -71,3 +73,20 @@
 	});
 	assert.deepEqual(second, {ok: false, error: {tag: 'listen_failed', address: url.host, detail: 'EADDRINUSE'}});
 });
+
+void test('an answer that is cut off by the shutdown is reported', async () => {
+	const lifeCycle = createLifeCycle();
+	const fastClock = {...systemClock, monotonicMillis: () => systemClock.monotonicMillis() * 50, sleep: async (millis: number) => systemClock.sleep(millis / 50)};
+	const listening = await listenHttp(() => new Response('x'.repeat(20_000_000)), {
+		name: 'listener', address: '127.0.0.1:0', clock: fastClock, lifeCycle,
+	});
+	assert.ok(listening.ok);
+	const socket = createConnection(listening.value, '127.0.0.1');
+	socket.on('error', () => undefined);
+	socket.write('GET / HTTP/1.1\r\nHost: h\r\n\r\n');
+	await once(socket, 'readable');
+	const failures = await lifeCycle.shutdown();
+	socket.destroy();
+	assert.equal(failures.length, 1);
+	assert.match(String(failures[0]?.err), /1 answers were not sent/v);
+});
--- a/src/http/http-connections.ts
+++ b/src/http/http-connections.ts
@@ -4,7 +4,7 @@
  * those that follow the one whose answer closes it.
  */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import type {Socket} from 'node:net';
+import {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import {setImmediate} from 'node:timers';
 import type {Clock} from '../core/clock.js';
@@ -177,7 +177,7 @@
 
 	/** Refuses a request for a tunnel. The server has taken its listeners off the socket by then, also that which continues an answer under way. */
 	function handleTunnelRequest(_req: IncomingMessage, socket: Duplex): void {
-		const connection = [...connections.values()].find(item => item.socket === socket);
+		const connection = socket instanceof Socket ? connections.get(socket) : undefined;
 		if (!connection) {
 			socket.destroy();
 			return;
--- a/src/http/http-listener.ts
+++ b/src/http/http-listener.ts
@@ -54,7 +54,7 @@
 	});
 }
 
-/** Listens until the life cycle shuts down; closing waits for responses in flight. The value is the port. */
+/** Listens until the life cycle shuts down; closing waits for responses in flight, and fails if some could not be sent. The value is the port. */
 export async function listenHttp(handler: FetchHandler, {name, address, clock, lifeCycle, tls}: ListenOptions): Promise<Result<number, ListenError>> {
 	const server = createHttpServer(tls);
 	const connections = manageConnections(server, {
@@ -101,5 +101,9 @@
 	connections.closeIdle();
 	// Half a request or a peer that does not close must not hold up the shutdown.
 	await waitForNone(() => connections.countOpenExchanges() + connections.countReceiving() + connections.countClosing(), PEER_SHUTDOWN_TIMEOUT_MILLIS);
+	const unsent = connections.countOpenExchanges();
 	connections.closeAll();
+	if (unsent > 0) {
+		throw new Error(`${unsent} answers were not sent within ${CLOSE_TIMEOUT_MILLIS} ms`);
+	}
 }
